--- /dev/null
+++ b/wire/task.go
@@ -0,0 +1,184 @@
+// Package wire holds the typed messages between the system's processes and
+// the names of their methods.
+package wire
+
+import (
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+)
+
+// Method names.
+const (
+	MethodRegister = "control.register"
+	MethodRenew    = "control.renew"
+	MethodLeave    = "control.leave"
+	MethodAdmit    = "control.admit"
+	MethodComplete = "control.complete"
+	MethodJob      = "control.job"
+	MethodApply    = "control.apply"
+	MethodGet      = "control.get"
+	MethodStatus   = "control.status"
+	MethodReplace  = "control.replace"
+	MethodDrain    = "control.drain"
+	MethodStep     = "peer.step"
+	MethodRenewals = "peer.renewals"
+
+	MethodHello    = "agent.hello"
+	MethodExchange = "agent.exchange"
+	MethodClaim    = "agent.claim"
+	MethodPing     = "agent.ping"
+	MethodReport   = "entry.report"
+	MethodState    = "entry.state"
+	MethodBodies   = "entry.bodies"
+	MethodCancel   = "entry.cancel"
+	MethodDump     = "dump"
+)
+
+// Header is one HTTP header field.
+type Header struct {
+	Name  string `json:"n"`
+	Value string `json:"v"`
+}
+
+// Start asks an agent to run a task.
+type Start struct {
+	Key ids.TaskKey `json:"k"`
+	// Epoch of the owner, zero for a single request.
+	Epoch   ids.Epoch `json:"ep,omitempty"`
+	Method  string    `json:"m"`
+	Path    string    `json:"p"`
+	Headers []Header  `json:"h,omitempty"`
+	Body    []byte    `json:"b,omitempty"`
+	// BudgetMS is the time left for the task when the message was sent. The
+	// agent refuses the task when it can't start within it.
+	BudgetMS int64 `json:"t"`
+}
+
+// Exchange is the message of an entry to an agent.
+type Exchange struct {
+	Entry  ids.Incarnation `json:"e"`
+	Starts []Start         `json:"s,omitempty"`
+	// Recalls takes back tasks that have not started.
+	Recalls []ids.TaskKey `json:"r,omitempty"`
+	// Cancels drops the unstarted tasks of jobs and aborts the started ones.
+	Cancels []Ownership `json:"c,omitempty"`
+	// Aborts ends single requests whose answer nobody waits for any more.
+	Aborts []ids.TaskKey `json:"x,omitempty"`
+	// Acks lists answers that the entry has taken over. The agent may drop
+	// their bodies, but keeps the rows.
+	Acks []ids.TaskKey `json:"a,omitempty"`
+	// Ended lists jobs that need no further rows beyond the retention.
+	Ended []ids.Job `json:"z,omitempty"`
+	// Demand is how many tasks for this agent's service wait at the entry.
+	Demand int `json:"d"`
+}
+
+// Answer is the end of a task at an agent.
+type Answer struct {
+	Key     ids.TaskKey     `json:"k"`
+	Verdict verdict.Verdict `json:"v"`
+	Reason  verdict.Reason  `json:"r,omitempty"`
+	Status  int             `json:"s,omitempty"` // HTTP status of the upstream, zero if there was none
+	Headers []Header        `json:"h,omitempty"`
+	Body    []byte          `json:"b,omitempty"`
+	// QueueUS and RunUS are the times that the task waited at the agent and ran
+	// on the upstream, in microseconds.
+	QueueUS int64 `json:"q,omitempty"`
+	RunUS   int64 `json:"u,omitempty"`
+}
+
+// Report is the message of an agent to an entry.
+type Report struct {
+	Upstream ids.Incarnation `json:"u"`
+	// Answers holds results and refusals alike. A refusal has verdict not-run.
+	Answers []Answer `json:"a,omitempty"`
+	// Started lists tasks whose recall came too late: they run.
+	Started []ids.TaskKey `json:"s,omitempty"`
+	// Credit is how many tasks of this entry the agent holds at once at most,
+	// queued and running together.
+	Credit   int  `json:"c"`
+	Running  int  `json:"n"` // tasks running for all entries
+	Queued   int  `json:"q"` // tasks queued for all entries
+	Draining bool `json:"d,omitempty"`
+	// Down is set while the agent can't reach its upstream.
+	Down bool `json:"x,omitempty"`
+}
+
+// Hello is the first request of an entry on a connection to an agent.
+type Hello struct {
+	Entry ids.Incarnation `json:"e"`
+}
+
+// HelloReply names the incarnation that answers.
+type HelloReply struct {
+	Upstream ids.Incarnation `json:"u"`
+}
+
+// Claim asks an agent for its rows of a job and raises the job's epoch there.
+type Claim struct {
+	Ownership
+	Entry ids.Incarnation `json:"entry"`
+}
+
+// TaskState is the state of a row at an agent.
+type TaskState string
+
+// The states of a row in an agent's start table.
+const (
+	TaskQueued   TaskState = "queued"
+	TaskRunning  TaskState = "running"
+	TaskEnded    TaskState = "ended"
+	TaskRecalled TaskState = "recalled"
+)
+
+// TaskRow is one row of a claimed job.
+type TaskRow struct {
+	Index  int       `json:"i"`
+	State  TaskState `json:"s"`
+	Answer *Answer   `json:"a,omitempty"` // set when ended
+}
+
+// ClaimReply answers Claim. After it the agent refuses older epochs of the job.
+// Queued rows have been recalled by the claim; running rows will be reported to
+// the new owner when they end.
+type ClaimReply struct {
+	Upstream ids.Incarnation `json:"u"`
+	Rows     []TaskRow       `json:"rows,omitempty"`
+	Err      *verdict.Error  `json:"err,omitempty"` // fenced by a newer epoch
+}
+
+// StateQuery asks the owner of a job for its state on behalf of a caller.
+type StateQuery struct {
+	Job    ids.Job `json:"job"`
+	WaitMS int64   `json:"wait"`
+}
+
+// JobStatus is the state or answer of a job as its owner holds it.
+type JobStatus struct {
+	Job     ids.Job         `json:"job"`
+	State   JobState        `json:"state"`
+	Verdict verdict.Verdict `json:"verdict"`
+	Reason  verdict.Reason  `json:"reason,omitempty"`
+	Detail  string          `json:"detail,omitempty"`
+	Tasks   int             `json:"tasks"`
+	Done    int             `json:"done"`
+	Results []Answer        `json:"results,omitempty"` // all tasks in order, when complete
+	// NeedBodies is set while a new owner holds tasks that have never started
+	// but whose bodies went with the former owner. A resubmission supplies them.
+	NeedBodies bool `json:"need,omitempty"`
+}
+
+// TaskSpec is what a caller wants done in one task.
+type TaskSpec struct {
+	Method  string   `json:"m"`
+	Path    string   `json:"p"`
+	Headers []Header `json:"h,omitempty"`
+	Body    []byte   `json:"b,omitempty"`
+}
+
+// Bodies hands the task bodies of a resubmission to the owner of the job. The
+// sender has checked the body hash against the job's record.
+type Bodies struct {
+	Job   ids.Job    `json:"job"`
+	Tasks []TaskSpec `json:"tasks"`
+}
