--- /dev/null
+++ b/member/servers.go
@@ -0,0 +1,209 @@
+package member
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// renewTimeout bounds one renewal, so that two unreachable servers can be
+	// passed over before the view is stale.
+	renewTimeout = 500 * time.Millisecond
+	// writeTimeout bounds one attempt of a write at one server. It is above the
+	// 2 s in which a new leader is elected.
+	writeTimeout = 3 * time.Second
+	// retryPause separates attempts while no leader is known.
+	retryPause = 50 * time.Millisecond
+	// maxHops is how many hints are followed without a pause.
+	maxHops = 2
+)
+
+// Dialer opens a connection to a control node.
+type Dialer func(ctx context.Context, addr string) (*rpc.Conn, error)
+
+// servers keeps at most one connection to each control node and finds the leader.
+type servers struct {
+	dial  Dialer
+	addrs []string
+
+	mu     sync.Mutex
+	conns  map[string]*rpc.Conn
+	leader string // address of the last known leader, empty if unknown
+	next   int
+	closed bool
+}
+
+func newServers(addrs []string, dial Dialer) *servers {
+	return &servers{dial: dial, addrs: addrs, conns: map[string]*rpc.Conn{}}
+}
+
+func (s *servers) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for addr, c := range s.conns {
+		c.Close()
+		delete(s.conns, addr)
+	}
+}
+
+func (s *servers) conn(ctx context.Context, addr string) (*rpc.Conn, error) {
+	s.mu.Lock()
+	c, closed := s.conns[addr], s.closed
+	s.mu.Unlock()
+	if closed {
+		return nil, verdict.Refuse(verdict.Draining, "the session is closed")
+	}
+	if c != nil {
+		return c, nil
+	}
+	c, err := s.dial(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		c.Close()
+		return nil, verdict.Refuse(verdict.Draining, "the session is closed")
+	}
+	if other := s.conns[addr]; other != nil {
+		c.Close()
+		return other, nil
+	}
+	s.conns[addr] = c
+	return c, nil
+}
+
+func (s *servers) drop(addr string, c *rpc.Conn) {
+	s.mu.Lock()
+	if s.conns[addr] == c {
+		delete(s.conns, addr)
+	}
+	s.mu.Unlock()
+	c.Close()
+}
+
+// call asks one server. It drops the connection when no answer arrives.
+func (s *servers) call(ctx context.Context, timeout time.Duration, addr, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	c, err := s.conn(ctx, addr)
+	if err != nil {
+		return err
+	}
+	err = c.Call(ctx, method, params, result)
+	if err != nil && verdict.From(err).Reason == verdict.ConnectionFailed {
+		s.drop(addr, c)
+	}
+	return err
+}
+
+func (s *servers) target() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leader != "" {
+		return s.leader
+	}
+	return s.addrs[s.next%len(s.addrs)]
+}
+
+func (s *servers) setLeader(addr string) {
+	s.mu.Lock()
+	s.leader = addr
+	s.mu.Unlock()
+}
+
+func (s *servers) skip() {
+	s.mu.Lock()
+	s.leader = ""
+	s.next++
+	s.mu.Unlock()
+}
+
+// callLeader repeats a call at the leader until it is answered or ctx ends. The
+// call must be safe to repeat. When it gives up, the verdict is NotRun only if
+// no attempt can have had an effect.
+func (s *servers) callLeader(ctx context.Context, method string, params, result any) error {
+	unknown, hops := false, 0
+	for {
+		addr := s.target()
+		err := s.call(ctx, writeTimeout, addr, method, params, result)
+		if err == nil {
+			s.setLeader(addr)
+			return nil
+		}
+		v := verdict.From(err)
+		unknown = unknown || v.Verdict == verdict.MayHaveRun
+		if ctx.Err() != nil {
+			return giveUp(unknown, method, v)
+		}
+		hint := leaderHint(v)
+		switch afterFailure(v, hint) {
+		case stepReturn:
+			return v
+		case stepHint:
+			s.setLeader(hint.Addr)
+			if hops++; hops < maxHops {
+				continue
+			}
+			hops = 0 // nodes that name each other are about to elect another leader
+			s.skip()
+		case stepNext:
+			s.skip()
+		}
+		if !pause(ctx, retryPause) {
+			return giveUp(unknown, method, v)
+		}
+	}
+}
+
+// callAny repeats a read at one server after the other until it is answered or
+// ctx ends.
+func (s *servers) callAny(ctx context.Context, method string, params, result any) error {
+	for n := 0; ; n++ {
+		err := s.call(ctx, writeTimeout, s.addrs[n%len(s.addrs)], method, params, result)
+		if err == nil {
+			return nil
+		}
+		v := verdict.From(err)
+		if afterFailure(v, wire.LeaderHint{}) == stepReturn {
+			return v
+		}
+		if !pause(ctx, retryPause) {
+			return giveUp(false, method, v)
+		}
+	}
+}
+
+func giveUp(unknown bool, method string, last *verdict.Error) *verdict.Error {
+	if unknown {
+		return verdict.Unknown(verdict.NoQuorum, "%s had no answer; last failure: %v", method, last).After(time.Second)
+	}
+	return verdict.Refuse(verdict.NoQuorum, "%s found no leader; last failure: %v", method, last).After(time.Second)
+}
+
+func leaderHint(v *verdict.Error) wire.LeaderHint {
+	var h wire.LeaderHint
+	if v.Reason == verdict.NotLeader {
+		_ = json.Unmarshal([]byte(v.Detail), &h) // without a hint the next server is asked
+	}
+	return h
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
