controlstate: add the replicated tables

Cause: the control daemon needs a deterministic state machine. A job's id is the log index of its admission record.

--- /dev/null
+++ b/controlstate/config.go
@@ -0,0 +1,197 @@
+package controlstate
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/baobabshore/baobabshore/settings"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	maxPairs     = 5_000
+	maxPairBytes = 4 << 10
+	maxIDBytes   = 128
+	// commandRetention is how long the answer to an operator's command is kept
+	// for a repetition.
+	commandRetention = 48 * time.Hour
+	// maxCommands bounds the kept answers: five times the commands of the
+	// retention at 2,000 a day.
+	maxCommands = 20_000
+)
+
+// limits are the settings that the tables themselves obey.
+type limits struct {
+	retention  int64 // milliseconds
+	tombstones int64 // milliseconds
+	deadline   int64 // milliseconds
+	maxOpen    int
+}
+
+type configTable struct {
+	version uint64
+	command string // that made the version
+	by      string
+	pairs   map[string]wire.SourcePair
+	limits  limits
+}
+
+func newConfigTable() configTable {
+	return configTable{pairs: map[string]wire.SourcePair{}, limits: defaultLimits()}
+}
+
+func defaultLimits() limits {
+	j := settings.Defaults().Jobs
+	return limits{
+		retention:  time.Duration(j.Retention).Milliseconds(),
+		tombstones: time.Duration(j.TombstoneRetention).Milliseconds(),
+		deadline:   time.Duration(j.MaxDeadline).Milliseconds(),
+		maxOpen:    j.MaxOpen,
+	}
+}
+
+func (t *configTable) sorted() []wire.SourcePair {
+	out := make([]wire.SourcePair, 0, len(t.pairs))
+	for _, k := range slices.Sorted(maps.Keys(t.pairs)) {
+		out = append(out, t.pairs[k])
+	}
+	return out
+}
+
+// replace puts the whole configuration in force and returns the keys that
+// changed. The version stays when nothing changed.
+func (t *configTable) replace(a wire.Apply, l limits) []string {
+	changed := map[string]bool{}
+	wanted := map[string]bool{}
+	for _, p := range a.Pairs {
+		wanted[p.Key] = true
+		old, ok := t.pairs[p.Key]
+		if !ok || old.Value != p.Value {
+			changed[p.Key] = true
+		}
+	}
+	for k := range t.pairs {
+		if !wanted[k] {
+			changed[k] = true
+		}
+	}
+	if len(changed) == 0 {
+		return nil
+	}
+	t.version++
+	t.command, t.by, t.limits = a.CommandID, a.By, l
+	for _, p := range a.Pairs {
+		if changed[p.Key] {
+			t.pairs[p.Key] = wire.SourcePair{Pair: p, ConfigVer: t.version, CommandID: a.CommandID, By: a.By}
+		}
+	}
+	for k := range changed {
+		if !wanted[k] {
+			delete(t.pairs, k)
+		}
+	}
+	return slices.Sorted(maps.Keys(changed))
+}
+
+// checkPairs refuses a configuration that the tables can't hold or obey.
+func checkPairs(pairs []wire.Pair) (limits, *verdict.Error) {
+	l := defaultLimits()
+	if len(pairs) > maxPairs {
+		return l, verdict.Refuse(verdict.BadRequest, "%d settings are above the limit of %d", len(pairs), maxPairs)
+	}
+	seen := make(map[string]bool, len(pairs))
+	for _, p := range pairs {
+		if p.Key == "" || len(p.Key)+len(p.Value) > maxPairBytes {
+			return l, verdict.Refuse(verdict.BadRequest, "setting %.40q is empty or longer than %d bytes", p.Key, maxPairBytes)
+		}
+		if seen[p.Key] {
+			return l, verdict.Refuse(verdict.BadRequest, "setting %q is given twice", p.Key)
+		}
+		seen[p.Key] = true
+		if e := l.set(p); e != nil {
+			return l, e
+		}
+	}
+	return l, nil
+}
+
+func (l *limits) set(p wire.Pair) *verdict.Error {
+	switch p.Key {
+	case "jobs.retention":
+		return setDuration(&l.retention, p)
+	case "jobs.tombstone_retention":
+		return setDuration(&l.tombstones, p)
+	case "jobs.max_deadline":
+		return setDuration(&l.deadline, p)
+	case "jobs.max_open":
+		n, err := strconv.Atoi(p.Value)
+		if err != nil || n < 1 {
+			return verdict.Refuse(verdict.BadRequest, "setting %s: %q is not a positive number", p.Key, p.Value)
+		}
+		l.maxOpen = n
+	}
+	return nil
+}
+
+func setDuration(ms *int64, p wire.Pair) *verdict.Error {
+	d, err := time.ParseDuration(p.Value)
+	if err != nil || d < time.Millisecond {
+		return verdict.Refuse(verdict.BadRequest, "setting %s: %q is not a positive duration such as 90s", p.Key, p.Value)
+	}
+	*ms = d.Milliseconds()
+	return nil
+}
+
+// commandRow is the answer to an operator's command.
+type commandRow struct {
+	ID    string          `json:"id"`
+	At    int64           `json:"at"` // Unix milliseconds
+	Reply wire.ApplyReply `json:"r"`
+}
+
+// commandTable keeps answers in the order of their commands.
+type commandTable struct {
+	rows  map[string]wire.ApplyReply
+	order []commandRow
+}
+
+func newCommandTable() commandTable {
+	return commandTable{rows: map[string]wire.ApplyReply{}}
+}
+
+func (t *commandTable) find(id string) (wire.ApplyReply, bool) {
+	r, ok := t.rows[id]
+	return r, ok
+}
+
+func (t *commandTable) admit(id string) *verdict.Error {
+	if id == "" || len(id) > maxIDBytes || strings.ContainsAny(id, "\r\n") {
+		return verdict.Refuse(verdict.BadRequest, "the command id is empty, has line breaks or is longer than %d bytes", maxIDBytes)
+	}
+	if len(t.order) >= maxCommands {
+		return verdict.Refuse(verdict.Overloaded, "%d commands within %v are remembered", maxCommands, commandRetention).After(time.Hour)
+	}
+	return nil
+}
+
+func (t *commandTable) add(id string, at int64, r wire.ApplyReply) {
+	t.rows[id] = r
+	t.order = append(t.order, commandRow{ID: id, At: at, Reply: r})
+}
+
+func (t *commandTable) due(now int64) bool {
+	return len(t.order) > 0 && t.order[0].At+commandRetention.Milliseconds() < now
+}
+
+func (t *commandTable) compact(now int64) {
+	n := 0
+	for n < len(t.order) && t.order[n].At+commandRetention.Milliseconds() < now {
+		delete(t.rows, t.order[n].ID)
+		n++
+	}
+	t.order = slices.Clone(t.order[n:])
+}
--- /dev/null
+++ b/controlstate/jobs.go
@@ -0,0 +1,323 @@
+package controlstate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// maxRecords bounds the job records, open and ended. Admissions beyond it
+	// are refused.
+	maxRecords = 300_000
+	// keptRecords is the number above which ended records without a key are
+	// dropped before their retention ends, the oldest first. Only records with
+	// a key carry a promise about resubmission.
+	keptRecords = 250_000
+	// overdue is how long after the longest deadline an open job is ended by
+	// the tables, because its owner never reported its end.
+	overdue = 10 * time.Minute
+	// maxSkew is how far a key's creation time may lie ahead of the tables' time.
+	maxSkew = time.Minute
+	// maxNameBytes bounds the names of teams and services.
+	maxNameBytes = 200
+	overloadWait = time.Second
+)
+
+// jobRow is a job record with what resubmission needs.
+type jobRow struct {
+	wire.JobRecord
+	KeyTime int64  `json:"kt,omitempty"` // Unix milliseconds
+	Nonce   string `json:"nonce"`
+}
+
+// Ownership names the job at its present epoch.
+func (r *jobRow) Ownership() wire.Ownership { return wire.Ownership{Job: r.Job, Epoch: r.Epoch} }
+
+func (r *jobRow) isOpen() bool { return r.State == wire.JobOpen }
+
+// plainKey reports whether the row's key is one that needs a tombstone.
+func (r *jobRow) plainKey() bool { return r.Key != "" && r.KeyTime == 0 }
+
+type jobKey struct {
+	team ids.Team
+	key  string
+}
+
+type jobTable struct {
+	rows     map[ids.Job]*jobRow
+	byKey    map[jobKey]ids.Job
+	byNonce  map[string]ids.Job
+	byOwner  map[ids.Incarnation]map[ids.Job]struct{} // open jobs
+	admitted []ids.Job                                // open jobs in increasing order, and some that have ended
+	ended    []ids.Job                                // in the order of their ends
+	open     int
+	plain    int // rows with a plain key
+	keyless  int // ended rows without a key
+	// keyFloor is the latest creation time of a key whose record has been
+	// dropped. Keys up to it stay refused even if the retention is raised later.
+	keyFloor int64
+}
+
+func newJobTable() jobTable {
+	return jobTable{
+		rows:    map[ids.Job]*jobRow{},
+		byKey:   map[jobKey]ids.Job{},
+		byNonce: map[string]ids.Job{},
+		byOwner: map[ids.Incarnation]map[ids.Job]struct{}{},
+	}
+}
+
+func (t *jobTable) add(r *jobRow) {
+	t.rows[r.Job] = r
+	t.byNonce[r.Nonce] = r.Job
+	if r.Key != "" {
+		t.byKey[jobKey{r.Team, r.Key}] = r.Job
+	}
+	if r.plainKey() {
+		t.plain++
+	}
+	if !r.isOpen() {
+		t.addEnded(r)
+		return
+	}
+	t.open++
+	t.admitted = append(t.admitted, r.Job)
+	t.own(r.Owner, r.Job)
+}
+
+func (t *jobTable) addEnded(r *jobRow) {
+	t.ended = append(t.ended, r.Job)
+	if r.Key == "" {
+		t.keyless++
+	}
+}
+
+func (t *jobTable) own(inc ids.Incarnation, job ids.Job) {
+	if t.byOwner[inc] == nil {
+		t.byOwner[inc] = map[ids.Job]struct{}{}
+	}
+	t.byOwner[inc][job] = struct{}{}
+}
+
+func (t *jobTable) disown(inc ids.Incarnation, job ids.Job) {
+	delete(t.byOwner[inc], job)
+	if len(t.byOwner[inc]) == 0 {
+		delete(t.byOwner, inc)
+	}
+}
+
+func (t *jobTable) setOwner(r *jobRow, to ids.Incarnation) {
+	t.disown(r.Owner, r.Job)
+	r.Owner = to
+	t.own(to, r.Job)
+}
+
+func (t *jobTable) end(r *jobRow, state wire.JobState, v verdict.Verdict, reason verdict.Reason, now int64) {
+	r.State, r.Verdict, r.Reason, r.Ended = state, v, reason, now
+	t.open--
+	t.disown(r.Owner, r.Job)
+	t.addEnded(r)
+}
+
+func (t *jobTable) remove(r *jobRow) {
+	delete(t.rows, r.Job)
+	delete(t.byNonce, r.Nonce)
+	if r.Key != "" {
+		delete(t.byKey, jobKey{r.Team, r.Key})
+	} else {
+		t.keyless--
+	}
+	if r.plainKey() {
+		t.plain--
+	}
+}
+
+// oldestOpen returns the lowest ids of open jobs.
+func (t *jobTable) oldestOpen() oldestJobs {
+	o := oldestJobs{service: map[ids.Service]ids.Job{}}
+	for _, job := range t.admitted {
+		r, ok := t.rows[job]
+		if !ok || !r.isOpen() {
+			continue
+		}
+		if o.any == 0 {
+			o.any = job
+		}
+		if o.service[r.Service] == 0 {
+			o.service[r.Service] = job
+		}
+	}
+	return o
+}
+
+func (s *State) admit(it wire.AdmitItem) wire.AdmitResult {
+	if !s.members.isLive(it.Owner, wire.KindEntry) {
+		return refused(verdict.Refuse(verdict.Fenced, "entry incarnation %d is not live", it.Owner))
+	}
+	if job, ok := s.jobs.byNonce[it.Nonce]; ok {
+		return s.repeated(s.jobs.rows[job], it)
+	}
+	if e := checkAdmit(it); e != nil {
+		return refused(e)
+	}
+	if it.Key != "" {
+		if r, done := s.resubmitted(it); done {
+			return r
+		}
+	}
+	if s.jobs.open >= s.config.limits.maxOpen {
+		return refused(verdict.Refuse(verdict.Overloaded, "%d jobs are open", s.jobs.open).After(overloadWait))
+	}
+	if len(s.jobs.rows) >= maxRecords {
+		return refused(verdict.Refuse(verdict.Overloaded, "%d job records are kept", maxRecords).After(overloadWait))
+	}
+	r := &jobRow{JobRecord: wire.JobRecord{
+		Job: ids.Job(s.index), Epoch: 1, Owner: it.Owner, Team: it.Team, Service: it.Service,
+		Key: it.Key, BodyHash: it.BodyHash, Tasks: it.Tasks, State: wire.JobOpen, Admitted: s.now,
+	}, KeyTime: it.KeyTime, Nonce: it.Nonce}
+	s.jobs.add(r)
+	o := r.Ownership()
+	return wire.AdmitResult{Admitted: &o}
+}
+
+func refused(e *verdict.Error) wire.AdmitResult { return wire.AdmitResult{Err: e} }
+
+// repeated answers an admission whose nonce has a record already.
+func (s *State) repeated(r *jobRow, it wire.AdmitItem) wire.AdmitResult {
+	if r.Owner != it.Owner {
+		return refused(verdict.Refuse(verdict.Fenced, "job %d belongs to incarnation %d", r.Job, r.Owner))
+	}
+	o := r.Ownership()
+	return wire.AdmitResult{Admitted: &o}
+}
+
+// resubmitted answers an admission by what is known of its key. done is false
+// when the key is new.
+func (s *State) resubmitted(it wire.AdmitItem) (_ wire.AdmitResult, done bool) {
+	if job, ok := s.jobs.byKey[jobKey{it.Team, it.Key}]; ok {
+		r := s.jobs.rows[job]
+		if r.BodyHash != it.BodyHash {
+			return refused(verdict.Refuse(verdict.KeyReuse, "job %d has the same key and another body", job)), true
+		}
+		rec := r.JobRecord
+		return wire.AdmitResult{Duplicate: &rec}, true
+	}
+	if s.tombs.has(hashKey(it.Team, it.Key)) {
+		return refused(verdict.Refuse(verdict.KeyExpired, "the key was used before")), true
+	}
+	if it.KeyTime == 0 {
+		if s.jobs.plain+s.tombs.len() >= maxTombstones {
+			e := verdict.Refuse(verdict.KeyTableFull, "%d keys without a creation time are remembered", maxTombstones)
+			return refused(e.After(time.Hour)), true
+		}
+		return wire.AdmitResult{}, false
+	}
+	if it.KeyTime < s.now-s.config.limits.retention || it.KeyTime <= s.jobs.keyFloor {
+		return refused(verdict.Refuse(verdict.KeyExpired, "the key's creation time is past its retention")), true
+	}
+	if it.KeyTime > s.now+maxSkew.Milliseconds() {
+		return refused(verdict.Refuse(verdict.BadRequest, "the key's creation time lies in the future")), true
+	}
+	return wire.AdmitResult{}, false
+}
+
+func checkAdmit(it wire.AdmitItem) *verdict.Error {
+	switch {
+	case it.Nonce == "" || len(it.Nonce) > maxIDBytes:
+		return verdict.Refuse(verdict.BadRequest, "the nonce is empty or longer than %d bytes", maxIDBytes)
+	case it.Tasks < 1 || it.Tasks > wire.MaxTasksPerJob:
+		return verdict.Refuse(verdict.BadRequest, "%d tasks are outside 1 to %d", it.Tasks, wire.MaxTasksPerJob)
+	case len(it.Key) > wire.MaxKeyBytes:
+		return verdict.Refuse(verdict.BadRequest, "the key is longer than %d bytes", wire.MaxKeyBytes)
+	case len(it.BodyHash) > maxIDBytes:
+		return verdict.Refuse(verdict.BadRequest, "the body hash is longer than %d bytes", maxIDBytes)
+	case len(it.Team) > maxNameBytes || len(it.Service) > maxNameBytes:
+		return verdict.Refuse(verdict.BadRequest, "a name is longer than %d bytes", maxNameBytes)
+	case it.Key != "" && it.BodyHash == "":
+		return verdict.Refuse(verdict.BadRequest, "a job with a key needs a body hash")
+	}
+	return nil
+}
+
+// complete records the ends of jobs. An item of an older epoch comes from a
+// former owner and has no effect; neither has a repeated one.
+func (s *State) complete(c wire.Complete) {
+	for _, it := range c.Items {
+		r, ok := s.jobs.rows[it.Job]
+		if !ok || it.Epoch != r.Epoch || !r.isOpen() {
+			continue
+		}
+		switch it.State {
+		case wire.JobComplete, wire.JobFailed, wire.JobCanceled:
+			s.endJob(r, it.State, it.Verdict, it.Reason)
+		}
+	}
+}
+
+func (s *State) endJob(r *jobRow, state wire.JobState, v verdict.Verdict, reason verdict.Reason) {
+	owner := r.Owner
+	s.jobs.end(r, state, v, reason, s.now)
+	if r.Epoch > 1 {
+		s.log.disowned(s.index, r.Ownership(), owner)
+	}
+}
+
+func (r *jobRow) isOverdue(now int64, l limits) bool {
+	return r.Admitted+l.deadline+overdue.Milliseconds() < now
+}
+
+// expires returns when an ended row may be dropped, in Unix milliseconds. It is
+// after the time from which the key's creation time alone refuses the key.
+func (r *jobRow) expires(l limits) int64 { return max(r.Ended, r.KeyTime) + l.retention }
+
+func (t *jobTable) due(now int64, l limits) bool {
+	for _, job := range t.admitted {
+		if r, ok := t.rows[job]; ok && r.isOpen() {
+			if r.isOverdue(now, l) {
+				return true
+			}
+			break
+		}
+	}
+	if len(t.ended) > 0 && t.rows[t.ended[0]].expires(l) < now {
+		return true
+	}
+	return len(t.rows) > keptRecords && t.keyless > 0
+}
+
+// endOverdueJobs ends open jobs that no owner can still be working on, and
+// drops ended jobs from the list of admissions.
+func (s *State) endOverdueJobs() {
+	s.jobs.admitted = slices.DeleteFunc(s.jobs.admitted, func(job ids.Job) bool {
+		r, ok := s.jobs.rows[job]
+		if ok && r.isOpen() && r.isOverdue(s.now, s.config.limits) {
+			s.endJob(r, wire.JobFailed, verdict.MayHaveRun, verdict.DeadlinePassed)
+		}
+		return !ok || !r.isOpen()
+	})
+}
+
+// forgetJobs drops ended records after their retention, and the oldest without
+// a key while there are too many. A plain key leaves a tombstone.
+func (s *State) forgetJobs() {
+	l := s.config.limits
+	s.jobs.ended = slices.DeleteFunc(s.jobs.ended, func(job ids.Job) bool {
+		r := s.jobs.rows[job]
+		crowded := r.Key == "" && len(s.jobs.rows) > keptRecords
+		if r.expires(l) >= s.now && !crowded {
+			return false
+		}
+		s.jobs.remove(r)
+		if r.plainKey() {
+			s.tombs.add(hashKey(r.Team, r.Key), s.now)
+		}
+		if r.Key != "" {
+			s.jobs.keyFloor = max(s.jobs.keyFloor, r.KeyTime)
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/controlstate/members.go
@@ -0,0 +1,208 @@
+package controlstate
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// maxMembers bounds the registry: three times the members of the design
+	// scale, for restarts whose rows open jobs still need.
+	maxMembers = 10_000
+	// maxWeight bounds the cost of choosing an owner.
+	maxWeight = 100
+	// endedRetention is the least time that an expired row stays, so that late
+	// messages of the incarnation are answered from it.
+	endedRetention = time.Minute
+)
+
+// memberRow is a row of the registry.
+type memberRow struct {
+	wire.Registration
+	Incarnation ids.Incarnation `json:"inc"`
+	Expired     uint64          `json:"exp,omitempty"` // log index
+	ExpiredAt   int64           `json:"at,omitempty"`  // Unix milliseconds
+	SelfDrain   bool            `json:"sd,omitempty"`
+	OpDrain     bool            `json:"od,omitempty"`
+}
+
+func (r *memberRow) live() bool { return r.Expired == 0 }
+
+func (r *memberRow) draining() bool { return r.SelfDrain || r.OpDrain }
+
+func (r *memberRow) member() wire.Member {
+	return wire.Member{
+		Registration: r.Registration,
+		Incarnation:  r.Incarnation,
+		Expired:      ids.Version(r.Expired),
+		Draining:     r.draining(),
+	}
+}
+
+type memberTable struct {
+	rows    map[ids.Incarnation]*memberRow
+	nonces  map[string]ids.Incarnation
+	order   []ids.Incarnation // increasing
+	expired int               // rows that are not live
+}
+
+func newMemberTable() memberTable {
+	return memberTable{rows: map[ids.Incarnation]*memberRow{}, nonces: map[string]ids.Incarnation{}}
+}
+
+func (t *memberTable) add(r *memberRow) {
+	t.rows[r.Incarnation] = r
+	t.nonces[r.Nonce] = r.Incarnation
+	t.order = append(t.order, r.Incarnation)
+	if !r.live() {
+		t.expired++
+	}
+}
+
+func (t *memberTable) all() []wire.Member {
+	out := make([]wire.Member, 0, len(t.order))
+	for _, inc := range t.order {
+		out = append(out, t.rows[inc].member())
+	}
+	return out
+}
+
+// isLive reports whether an incarnation of the given kind is live.
+func (t *memberTable) isLive(inc ids.Incarnation, k wire.Kind) bool {
+	r, ok := t.rows[inc]
+	return ok && r.live() && r.Kind == k
+}
+
+func (s *State) register(reg wire.Registration) Result {
+	if inc, ok := s.members.nonces[reg.Nonce]; ok && reg.Nonce != "" {
+		return Result{Incarnation: inc}
+	}
+	if e := s.checkRegistration(reg); e != nil {
+		return Result{Err: e}
+	}
+	inc := ids.Incarnation(s.index)
+	s.members.add(&memberRow{Registration: reg, Incarnation: inc})
+	s.log.member(s.index, inc)
+	if reg.Kind == wire.KindEntry {
+		s.assignOrphans()
+	}
+	return Result{Incarnation: inc}
+}
+
+func (s *State) checkRegistration(r wire.Registration) *verdict.Error {
+	switch {
+	case r.Kind != wire.KindEntry && r.Kind != wire.KindAgent:
+		return verdict.Refuse(verdict.BadRequest, "unknown kind of member %.20q", r.Kind)
+	case r.Nonce == "" || len(r.Nonce) > maxIDBytes:
+		return verdict.Refuse(verdict.BadRequest, "the nonce is empty or longer than %d bytes", maxIDBytes)
+	case r.Node == "" || r.Addr == "":
+		return verdict.Refuse(verdict.BadRequest, "a registration needs a node name and an address")
+	case len(r.Node)+len(r.Addr)+len(r.Region)+len(r.Domain)+len(r.Service) > maxPairBytes:
+		return verdict.Refuse(verdict.BadRequest, "the registration is longer than %d bytes", maxPairBytes)
+	case r.Kind == wire.KindAgent && r.Service == "":
+		return verdict.Refuse(verdict.BadRequest, "an agent needs a service")
+	case r.Weight < 0 || r.Weight > maxWeight:
+		return verdict.Refuse(verdict.BadRequest, "weight %d is outside 0 to %d", r.Weight, maxWeight)
+	case len(s.members.rows) >= maxMembers:
+		return verdict.Refuse(verdict.Overloaded, "the registry holds %d members", maxMembers).After(endedRetention)
+	}
+	return nil
+}
+
+func (s *State) expire(inc ids.Incarnation) {
+	r, ok := s.members.rows[inc]
+	if !ok || !r.live() {
+		return
+	}
+	r.Expired = s.index
+	r.ExpiredAt = s.now
+	s.members.expired++
+	s.log.member(s.index, inc)
+	if r.Kind == wire.KindEntry {
+		s.assignOrphans()
+	}
+}
+
+func (s *State) drain(d Drain) *verdict.Error {
+	if d.Node == "" {
+		r, ok := s.members.rows[d.Incarnation]
+		if ok && r.live() && r.SelfDrain != d.Drain {
+			r.SelfDrain = d.Drain
+			s.log.member(s.index, r.Incarnation)
+		}
+		return nil
+	}
+	found := false
+	for _, inc := range s.members.order {
+		r := s.members.rows[inc]
+		if r.Node != d.Node || !r.live() {
+			continue
+		}
+		found = true
+		if r.OpDrain != d.Drain {
+			r.OpDrain = d.Drain
+			s.log.member(s.index, inc)
+		}
+	}
+	if !found {
+		return verdict.Refuse(verdict.BadRequest, "no live member is named %q", d.Node)
+	}
+	return nil
+}
+
+// membersDue reports whether an expired row can be dropped.
+func (s *State) membersDue(now int64) bool {
+	if s.members.expired == 0 {
+		return false
+	}
+	oldest := s.jobs.oldestOpen()
+	for _, inc := range s.members.order {
+		if r := s.members.rows[inc]; oldest.releases(r, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// forgetMembers drops the expired rows that no open job can have used.
+func (s *State) forgetMembers() {
+	if s.members.expired == 0 {
+		return
+	}
+	oldest := s.jobs.oldestOpen()
+	s.members.order = slices.DeleteFunc(s.members.order, func(inc ids.Incarnation) bool {
+		r := s.members.rows[inc]
+		if !oldest.releases(r, s.now) {
+			return false
+		}
+		delete(s.members.rows, inc)
+		delete(s.members.nonces, r.Nonce)
+		s.members.expired--
+		s.log.forgotten(s.index, inc, r.Kind)
+		return true
+	})
+}
+
+// oldestJobs holds the lowest id of an open job, for each service and over all.
+type oldestJobs struct {
+	any     ids.Job // zero if no job is open
+	service map[ids.Service]ids.Job
+}
+
+// releases reports whether an expired row can be dropped. An agent's row is
+// needed by open jobs of its service that were admitted before the row ended,
+// an entry's row by any such job.
+func (o oldestJobs) releases(r *memberRow, now int64) bool {
+	if r.live() || r.ExpiredAt+endedRetention.Milliseconds() > now {
+		return false
+	}
+	oldest := o.any
+	if r.Kind == wire.KindAgent {
+		oldest = o.service[r.Service]
+	}
+	return oldest == 0 || uint64(oldest) > r.Expired
+}
--- /dev/null
+++ b/controlstate/snapshot.go
@@ -0,0 +1,105 @@
+package controlstate
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// snapshot is the JSON form of the tables. Rows are in table order, so equal
+// tables have equal snapshots.
+type snapshot struct {
+	Index     uint64            `json:"index"`
+	Now       int64             `json:"now"`
+	ConfigVer uint64            `json:"config_ver"`
+	Command   string            `json:"command"`
+	By        string            `json:"by,omitempty"`
+	Pairs     []wire.SourcePair `json:"pairs"`
+	Commands  []commandRow      `json:"commands"`
+	Members   []*memberRow      `json:"members"`
+	Jobs      []*jobRow         `json:"jobs"` // open ones by id, then ended ones in the order of their ends
+	KeyFloor  int64             `json:"key_floor"`
+	Tombs     []byte            `json:"tombs"` // tombBytes for each: hash, then time in big endian
+	LogFloor  uint64            `json:"log_floor"`
+	Log       []change          `json:"log"`
+}
+
+const tombBytes = 24
+
+// Snapshot returns the tables as JSON.
+func (s *State) Snapshot() ([]byte, error) {
+	out := snapshot{
+		Index: s.index, Now: s.now,
+		ConfigVer: s.config.version, Command: s.config.command, By: s.config.by,
+		Pairs: s.config.sorted(), Commands: s.commands.order,
+		KeyFloor: s.jobs.keyFloor, LogFloor: s.log.floor, Log: s.log.records,
+	}
+	for _, inc := range s.members.order {
+		out.Members = append(out.Members, s.members.rows[inc])
+	}
+	for _, job := range s.jobs.admitted {
+		if r, ok := s.jobs.rows[job]; ok && r.isOpen() {
+			out.Jobs = append(out.Jobs, r)
+		}
+	}
+	for _, job := range s.jobs.ended {
+		out.Jobs = append(out.Jobs, s.jobs.rows[job])
+	}
+	for _, t := range s.tombs.order {
+		out.Tombs = append(out.Tombs, t.hash[:]...)
+		out.Tombs = binary.BigEndian.AppendUint64(out.Tombs, uint64(t.at))
+	}
+	return json.Marshal(out)
+}
+
+// Restore returns the tables that a snapshot holds.
+func Restore(data []byte) (*State, error) {
+	var in snapshot
+	if err := json.Unmarshal(data, &in); err != nil {
+		return nil, errors.Wrap(err, "control state snapshot")
+	}
+	s := New()
+	s.index, s.now = in.Index, in.Now
+	s.log.floor = in.LogFloor
+	for _, c := range in.Log {
+		s.log.add(c)
+	}
+	if err := s.restoreConfig(in); err != nil {
+		return nil, err
+	}
+	for _, r := range in.Commands {
+		s.commands.add(r.ID, r.At, r.Reply)
+	}
+	for _, r := range in.Members {
+		s.members.add(r)
+	}
+	for _, r := range in.Jobs {
+		s.jobs.add(r)
+	}
+	s.jobs.keyFloor = in.KeyFloor
+	for row := range slices.Chunk(in.Tombs, tombBytes) {
+		if len(row) != tombBytes {
+			return nil, errors.New("control state snapshot: the key table is cut off")
+		}
+		s.tombs.add(keyHash(row[:16]), int64(binary.BigEndian.Uint64(row[16:])))
+	}
+	return s, nil
+}
+
+func (s *State) restoreConfig(in snapshot) error {
+	pairs := make([]wire.Pair, 0, len(in.Pairs))
+	for _, p := range in.Pairs {
+		s.config.pairs[p.Key] = p
+		pairs = append(pairs, p.Pair)
+	}
+	l, e := checkPairs(pairs)
+	if e != nil {
+		return errors.Wrap(e, "control state snapshot")
+	}
+	s.config.version, s.config.command, s.config.by, s.config.limits = in.ConfigVer, in.Command, in.By, l
+	return nil
+}
--- /dev/null
+++ b/controlstate/state.go
@@ -0,0 +1,161 @@
+package controlstate
+
+import (
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// State is the replicated tables. It is not safe for concurrent use.
+type State struct {
+	index    uint64
+	now      int64 // Unix milliseconds, from commands
+	config   configTable
+	commands commandTable
+	members  memberTable
+	jobs     jobTable
+	tombs    tombTable
+	log      changeLog
+}
+
+// New returns empty tables.
+func New() *State {
+	return &State{
+		config:   newConfigTable(),
+		commands: newCommandTable(),
+		members:  newMemberTable(),
+		jobs:     newJobTable(),
+		tombs:    newTombTable(),
+	}
+}
+
+// Index returns the log index up to which the tables are complete.
+func (s *State) Index() uint64 { return s.index }
+
+// Now returns the time of the tables.
+func (s *State) Now() time.Time { return time.UnixMilli(s.now) }
+
+// Skip advances the index over a record that is no command.
+func (s *State) Skip(index uint64) { s.index = max(s.index, index) }
+
+// Apply carries out the command at the given log index.
+func (s *State) Apply(index uint64, c Command) Result {
+	s.index = index
+	s.now = max(s.now, c.Time)
+	switch {
+	case c.Register != nil:
+		return s.register(*c.Register)
+	case c.Expire != nil:
+		s.expire(c.Expire.Incarnation)
+	case c.Drain != nil:
+		return Result{Err: s.drain(*c.Drain)}
+	case c.Admit != nil:
+		return Result{Admit: s.admit(*c.Admit)}
+	case c.Complete != nil:
+		s.complete(*c.Complete)
+	case c.Apply != nil:
+		return Result{Apply: s.apply(*c.Apply)}
+	case c.Tick != nil:
+		s.compact()
+	}
+	return Result{}
+}
+
+// NeedsTick reports whether a tick at the given time would drop or end anything.
+func (s *State) NeedsTick(now time.Time) bool {
+	ms := max(s.now, now.UnixMilli())
+	return s.commands.due(ms) ||
+		s.tombs.due(ms, s.config.limits.tombstones) ||
+		s.jobs.due(ms, s.config.limits) ||
+		s.membersDue(ms)
+}
+
+// compact applies the retention of all tables at the time of the command.
+func (s *State) compact() {
+	s.commands.compact(s.now)
+	s.tombs.compact(s.now, s.config.limits.tombstones)
+	s.endOverdueJobs()
+	s.forgetJobs()
+	s.forgetMembers()
+}
+
+// Configuration returns the configuration in force with the origin of each value.
+func (s *State) Configuration() wire.GetReply {
+	return wire.GetReply{
+		ConfigVer: s.config.version,
+		CommandID: s.config.command,
+		Pairs:     s.config.sorted(),
+	}
+}
+
+// ConfigVer returns the version of the configuration in force.
+func (s *State) ConfigVer() uint64 { return s.config.version }
+
+// Members returns all rows of the registry by incarnation.
+func (s *State) Members() []wire.Member { return s.members.all() }
+
+// Member returns the row of an incarnation.
+func (s *State) Member(inc ids.Incarnation) (wire.Member, bool) {
+	r, ok := s.members.rows[inc]
+	if !ok {
+		return wire.Member{}, false
+	}
+	return r.member(), true
+}
+
+// DrainsItself reports whether the member's own draining mark is set.
+func (s *State) DrainsItself(inc ids.Incarnation) bool {
+	r, ok := s.members.rows[inc]
+	return ok && r.SelfDrain
+}
+
+// Job returns the record of a job.
+func (s *State) Job(job ids.Job) (wire.JobRecord, bool) {
+	r, ok := s.jobs.rows[job]
+	if !ok {
+		return wire.JobRecord{}, false
+	}
+	return r.JobRecord, true
+}
+
+// OpenJobs returns the number of open jobs.
+func (s *State) OpenJobs() int { return s.jobs.open }
+
+// apply answers an operator's command, a repeated one with the first answer.
+func (s *State) apply(a wire.Apply) wire.ApplyReply {
+	if r, ok := s.commands.find(a.CommandID); ok {
+		r.Repeated = true
+		return r
+	}
+	if e := s.commands.admit(a.CommandID); e != nil {
+		return wire.ApplyReply{ConfigVer: s.config.version, Index: ids.Version(s.index), Err: e}
+	}
+	r := s.changeConfig(a)
+	s.commands.add(a.CommandID, s.now, r)
+	return r
+}
+
+func (s *State) changeConfig(a wire.Apply) wire.ApplyReply {
+	r := wire.ApplyReply{ConfigVer: s.config.version, Index: ids.Version(s.index)}
+	if a.Expect != wire.AnyVersion && a.Expect != s.config.version {
+		r.Winner = s.config.command
+		r.Err = verdict.Refuse(verdict.VersionConflict,
+			"the change was made from version %d, but command %s by %q has made version %d",
+			a.Expect, s.config.command, s.config.by, s.config.version)
+		return r
+	}
+	limits, e := checkPairs(a.Pairs)
+	if e != nil {
+		r.Err = e
+		return r
+	}
+	keys := s.config.replace(a, limits)
+	if len(keys) > 0 {
+		s.log.config(s.index, keys)
+	}
+	r.ConfigVer = s.config.version
+	r.Winner = s.config.command
+	return r
+}
