--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -1,6 +1,7 @@
 package controlstate
 
 import (
+	"iter"
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
@@ -96,6 +97,17 @@
 // Members returns all rows of the registry by incarnation.
 func (s *State) Members() []wire.Member { return s.members.all() }
 
+// LiveMembers returns the live incarnations in increasing order.
+func (s *State) LiveMembers() iter.Seq2[ids.Incarnation, wire.Kind] {
+	return func(yield func(ids.Incarnation, wire.Kind) bool) {
+		for _, inc := range s.members.order {
+			if r := s.members.rows[inc]; r.live() && !yield(inc, r.Kind) {
+				return
+			}
+		}
+	}
+}
+
 // Member returns the row of an incarnation.
 func (s *State) Member(inc ids.Incarnation) (wire.Member, bool) {
 	r, ok := s.members.rows[inc]
