--- a/consensus/api.go
+++ b/consensus/api.go
@@ -34,14 +34,22 @@
 	// Boot is the highest boot count of the node that the group has recorded.
 	// Votes of a lower boot count are not counted: its disk is an older copy.
 	Boot uint64 `json:"boot"`
+	// Leaving marks a node that leaves the group when the exchange ends.
+	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Group is the membership of the group. One change at a time is in progress.
 type Group struct {
 	Peers []Peer `json:"peers"`
+	// Old holds the voters before the change while voters are being exchanged.
+	// Elections and commits then need a majority of the new voters and one of
+	// the old voters. It is empty at all other times.
+	Old []ID `json:"old,omitempty"`
 }
 
-// HardState must be synced before messages that depend on it are sent.
+// HardState must be synced before messages that depend on it are sent. Commit
+// may lag behind: a commit index alone is not worth a sync, since a restarted
+// node learns it again from the leader.
 type HardState struct {
 	Term   uint64 `json:"term"`
 	Vote   ID     `json:"vote,omitempty"`
@@ -67,8 +75,23 @@
 	// Reads lists confirmed reads: the caller may answer them once it has
 	// applied up to Index.
 	Reads []Read
+	// Dropped lists the reads that this node can no longer confirm, since it
+	// has stopped being the leader.
+	Dropped []uint64
 }
 
+// Empty reports whether there is nothing to do.
+func (r Ready) Empty() bool {
+	return r.HardState == nil && !r.Durable() && len(r.Messages) == 0 &&
+		len(r.Committed) == 0 && len(r.Reads) == 0 && len(r.Dropped) == 0
+}
+
+// Durable reports whether entries or a snapshot have to be persisted.
+func (r Ready) Durable() bool { return len(r.Entries) > 0 || r.Snapshot != nil }
+
+// NeedsSync reports whether the caller has to write and sync before it sends.
+func (r Ready) NeedsSync() bool { return r.HardState != nil || r.Durable() }
+
 // Read is a read request that a quorum has confirmed.
 type Read struct {
 	ID    uint64
@@ -104,4 +127,19 @@
 	Hint     uint64      `json:"h,omitempty"` // last index of a follower that rejects
 	Seq      uint64      `json:"s,omitempty"` // round of heartbeats, for confirmed reads and the lease
 	Snapshot *Snapshot   `json:"sn,omitempty"`
+	// Stamp is the sender's clock in a MsgAppendReply. In a MsgAppend it is the
+	// last such clock of the receiver that the leader knew when the latest
+	// confirmed round of heartbeats began. The receiver thus learns a tick of its
+	// own clock after which the leader was confirmed, however slow the messages.
+	Stamp *Stamp `json:"st,omitempty"`
+	// Group and GroupIndex are the candidate's latest membership record. A
+	// voter that missed the record which added the candidate judges it by them.
+	Group      *Group `json:"g,omitempty"`
+	GroupIndex uint64 `json:"gi,omitempty"`
+}
+
+// Stamp is a reading of a node's tick counter, which restarts with each boot.
+type Stamp struct {
+	Boot uint64 `json:"b"`
+	Tick uint64 `json:"t"`
 }
--- /dev/null
+++ b/consensus/status.go
@@ -0,0 +1,35 @@
+package consensus
+
+// ID returns this node's id.
+func (n *Node) ID() ID { return n.cfg.ID }
+
+// Now returns the number of ticks since the start, counted from 1.
+func (n *Node) Now() uint64 { return n.now }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.term }
+
+// Leader returns the id of the leader, which may be this node, or "" if none is known.
+func (n *Node) Leader() ID { return n.leader }
+
+// IsLeader reports whether this node leads and its lease holds.
+func (n *Node) IsLeader() bool { return n.role == leader }
+
+// Commit returns the index of the last entry known to be committed.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// Applied returns the index up to which Advance has been called.
+func (n *Node) Applied() uint64 { return n.applied }
+
+// LastIndex returns the index of the last entry of the log, synced or not.
+func (n *Node) LastIndex() uint64 { return n.log.last() }
+
+// Group returns the membership in effect, which may not be committed yet. The
+// caller must not change it.
+func (n *Node) Group() Group { return n.group() }
+
+// ConfirmedTick returns the tick, as counted by Now, up to which this node's
+// commit index is known to cover everything that the group had committed: a
+// leader vouched for it whose quorum was confirmed at or after that tick. It is
+// 0 if that never happened. The commit index may not be applied yet.
+func (n *Node) ConfirmedTick() uint64 { return n.confirmed }
