--- a/member/decide.go
+++ b/member/decide.go
@@ -8,59 +8,65 @@
 )
 
 // tracker holds the decisions of a session without any I/O: which server to ask
-// next, which replies to accept, and whether the view is current.
+// next and when, which replies to accept, and whether the view is current.
 type tracker struct {
 	servers   int // number of servers
 	server    int // index of the server in use
+	moves     int // changes of the server since the last pause of a whole interval
+	moved     bool
 	view      *View
 	confirmed time.Time // when the view is known to have been current
 	gone      bool
 }
 
-// outcome tells what a reply did to the tracker.
-type outcome struct {
-	changed bool // the view has new content
-	moved   bool // the next renewal goes to another server, without delay
-}
-
 func newTracker(servers int, first int) *tracker {
 	return &tracker{servers: servers, server: first % servers, view: &View{}}
 }
 
-// accept takes over the reply to a renewal that was sent at the given time.
-func (t *tracker) accept(sent time.Time, r wire.RenewReply) outcome {
+// accept takes over the reply to a renewal that was sent at the given time, and
+// reports whether the content of the view has changed.
+func (t *tracker) accept(sent time.Time, r wire.RenewReply) (changed bool) {
 	if r.Gone {
 		t.gone = true
-		return outcome{}
+		return false
 	}
 	if r.Version < t.view.Version {
-		return t.move() // the server is behind; its view would be a step back
+		t.move() // the server is behind; its view would be a step back
+		return false
 	}
-	o := outcome{}
-	if r.Whole || !r.Changes.IsZero() {
+	changed = r.Whole || !r.Changes.IsZero()
+	if changed || r.Version > t.view.Version {
 		t.view = t.view.next(r)
-		o.changed = true
-	} else if r.Version > t.view.Version {
-		v := *t.view
-		v.Version = r.Version
-		t.view = &v
 	}
-	age := time.Duration(r.ConfirmedAge) * time.Millisecond
+	age := time.Duration(max(r.ConfirmedAge, 0)) * time.Millisecond
 	if at := sent.Add(-age); at.After(t.confirmed) {
 		t.confirmed = at
 	}
 	if age > wire.SwitchAfter {
-		o.moved = t.move().moved
+		t.move()
 	}
-	return o
+	return changed
 }
 
 // failed takes note of a renewal without a usable reply.
-func (t *tracker) failed() outcome { return t.move() }
+func (t *tracker) failed() { t.move() }
 
-func (t *tracker) move() outcome {
+func (t *tracker) move() {
 	t.server = (t.server + 1) % t.servers
-	return outcome{moved: true}
+	t.moved = true
+}
+
+// pause returns how long to wait before the next renewal. After a change of the
+// server the next one is asked almost at once, until all have been asked.
+func (t *tracker) pause() time.Duration {
+	moved := t.moved
+	t.moved = false
+	if moved && t.moves+1 < t.servers {
+		t.moves++
+		return retryPause
+	}
+	t.moves = 0
+	return wire.RenewInterval
 }
 
 // current reports whether the view has been confirmed recently enough for new work.
--- /dev/null
+++ b/member/decide_test.go
@@ -0,0 +1,105 @@
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+func configReply(version ids.Version, value string, age time.Duration) wire.RenewReply {
+	return wire.RenewReply{
+		Version: version, ConfirmedAge: age.Milliseconds(),
+		Changes: wire.Changes{ConfigVer: uint64(version), Config: []wire.Pair{{Key: "k", Value: value}}},
+	}
+}
+
+// Guards against a configuration that reverts when a stale node answers first.
+func TestOlderVersionIsNeverAccepted(t *testing.T) {
+	tr := newTracker(3, 0)
+	start := time.Now()
+	tr.accept(start, configReply(10, "new", 0))
+	stale := configReply(9, "old", 0)
+	stale.Whole = true
+	if tr.accept(start.Add(time.Second), stale) {
+		t.Fatal("the older view was taken over")
+	}
+	if v, _ := tr.view.Value("k"); v != "new" || tr.view.Version != 10 {
+		t.Fatalf("view %+v", tr.view)
+	}
+	if tr.confirmed.After(start) {
+		t.Fatal("an older version confirmed the view")
+	}
+	if tr.server != 1 || tr.pause() != retryPause {
+		t.Fatal("the session stays with the node that is behind")
+	}
+}
+
+// Guards against currency that is counted from the arrival of a delayed reply, or
+// that ignores the age of the node's own confirmation.
+func TestCurrencyCountsFromTheQuestion(t *testing.T) {
+	tr := newTracker(1, 0)
+	sent := time.Now()
+	if tr.current(sent) {
+		t.Fatal("current without any confirmation")
+	}
+	tr.accept(sent, wire.RenewReply{Version: 1, ConfirmedAge: 600})
+	limit := sent.Add(wire.StaleAfter - 600*time.Millisecond)
+	if !tr.current(limit) || tr.current(limit.Add(time.Millisecond)) {
+		t.Fatalf("currency does not end at %v", limit)
+	}
+	tr.accept(sent.Add(time.Second), wire.RenewReply{Version: 1, ConfirmedAge: 5000})
+	if !tr.confirmed.Equal(sent.Add(-600 * time.Millisecond)) {
+		t.Fatal("a worse confirmation replaced a better one")
+	}
+	tr.accept(sent.Add(time.Second), wire.RenewReply{Gone: true})
+	if tr.current(sent.Add(time.Second)) {
+		t.Fatal("current after the end of the incarnation")
+	}
+}
+
+// Guards against a session that waits a whole interval before it leaves a failed
+// server, and against one that asks failed servers without any pause.
+func TestChangeOfServer(t *testing.T) {
+	tr := newTracker(3, 2)
+	var pauses []time.Duration
+	for range 6 {
+		tr.failed()
+		pauses = append(pauses, tr.pause())
+	}
+	want := []time.Duration{retryPause, retryPause, wire.RenewInterval, retryPause, retryPause, wire.RenewInterval}
+	for i := range want {
+		if pauses[i] != want[i] {
+			t.Fatalf("pauses %v, want %v", pauses, want)
+		}
+	}
+	tr.accept(time.Now(), wire.RenewReply{Version: 1, ConfirmedAge: wire.SwitchAfter.Milliseconds() + 1})
+	if tr.server != 0 || tr.pause() != retryPause {
+		t.Fatalf("the session stays at a server with an old confirmation: %+v", tr)
+	}
+}
+
+// Guards against a refusal that is retried although it is final, and against a
+// lost leader that is not searched for.
+func TestStepsAfterFailure(t *testing.T) {
+	hint := wire.LeaderHint{Addr: "a"}
+	for _, c := range []struct {
+		err  *verdict.Error
+		hint wire.LeaderHint
+		want step
+	}{
+		{verdict.Refuse(verdict.NotLeader, ""), hint, stepHint},
+		{verdict.Refuse(verdict.NotLeader, ""), wire.LeaderHint{}, stepNext},
+		{verdict.Refuse(verdict.NoQuorum, ""), hint, stepNext},
+		{verdict.Refuse(verdict.ConnectionFailed, ""), hint, stepNext},
+		{verdict.Unknown(verdict.ConnectionFailed, ""), hint, stepNext},
+		{verdict.Refuse(verdict.BadRequest, ""), hint, stepReturn},
+		{verdict.Refuse(verdict.Unauthorized, ""), hint, stepReturn},
+	} {
+		if got := afterFailure(c.err, c.hint); got != c.want {
+			t.Errorf("%v: step %d, want %d", c.err, got, c.want)
+		}
+	}
+}
--- a/member/session.go
+++ b/member/session.go
@@ -88,19 +88,18 @@
 }
 
 func (s *Session) start(ctx context.Context, self wire.Registration) error {
-	var r wire.RegisterReply
-	if err := s.servers.callLeader(ctx, wire.MethodRegister, self, &r); err != nil {
-		return err
-	}
-	s.inc = r.Incarnation
-	for s.View().Version < ids.Version(s.inc) {
-		s.renew(ctx)
-		if s.isGone() {
-			return verdict.Refuse(verdict.Fenced, "incarnation %d has ended already", s.inc)
+	for {
+		ended, err := s.register(ctx, self)
+		if err != nil {
+			return err
 		}
-		if s.View().Version < ids.Version(s.inc) && !pause(ctx, retryPause) {
-			return verdict.Refuse(verdict.NoQuorum, "no control node served the first view").After(time.Second)
+		if !ended {
+			break
 		}
+		// The lease ran out before the first view arrived, so nothing was done
+		// under this incarnation.
+		self.Nonce = NewNonce()
+		s.tracker.gone = false
 	}
 	run, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
@@ -113,6 +112,28 @@
 	return nil
 }
 
+// register registers the process and fetches the first view. ended is set when
+// the incarnation has ended meanwhile.
+func (s *Session) register(ctx context.Context, self wire.Registration) (ended bool, err error) {
+	var r wire.RegisterReply
+	if err := s.servers.callLeader(ctx, wire.MethodRegister, self, &r); err != nil {
+		return false, err
+	}
+	s.inc = r.Incarnation
+	for {
+		s.renew(ctx)
+		if s.tracker.gone {
+			return true, nil
+		}
+		if s.View().Version >= ids.Version(s.inc) {
+			return false, nil
+		}
+		if !pause(ctx, retryPause) {
+			return false, verdict.Refuse(verdict.NoQuorum, "no control node served the first view").After(time.Second)
+		}
+	}
+}
+
 // NewNonce returns a random nonce.
 func NewNonce() string {
 	var b [16]byte
@@ -190,20 +211,25 @@
 	s.done.Wait()
 }
 
-func (s *Session) isGone() bool {
-	select {
-	case <-s.gone:
-		return true
-	default:
-		return false
+// endIfGone reports the end of the incarnation once the control group has told it.
+func (s *Session) endIfGone() bool {
+	s.mu.Lock()
+	gone := s.tracker.gone
+	s.mu.Unlock()
+	if gone {
+		klog.Warningf("member: Incarnation %d has been ended by the control group.", s.inc)
+		s.end()
 	}
+	return gone
 }
 
 func (s *Session) end() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.tracker.gone = true
-	if !s.isGone() {
+	select {
+	case <-s.gone:
+	default:
 		close(s.gone)
 	}
 }
@@ -212,7 +238,6 @@
 func (s *Session) loop(ctx context.Context) {
 	timer := time.NewTimer(wire.RenewInterval)
 	defer timer.Stop()
-	moves := 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -222,24 +247,22 @@
 		case <-s.kick:
 		case <-timer.C:
 		}
-		wait := wire.RenewInterval
-		if s.renew(ctx) {
-			moves++
-			if moves < len(s.servers.addrs) {
-				wait = retryPause
-			}
-		} else {
-			moves = 0
-		}
-		if wait == wire.RenewInterval {
-			moves = 0
+		s.renew(ctx)
+		if s.endIfGone() {
+			return
 		}
-		timer.Reset(wait)
+		timer.Reset(s.pauseBeforeNext())
 	}
 }
 
-// renew sends one renewal and reports whether the next one goes to another server.
-func (s *Session) renew(ctx context.Context) (moved bool) {
+func (s *Session) pauseBeforeNext() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.tracker.pause()
+}
+
+// renew sends one renewal and takes over the reply.
+func (s *Session) renew(ctx context.Context) {
 	s.mu.Lock()
 	addr := s.servers.addrs[s.tracker.server]
 	req := wire.Renew{Incarnation: s.inc, Have: s.tracker.view.Version, Draining: s.draining.Load()}
@@ -249,28 +272,18 @@
 	err := s.servers.call(ctx, renewTimeout, addr, wire.MethodRenew, req, &r)
 
 	s.mu.Lock()
-	var o outcome
+	changed := false
 	if err != nil {
-		o = s.tracker.failed()
+		s.tracker.failed()
 	} else {
-		o = s.tracker.accept(sent, r)
+		changed = s.tracker.accept(sent, r)
 		s.view.Store(s.tracker.view)
 	}
-	gone := s.tracker.gone
 	s.mu.Unlock()
-	s.report(ctx, addr, err, o, gone)
-	return o.moved
-}
-
-func (s *Session) report(ctx context.Context, addr string, err error, o outcome, gone bool) {
-	if gone && !s.isGone() {
-		klog.Warningf("member: Incarnation %d has been ended by the control group.", s.inc)
-		s.end()
-	}
 	if err != nil && ctx.Err() == nil {
 		klog.Warningf("member: Renewal at %s failed: %v.", addr, err)
 	}
-	if o.changed {
+	if changed {
 		select {
 		case s.changes <- struct{}{}:
 		default:
