control: add the daemon library

Cause: entries and agents need a control group to talk to. Change: one goroutine drives consensus, the log and the tables; group formation, leases, renewals from applied tables, forwarded renewals, replacement of a node. Conclusion: the daemon serves all of control.*.

--- /dev/null
+++ b/control/group_test.go
@@ -0,0 +1,320 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// stopAfter ends a test that hangs. No test depends on its length.
+const stopAfter = 2 * time.Minute
+
+// network connects the processes of a test and can cut one of them off.
+type network struct {
+	mu    sync.Mutex
+	cut   map[string]bool // by address
+	conns map[*rpc.Conn][2]string
+}
+
+func newNetwork() *network {
+	return &network{cut: map[string]bool{}, conns: map[*rpc.Conn][2]string{}}
+}
+
+// dialer returns the dialer of the process with the given address.
+func (n *network) dialer(from string) member.Dialer {
+	return func(ctx context.Context, to string) (*rpc.Conn, error) {
+		if n.isCut(from, to) {
+			return nil, verdict.Refuse(verdict.ConnectionFailed, "%s is cut off from %s", from, to)
+		}
+		c, err := rpc.Dial(ctx, to, rpc.Security{}, nil, nil)
+		if err != nil {
+			return nil, err
+		}
+		n.mu.Lock()
+		n.conns[c] = [2]string{from, to}
+		n.mu.Unlock()
+		if n.isCut(from, to) {
+			c.Close()
+		}
+		return c, nil
+	}
+}
+
+func (n *network) isCut(from, to string) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[from] || n.cut[to]
+}
+
+func (n *network) setCut(addr string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[addr] = cut
+	for c, ends := range n.conns {
+		if cut && slices.Contains(ends[:], addr) {
+			c.Close()
+			delete(n.conns, c)
+		}
+	}
+}
+
+// group is a control group in one process.
+type group struct {
+	t     *testing.T
+	net   *network
+	opts  []Options
+	nodes []*Node // nil while stopped
+}
+
+func newGroup(t *testing.T, size int) *group {
+	g := &group{t: t, net: newNetwork()}
+	var peers []Peer
+	for i := range size {
+		peers = append(peers, Peer{Node: ids.Node(fmt.Sprintf("c%d", i)), Addr: freeAddr(t)})
+	}
+	for i := range size {
+		g.add(peers[i], peers)
+	}
+	for i := range size {
+		g.start(i)
+	}
+	t.Cleanup(func() {
+		for i := range g.nodes {
+			g.stop(i)
+		}
+	})
+	return g
+}
+
+func (g *group) add(self Peer, peers []Peer) int {
+	g.opts = append(g.opts, Options{
+		Node: self.Node, Listen: self.Addr, Peers: peers, Data: g.t.TempDir(), Dial: g.net.dialer(self.Addr),
+	})
+	g.nodes = append(g.nodes, nil)
+	return len(g.opts) - 1
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func (g *group) start(i int) {
+	g.t.Helper()
+	n, err := Start(g.opts[i])
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.nodes[i] = n
+}
+
+func (g *group) stop(i int) {
+	if g.nodes[i] == nil {
+		return
+	}
+	if err := g.nodes[i].Close(); err != nil {
+		g.t.Error(err)
+	}
+	g.nodes[i] = nil
+}
+
+func (g *group) addrs() []string {
+	var out []string
+	for _, o := range g.opts {
+		out = append(out, o.Listen)
+	}
+	return out
+}
+
+func (g *group) ctx() context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), stopAfter)
+	g.t.Cleanup(cancel)
+	return ctx
+}
+
+// client is an operator's client that is outside all cuts of its own.
+func (g *group) client() *member.Client {
+	c, err := member.NewClient(member.ClientOptions{Servers: g.addrs(), Dial: g.net.dialer("client")})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(c.Close)
+	return c
+}
+
+func (g *group) session(kind wire.Kind, node string) *member.Session {
+	g.t.Helper()
+	self := wire.Registration{Kind: kind, Node: ids.Node(node), Addr: "127.0.0.1:9", Domain: "gt-centro-a", Weight: 1}
+	if kind == wire.KindAgent {
+		self.Service, self.Slots, self.Connections = "mostrador", 8, 64
+	}
+	s, err := member.Open(g.ctx(), member.Options{Servers: g.addrs(), Self: self, Dial: g.net.dialer(node)})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(s.Close)
+	return s
+}
+
+// wait polls until ok holds.
+func (g *group) wait(what string, ok func() error) {
+	g.t.Helper()
+	end := time.Now().Add(stopAfter)
+	for {
+		err := ok()
+		if err == nil {
+			return
+		}
+		if time.Now().After(end) {
+			g.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// leader waits for a leader among the running nodes that are not cut off.
+func (g *group) leader() int {
+	g.t.Helper()
+	found := -1
+	g.wait("a leader", func() error {
+		for i, n := range g.nodes {
+			if n == nil || g.net.isCut(n.Addr(), n.Addr()) {
+				continue
+			}
+			if leads, err := ask(g.ctx(), n, func(c *core) bool { return c.raft.IsLeader() }); err == nil && leads {
+				found = i
+				return nil
+			}
+		}
+		return errors.New("none yet")
+	})
+	return found
+}
+
+func (g *group) apply(c *member.Client, id, value string) wire.ApplyReply {
+	g.t.Helper()
+	r, err := c.Apply(g.ctx(), wire.Apply{
+		CommandID: id, Expect: wire.AnyVersion, Pairs: []wire.Pair{{Key: "teams.acme.quota", Value: value}},
+	})
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return r
+}
+
+func (g *group) waitValue(s *member.Session, want string) {
+	g.t.Helper()
+	g.wait("configuration at a member", func() error {
+		if got, _ := s.View().Value("teams.acme.quota"); got != want {
+			return errors.Errorf("value %q", got)
+		}
+		return nil
+	})
+}
+
+func (g *group) waitCurrent(s *member.Session) {
+	g.t.Helper()
+	g.wait("currency", func() error {
+		if !s.Current(time.Now()) {
+			return errors.New("the session is stale")
+		}
+		return nil
+	})
+}
+
+func admit(g *group, s *member.Session, it wire.AdmitItem) wire.AdmitResult {
+	g.t.Helper()
+	it.Team, it.Service, it.Tasks = "acme", "mostrador", 2
+	r, err := s.Admit(g.ctx(), it)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	return r
+}
+
+// Guards against a group that loses accepted state with its leader: the job, the
+// configuration and the answer to a command that is sent again.
+func TestLeaderIsKilled(t *testing.T) {
+	g := newGroup(t, 3)
+	c := g.client()
+	entry, agent := g.session(wire.KindEntry, "e1"), g.session(wire.KindAgent, "a1")
+	first := g.apply(c, "cmd-1", "7")
+	g.waitValue(entry, "7")
+	g.waitValue(agent, "7")
+	item := wire.AdmitItem{Key: "k", BodyHash: "h", Nonce: "n1"}
+	a := admit(g, entry, item)
+	if a.Admitted == nil {
+		t.Fatalf("admission: %+v", a)
+	}
+	lost := g.leader()
+	g.stop(lost)
+	if again := g.apply(c, "cmd-1", "9"); !again.Repeated || again.ConfigVer != first.ConfigVer || again.Index != first.Index {
+		t.Fatalf("repeated command: %+v, first answer %+v", again, first)
+	}
+	if r := admit(g, entry, item); r.Admitted == nil || *r.Admitted != *a.Admitted {
+		t.Fatalf("repeated admission: %+v", r)
+	}
+	if r := admit(g, entry, wire.AdmitItem{Key: "k", BodyHash: "h"}); r.Duplicate == nil || r.Duplicate.Job != a.Admitted.Job {
+		t.Fatalf("resubmission: %+v", r)
+	}
+	end := wire.CompleteItem{Ownership: *a.Admitted, State: wire.JobComplete, Verdict: verdict.Ran}
+	if err := entry.Complete(g.ctx(), end); err != nil {
+		t.Fatal(err)
+	}
+	g.wait("the job's end", func() error {
+		rec, err := entry.Job(g.ctx(), a.Admitted.Job)
+		if err != nil || rec.State != wire.JobComplete {
+			return errors.Errorf("%+v %v", rec, err)
+		}
+		return nil
+	})
+	g.apply(c, "cmd-2", "8")
+	g.waitValue(agent, "8")
+	g.waitCurrent(entry)
+}
+
+// Guards against a member that stays with a node that is cut off, and against a
+// cut-off leader that still accepts changes.
+func TestLeaderIsCutOff(t *testing.T) {
+	g := newGroup(t, 3)
+	c := g.client()
+	agents := []*member.Session{g.session(wire.KindAgent, "a1"), g.session(wire.KindAgent, "a2"), g.session(wire.KindAgent, "a3")}
+	g.apply(c, "cmd-1", "1")
+	lost := g.leader()
+	g.net.setCut(g.opts[lost].Listen, true)
+	r := g.apply(c, "cmd-2", "2")
+	for _, a := range agents {
+		g.waitValue(a, "2")
+		g.waitCurrent(a)
+	}
+	stale := member.Options{Servers: []string{g.opts[lost].Listen}, Self: wire.Registration{Kind: wire.KindAgent, Node: "a4", Addr: "x", Service: "s"}}
+	ctx, cancel := context.WithTimeout(g.ctx(), time.Second)
+	defer cancel()
+	if _, err := member.Open(ctx, stale); verdict.From(err).Reason != verdict.NoQuorum {
+		t.Fatalf("registration at the cut-off node: %v", err)
+	}
+	g.net.setCut(g.opts[lost].Listen, false)
+	g.wait("the healed node", func() error {
+		st, err := c.StatusAt(g.ctx(), g.opts[lost].Listen, wire.Status{})
+		if err != nil || st.Commit < r.Index {
+			return errors.Errorf("%+v %v", st, err)
+		}
+		return nil
+	})
+}
--- /dev/null
+++ b/control/options.go
@@ -0,0 +1,130 @@
+// Package control is the library of the control daemon. A Node drives the
+// consensus state machine, the log on disk and the replicated tables, and serves
+// the methods control.* and peer.*.
+package control
+
+import (
+	"net"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/wal"
+)
+
+// Peer is a control node of the first start of a group.
+type Peer struct {
+	Node ids.Node
+	Addr string // host:port
+}
+
+// Options configures a control node. Defaults are applied by withDefaults.
+type Options struct {
+	// Node is the name of this node.
+	Node ids.Node
+	// Listen is the address to listen on. Default 127.0.0.1:7400.
+	Listen string
+	// Listener replaces Listen if it is not nil.
+	Listener net.Listener
+	// Advertise is the address under which others reach this node. Default: the
+	// address listened on.
+	Advertise string
+	// Peers lists the nodes that form a new group, this one included. Every
+	// node gets the same list. It has no effect once the group exists. Default:
+	// this node alone.
+	Peers  []Peer
+	Region ids.Region
+	Domain ids.Domain
+	// Data is the folder of the log.
+	Data     string
+	Security rpc.Security
+	// SnapshotEntries and SnapshotBytes are how much the log grows between two
+	// snapshots. Defaults 20,000 entries and 8 MB.
+	SnapshotEntries int
+	SnapshotBytes   int64
+	// Tick is the length of a consensus tick. Default 50 ms.
+	Tick time.Duration
+
+	// FS and Dial replace the file system and the dialer in tests.
+	FS   wal.FS
+	Dial member.Dialer
+	// Counters counts the messages of the node. Default: counters of its own.
+	Counters *rpc.Counters
+}
+
+const (
+	defaultListen          = "127.0.0.1:7400"
+	defaultSnapshotEntries = 20_000
+	defaultSnapshotBytes   = 8 << 20
+	defaultTick            = 50 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	if o.Listen == "" {
+		o.Listen = defaultListen
+	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = defaultSnapshotEntries
+	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
+	if o.Tick == 0 {
+		o.Tick = defaultTick
+	}
+	if o.Counters == nil {
+		o.Counters = &rpc.Counters{}
+	}
+	if o.FS == nil {
+		o.FS = wal.OSFS{}
+	}
+	return o
+}
+
+func (o Options) check() error {
+	if o.Node == "" {
+		return errors.New("control: the node has no name")
+	}
+	if o.Data == "" {
+		return errors.New("control: no data folder is given")
+	}
+	if len(o.Peers) == 0 {
+		return nil
+	}
+	seen := map[ids.Node]bool{}
+	for _, p := range o.Peers {
+		if p.Node == "" || p.Addr == "" || seen[p.Node] {
+			return errors.Errorf("control: peer %q has no name or no address, or is given twice", p.Node)
+		}
+		seen[p.Node] = true
+	}
+	if !seen[o.Node] {
+		return errors.Errorf("control: node %q is not among its peers; give every node the same list", o.Node)
+	}
+	return nil
+}
+
+// listen opens the listener. An address other than loopback needs a token or
+// certificates.
+func (o Options) listen() (net.Listener, error) {
+	if o.Listener != nil {
+		return o.Listener, nil
+	}
+	host, _, err := net.SplitHostPort(o.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "control: listen address %q", o.Listen)
+	}
+	ip := net.ParseIP(host)
+	loopback := host == "localhost" || ip != nil && ip.IsLoopback()
+	if !loopback && o.Security.Token == "" && o.Security.TLS == nil {
+		return nil, errors.Errorf("control: listening on %s needs a token or certificates", o.Listen)
+	}
+	l, err := net.Listen("tcp", o.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "control")
+	}
+	return l, nil
+}
--- /dev/null
+++ b/control/peers.go
@@ -0,0 +1,180 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/baobabshore/baobabshore/consensus"
+	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// outboxLimit bounds the messages that wait for a peer. Consensus repeats
+	// what is dropped.
+	outboxLimit = 1024
+	// redialPause separates attempts to reach a peer.
+	redialPause = 100 * time.Millisecond
+	sendTimeout = 2 * time.Second
+)
+
+// steps is the content of peer.step.
+type steps struct {
+	From     consensus.ID        `json:"f"`
+	Addr     string              `json:"a"` // of the sender, for a receiver that is not in the group yet
+	Messages []consensus.Message `json:"m"`
+}
+
+// link sends messages to one peer in order over one connection.
+type link struct {
+	addr string
+	self steps // without messages
+	dial member.Dialer
+	out  chan consensus.Message
+	rest chan wire.Renewals
+	conn *rpc.Conn // used by run only
+}
+
+// links holds one link for each peer address.
+type links struct {
+	dial   member.Dialer
+	self   steps
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	byAddr map[string]*link // used by the node's loop only
+}
+
+func newLinks(dial member.Dialer, self consensus.ID, addr string) *links {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &links{dial: dial, self: steps{From: self, Addr: addr}, ctx: ctx, cancel: cancel, byAddr: map[string]*link{}}
+}
+
+func (ls *links) close() {
+	ls.cancel()
+	ls.done.Wait()
+}
+
+func (ls *links) to(addr string) *link {
+	l := ls.byAddr[addr]
+	if l == nil {
+		l = &link{
+			addr: addr, self: ls.self, dial: ls.dial,
+			out: make(chan consensus.Message, outboxLimit), rest: make(chan wire.Renewals, 1),
+		}
+		ls.byAddr[addr] = l
+		ls.done.Go(func() { l.run(ls.ctx) })
+	}
+	return l
+}
+
+// step queues a message of consensus. It drops the message when the peer does
+// not keep up.
+func (ls *links) step(addr string, m consensus.Message) {
+	select {
+	case ls.to(addr).out <- m:
+	default:
+	}
+}
+
+// renewals queues lease renewals for the leader.
+func (ls *links) renewals(addr string, r wire.Renewals) {
+	select {
+	case ls.to(addr).rest <- r:
+	default:
+	}
+}
+
+func (l *link) run(ctx context.Context) {
+	defer l.drop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.out:
+			batch := l.self
+			batch.Messages = l.gather(m)
+			l.send(ctx, wire.MethodStep, batch)
+		case r := <-l.rest:
+			l.send(ctx, wire.MethodRenewals, r)
+		}
+	}
+}
+
+func (l *link) gather(first consensus.Message) []consensus.Message {
+	batch := []consensus.Message{first}
+	size := messageSize(first)
+	for size < batchBytes {
+		select {
+		case m := <-l.out:
+			batch = append(batch, m)
+			size += messageSize(m)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+func (l *link) send(ctx context.Context, method string, params any) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	if !l.connect(ctx) {
+		return
+	}
+	if err := l.conn.Notify(ctx, method, params); err != nil {
+		klog.Warningf("control: Sending to %s failed: %v.", l.addr, err)
+		l.drop()
+	}
+}
+
+// connect dials if there is no connection. While the peer is unreachable, what
+// waits for it is dropped, since it would be out of date.
+func (l *link) connect(ctx context.Context) bool {
+	if l.conn != nil {
+		select {
+		case <-l.conn.Done():
+			l.drop()
+		default:
+			return true
+		}
+	}
+	conn, err := l.dial(ctx, l.addr)
+	if err == nil {
+		l.conn = conn
+		return true
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(redialPause):
+	}
+	for len(l.out) > 0 {
+		<-l.out
+	}
+	return false
+}
+
+func (l *link) drop() {
+	if l.conn != nil {
+		l.conn.Close()
+		l.conn = nil
+	}
+}
+
+// batchBytes bounds the messages that are sent together.
+const batchBytes = 1 << 20
+
+func messageSize(m consensus.Message) int {
+	n := 0
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	if m.Snapshot != nil {
+		n += len(m.Snapshot.Data)
+	}
+	return n
+}
--- /dev/null
+++ b/control/serve.go
@@ -0,0 +1,328 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/baobabshore/baobabshore/controlstate"
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	methodHello = "peer.hello"
+	// maxAdmit bounds the records of one control.admit.
+	maxAdmit = 4096
+)
+
+func (n *Node) mux() *rpc.Mux {
+	m := rpc.NewMux()
+	m.Concurrent(wire.MethodRegister, rpc.Handle(n.serveRegister))
+	m.Concurrent(wire.MethodRenew, rpc.Handle(n.serveRenew))
+	m.Concurrent(wire.MethodLeave, rpc.Handle(n.serveLeave))
+	m.Concurrent(wire.MethodAdmit, rpc.Handle(n.serveAdmit))
+	m.Concurrent(wire.MethodComplete, rpc.Handle(n.serveComplete))
+	m.Concurrent(wire.MethodJob, rpc.Handle(n.serveJob))
+	m.Concurrent(wire.MethodApply, rpc.Handle(n.serveApply))
+	m.Concurrent(wire.MethodGet, rpc.Handle(n.serveGet))
+	m.Concurrent(wire.MethodStatus, rpc.Handle(n.serveStatus))
+	m.Concurrent(wire.MethodReplace, rpc.Handle(n.serveReplace))
+	m.Concurrent(wire.MethodDrain, rpc.Handle(n.serveDrain))
+	m.Ordered(wire.MethodStep, rpc.Handle(n.serveStep))
+	m.Ordered(wire.MethodRenewals, rpc.Handle(n.serveRenewals))
+	m.Concurrent(methodHello, rpc.Handle(n.serveHello))
+	return m
+}
+
+// result is what became of a proposal.
+type result struct {
+	controlstate.Result
+	err *verdict.Error
+}
+
+// propose passes one command to the leader's log and waits until it is applied.
+func (n *Node) propose(ctx context.Context, cmd controlstate.Command) (controlstate.Result, error) {
+	r, err := n.proposeAll(ctx, []controlstate.Command{cmd})
+	if err != nil {
+		return controlstate.Result{}, err
+	}
+	if r[0].err != nil {
+		return controlstate.Result{}, r[0].err
+	}
+	return r[0].Result, nil
+}
+
+// proposeAll passes commands to the log together and waits for all of them.
+func (n *Node) proposeAll(ctx context.Context, cmds []controlstate.Command) ([]result, error) {
+	results := make([]result, len(cmds))
+	done := make(chan struct{})
+	left := len(cmds)
+	if left == 0 {
+		return results, nil
+	}
+	err := n.post(ctx, func(c *core) {
+		for i, cmd := range cmds {
+			c.propose(cmd, func(r controlstate.Result, e *verdict.Error) {
+				results[i] = result{r, e}
+				if left--; left == 0 {
+					close(done)
+				}
+			})
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-done:
+		return results, nil
+	case <-ctx.Done():
+		return nil, verdict.Unknown(verdict.NoQuorum, "the call was given up")
+	case <-n.ctx.Done():
+		return nil, verdict.Unknown(verdict.Draining, "the node stops")
+	}
+}
+
+// notLeader refuses a write and names the leader.
+func (c *core) notLeader() *verdict.Error {
+	p, ok := c.raft.Group().Peer(c.raft.Leader())
+	if !ok || p.ID == c.id.ID {
+		return verdict.Refuse(verdict.NoQuorum, "no leader is known").After(time.Second)
+	}
+	hint, err := json.Marshal(wire.LeaderHint{Node: ids.Node(p.Name), Addr: p.Addr})
+	if err != nil {
+		return verdict.Refuse(verdict.NotLeader, "%v", err)
+	}
+	return &verdict.Error{Verdict: verdict.NotRun, Reason: verdict.NotLeader, Detail: string(hint)}
+}
+
+// age returns how old the confirmation of the applied tables is.
+func (c *core) age(now time.Time) (time.Duration, *verdict.Error) {
+	if c.confirmed.IsZero() {
+		return 0, verdict.Refuse(verdict.Stale, "node %s has not heard from a confirmed leader", c.opt.Node).After(time.Second)
+	}
+	return max(now.Sub(c.confirmed), 0), nil
+}
+
+// readable refuses a read from tables that are not current.
+func (c *core) readable() *verdict.Error {
+	age, e := c.age(time.Now())
+	if e != nil {
+		return e
+	}
+	if age > wire.StaleAfter {
+		return verdict.Refuse(verdict.Stale, "node %s was last confirmed %v ago", c.opt.Node, age).After(time.Second)
+	}
+	return nil
+}
+
+func (n *Node) serveRegister(ctx context.Context, _ *rpc.Conn, p wire.Registration) (wire.RegisterReply, error) {
+	r, err := n.propose(ctx, controlstate.Command{Register: &p})
+	if err != nil {
+		return wire.RegisterReply{}, err
+	}
+	if r.Err != nil {
+		return wire.RegisterReply{}, r.Err
+	}
+	return wire.RegisterReply{Incarnation: r.Incarnation}, nil
+}
+
+type renewed struct {
+	reply wire.RenewReply
+	err   *verdict.Error
+}
+
+func (n *Node) serveRenew(ctx context.Context, _ *rpc.Conn, p wire.Renew) (wire.RenewReply, error) {
+	arrived := time.Now()
+	r, err := ask(ctx, n, func(c *core) renewed {
+		reply, e := c.renew(p, arrived)
+		return renewed{reply, e}
+	})
+	if err != nil {
+		return wire.RenewReply{}, err
+	}
+	if r.err != nil {
+		return wire.RenewReply{}, r.err
+	}
+	return r.reply, nil
+}
+
+// renew answers a renewal from the applied tables.
+func (c *core) renew(p wire.Renew, arrived time.Time) (wire.RenewReply, *verdict.Error) {
+	m, ok := c.state.Member(p.Incarnation)
+	if ok && !m.Live() {
+		return wire.RenewReply{Gone: true}, nil
+	}
+	if !ok && c.state.Index() >= uint64(p.Incarnation) {
+		return wire.RenewReply{Gone: true}, nil
+	}
+	c.leases.renew(p, arrived)
+	age, e := c.age(time.Now())
+	if e != nil {
+		return wire.RenewReply{}, e
+	}
+	r := wire.RenewReply{Version: ids.Version(c.state.Index()), ConfirmedAge: ceilMS(age)}
+	if ok && r.Version > p.Have {
+		r.Changes, r.Whole = c.state.Changes(p.Have, p.Incarnation)
+	}
+	return r, nil
+}
+
+func ceilMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
+
+func (n *Node) serveLeave(ctx context.Context, _ *rpc.Conn, p wire.Leave) (wire.Empty, error) {
+	_, err := n.propose(ctx, controlstate.Command{Expire: &controlstate.Expire{Incarnation: p.Incarnation}})
+	return wire.Empty{}, err
+}
+
+func (n *Node) serveAdmit(ctx context.Context, _ *rpc.Conn, p wire.Admit) (wire.AdmitReply, error) {
+	if len(p.Items) > maxAdmit {
+		return wire.AdmitReply{}, verdict.Refuse(verdict.BadRequest, "%d admissions are above the limit of %d", len(p.Items), maxAdmit)
+	}
+	cmds := make([]controlstate.Command, len(p.Items))
+	for i := range p.Items {
+		cmds[i].Admit = &p.Items[i]
+	}
+	results, err := n.proposeAll(ctx, cmds)
+	if err != nil {
+		return wire.AdmitReply{}, err
+	}
+	reply := wire.AdmitReply{Results: make([]wire.AdmitResult, len(results))}
+	for i, r := range results {
+		switch {
+		case r.err == nil:
+			reply.Results[i] = r.Admit
+		case r.err.Reason == verdict.Overloaded:
+			reply.Results[i].Err = r.err
+		default:
+			return wire.AdmitReply{}, r.err // the whole message is repeated at the leader
+		}
+	}
+	return reply, nil
+}
+
+func (n *Node) serveComplete(ctx context.Context, _ *rpc.Conn, p wire.Complete) (wire.Empty, error) {
+	if len(p.Items) == 0 {
+		return wire.Empty{}, nil
+	}
+	_, err := n.propose(ctx, controlstate.Command{Complete: &p})
+	return wire.Empty{}, err
+}
+
+func (n *Node) serveApply(ctx context.Context, _ *rpc.Conn, p wire.Apply) (wire.ApplyReply, error) {
+	r, err := n.propose(ctx, controlstate.Command{Apply: &p})
+	return r.Apply, err
+}
+
+func (n *Node) serveDrain(ctx context.Context, _ *rpc.Conn, p wire.DrainNode) (wire.Empty, error) {
+	if p.Node == "" {
+		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "no node is named")
+	}
+	r, err := n.propose(ctx, controlstate.Command{Drain: &controlstate.Drain{Node: p.Node, Drain: p.Drain}})
+	if err != nil {
+		return wire.Empty{}, err
+	}
+	if r.Err != nil {
+		return wire.Empty{}, r.Err
+	}
+	return wire.Empty{}, nil
+}
+
+type found struct {
+	rec wire.JobRecord
+	err *verdict.Error
+}
+
+func (n *Node) serveJob(ctx context.Context, _ *rpc.Conn, p wire.JobQuery) (wire.JobRecord, error) {
+	r, err := ask(ctx, n, func(c *core) found {
+		if e := c.readable(); e != nil {
+			return found{err: e}
+		}
+		if c.state.Index() < uint64(p.Job) {
+			return found{err: verdict.Refuse(verdict.Stale, "node %s has not reached job %d", c.opt.Node, p.Job)}
+		}
+		rec, ok := c.state.Job(p.Job)
+		if !ok {
+			return found{err: verdict.Refuse(verdict.UnknownJob, "job %d has no record", p.Job)}
+		}
+		return found{rec: rec}
+	})
+	if err != nil {
+		return wire.JobRecord{}, err
+	}
+	if r.err != nil {
+		return wire.JobRecord{}, r.err
+	}
+	return r.rec, nil
+}
+
+type got struct {
+	reply wire.GetReply
+	err   *verdict.Error
+}
+
+func (n *Node) serveGet(ctx context.Context, _ *rpc.Conn, _ wire.Get) (wire.GetReply, error) {
+	r, err := ask(ctx, n, func(c *core) got {
+		if e := c.readable(); e != nil {
+			return got{err: e}
+		}
+		return got{reply: c.state.Configuration()}
+	})
+	if err != nil {
+		return wire.GetReply{}, err
+	}
+	if r.err != nil {
+		return wire.GetReply{}, r.err
+	}
+	return r.reply, nil
+}
+
+func (n *Node) serveStatus(ctx context.Context, _ *rpc.Conn, p wire.Status) (wire.StatusReply, error) {
+	return ask(ctx, n, func(c *core) wire.StatusReply { return c.status(p, time.Now()) })
+}
+
+func (n *Node) serveStep(ctx context.Context, _ *rpc.Conn, p steps) (wire.Empty, error) {
+	err := n.post(ctx, func(c *core) {
+		c.noteSender(p)
+		for _, m := range p.Messages {
+			if m.From == p.From {
+				c.raft.Step(m)
+			}
+		}
+	})
+	return wire.Empty{}, err
+}
+
+func (n *Node) serveRenewals(ctx context.Context, _ *rpc.Conn, p wire.Renewals) (wire.Empty, error) {
+	arrived := time.Now()
+	err := n.post(ctx, func(c *core) {
+		for _, r := range p.Items {
+			seen := arrived.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
+			c.leases.renew(wire.Renew{Incarnation: r.Incarnation, Have: r.Have, Draining: r.Draining}, seen)
+		}
+	})
+	return wire.Empty{}, err
+}
+
+func (n *Node) serveHello(ctx context.Context, _ *rpc.Conn, p hello) (hello, error) {
+	return ask(ctx, n, func(c *core) hello { return c.exchange(p) })
+}
+
+// maxSenders bounds the remembered senders outside the group.
+const maxSenders = 64
+
+// noteSender remembers where to send replies to a node that is not in this
+// node's group yet.
+func (c *core) noteSender(p steps) {
+	if _, ok := c.raft.Group().Peer(p.From); ok || p.Addr == "" {
+		delete(c.addrs, p.From)
+		return
+	}
+	if len(c.addrs) >= maxSenders {
+		clear(c.addrs)
+	}
+	c.addrs[p.From] = p.Addr
+}
