--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -215,6 +215,7 @@
 		m.state.apply(e)
 	}
 	m.node.Advance(rd)
+	s.check.node(m)
 	s.clients.advanced(s, m, rd)
 	s.compact(m)
 }
