control: test restarts, replacement and lease ends; send large messages in parts

Change: peer.part carries pieces of peer.step; six tests on loopback. Conclusion: an emptied disk neither votes nor forms a second group.

--- a/control/group_test.go
+++ b/control/group_test.go
@@ -78,7 +78,11 @@
 	nodes []*Node // nil while stopped
 }
 
-func newGroup(t *testing.T, size int) *group {
+func newGroup(t *testing.T, size int) *group { return newGroupWith(t, size, nil) }
+
+// newGroupWith changes the options of all nodes, and starts only some of them if
+// they are given.
+func newGroupWith(t *testing.T, size int, change func(*Options), started ...int) *group {
 	g := &group{t: t, net: newNetwork()}
 	var peers []Peer
 	for i := range size {
@@ -88,7 +92,12 @@
 		g.add(peers[i], peers)
 	}
 	for i := range size {
-		g.start(i)
+		if change != nil {
+			change(&g.opts[i])
+		}
+		if len(started) == 0 || slices.Contains(started, i) {
+			g.start(i)
+		}
 	}
 	t.Cleanup(func() {
 		for i := range g.nodes {
@@ -149,8 +158,13 @@
 }
 
 // client is an operator's client that is outside all cuts of its own.
-func (g *group) client() *member.Client {
-	c, err := member.NewClient(member.ClientOptions{Servers: g.addrs(), Dial: g.net.dialer("client")})
+func (g *group) client() *member.Client { return g.clientAt(g.addrs()) }
+
+// only is a client of one node.
+func (g *group) only(i int) *member.Client { return g.clientAt(g.addrs()[i : i+1]) }
+
+func (g *group) clientAt(servers []string) *member.Client {
+	c, err := member.NewClient(member.ClientOptions{Servers: servers, Dial: g.net.dialer("client")})
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -159,12 +173,16 @@
 }
 
 func (g *group) session(kind wire.Kind, node string) *member.Session {
+	return g.sessionAt(kind, node, g.addrs())
+}
+
+func (g *group) sessionAt(kind wire.Kind, node string, servers []string) *member.Session {
 	g.t.Helper()
 	self := wire.Registration{Kind: kind, Node: ids.Node(node), Addr: "127.0.0.1:9", Domain: "gt-centro-a", Weight: 1}
 	if kind == wire.KindAgent {
 		self.Service, self.Slots, self.Connections = "mostrador", 8, 64
 	}
-	s, err := member.Open(g.ctx(), member.Options{Servers: g.addrs(), Self: self, Dial: g.net.dialer(node)})
+	s, err := member.Open(g.ctx(), member.Options{Servers: servers, Self: self, Dial: g.net.dialer(node)})
 	if err != nil {
 		g.t.Fatal(err)
 	}
--- a/control/peers.go
+++ b/control/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -20,6 +22,11 @@
 	// redialPause separates attempts to reach a peer.
 	redialPause = 100 * time.Millisecond
 	sendTimeout = 2 * time.Second
+	// batchBytes bounds the log records that are sent together, before encoding.
+	batchBytes = 1 << 20
+	partBytes  = 1 << 20
+	// maxAssembled bounds a message that arrives in parts.
+	maxAssembled = 512 << 20
 )
 
 // steps is the content of peer.step.
@@ -98,7 +105,7 @@
 		case m := <-l.out:
 			batch := l.self
 			batch.Messages = l.gather(m)
-			l.send(ctx, wire.MethodStep, batch)
+			l.sendSteps(ctx, batch)
 		case r := <-l.rest:
 			l.send(ctx, wire.MethodRenewals, r)
 		}
@@ -107,12 +114,10 @@
 
 func (l *link) gather(first consensus.Message) []consensus.Message {
 	batch := []consensus.Message{first}
-	size := messageSize(first)
-	for size < batchBytes {
+	for size(batch) < batchBytes {
 		select {
 		case m := <-l.out:
 			batch = append(batch, m)
-			size += messageSize(m)
 		default:
 			return batch
 		}
@@ -120,16 +125,38 @@
 	return batch
 }
 
-func (l *link) send(ctx context.Context, method string, params any) {
+// sendSteps sends messages, in parts when they exceed the bound on a message,
+// as the snapshot of large tables does.
+func (l *link) sendSteps(ctx context.Context, batch steps) {
+	if size(batch.Messages) < batchBytes+partBytes {
+		l.send(ctx, wire.MethodStep, batch)
+		return
+	}
+	data, err := json.Marshal(batch)
+	if err != nil {
+		klog.Errorf("control: Messages to %s can't be encoded: %v.", l.addr, err)
+		return
+	}
+	for at := 0; at < len(data); at += partBytes {
+		end := min(at+partBytes, len(data))
+		if !l.send(ctx, methodPart, part{First: at == 0, Last: end == len(data), Data: data[at:end]}) {
+			return
+		}
+	}
+}
+
+func (l *link) send(ctx context.Context, method string, params any) bool {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
 	if !l.connect(ctx) {
-		return
+		return false
 	}
 	if err := l.conn.Notify(ctx, method, params); err != nil {
 		klog.Warningf("control: Sending to %s failed: %v.", l.addr, err)
 		l.drop()
+		return false
 	}
+	return true
 }
 
 // connect dials if there is no connection. While the peer is unreachable, what
@@ -165,16 +192,42 @@
 	}
 }
 
-// batchBytes bounds the messages that are sent together.
-const batchBytes = 1 << 20
-
-func messageSize(m consensus.Message) int {
+func size(messages []consensus.Message) int {
 	n := 0
-	for _, e := range m.Entries {
-		n += len(e.Data)
-	}
-	if m.Snapshot != nil {
-		n += len(m.Snapshot.Data)
+	for _, m := range messages {
+		for _, e := range m.Entries {
+			n += len(e.Data)
+		}
+		if m.Snapshot != nil {
+			n += len(m.Snapshot.Data)
+		}
 	}
 	return n
 }
+
+// part is a piece of the JSON of steps.
+type part struct {
+	First bool   `json:"f,omitempty"`
+	Last  bool   `json:"l,omitempty"`
+	Data  []byte `json:"d"`
+}
+
+// assembly gathers the parts that arrive on one connection.
+type assembly struct{ data []byte }
+
+// add returns the content once the last part has arrived.
+func (a *assembly) add(p part) (data []byte, err error) {
+	if p.First {
+		a.data = nil
+	}
+	if len(a.data)+len(p.Data) > maxAssembled {
+		a.data = nil
+		return nil, verdict.Refuse(verdict.BadRequest, "the parts exceed %d bytes", maxAssembled)
+	}
+	a.data = append(a.data, p.Data...)
+	if !p.Last {
+		return nil, nil
+	}
+	data, a.data = a.data, nil
+	return data, nil
+}
--- /dev/null
+++ b/control/restart_test.go
@@ -0,0 +1,226 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wal"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// Guards against a configuration that reverts, or an answer that is forgotten,
+// when all nodes restart after hundreds of changes that went into snapshots; and
+// against a node that can't catch up when the others' logs start after its own
+// end.
+func TestRestartAfterManyChanges(t *testing.T) {
+	g := newGroupWith(t, 3, func(o *Options) { o.SnapshotEntries = 50 })
+	c := g.client()
+	agent := g.session(wire.KindAgent, "a1")
+	first := g.apply(c, "cmd-first", "first")
+	behind := (g.leader() + 1) % 3
+	g.stop(behind)
+	for i := range 500 {
+		g.apply(c, fmt.Sprint("cmd-", i), fmt.Sprint(i))
+	}
+	g.waitValue(agent, "499")
+	version := agent.View().Version
+	for i := range 3 {
+		g.stop(i)
+	}
+	for i := range 3 {
+		g.start(i)
+	}
+	if r := g.apply(c, "cmd-first", "other"); !r.Repeated || r.Index != first.Index {
+		t.Fatalf("repeated command: %+v, first answer %+v", r, first)
+	}
+	got, err := c.Get(g.ctx())
+	if err != nil || len(got.Pairs) != 1 || got.Pairs[0].Value != "499" || got.ConfigVer != 501 {
+		t.Fatalf("configuration after the restart: %+v %v", got, err)
+	}
+	g.waitCurrent(agent)
+	if v, _ := agent.View().Value("teams.acme.quota"); v != "499" || agent.View().Version < version {
+		t.Fatalf("the member's view went from version %d to %+v", version, agent.View())
+	}
+	late := g.only(behind)
+	g.wait("the node that was away", func() error {
+		r, err := late.Get(g.ctx())
+		if err != nil || r.ConfigVer != 501 {
+			return errors.Errorf("%+v %v", r, err)
+		}
+		return nil
+	})
+}
+
+// Guards against an emptied disk that votes, forms a second group, or keeps its
+// node out after the operator has replaced it, and against a second loss right
+// after the repair.
+func TestEmptiedDiskIsReplaced(t *testing.T) {
+	g := newGroup(t, 3)
+	c := g.client()
+	g.apply(c, "cmd-1", "1")
+	lost := g.leader()
+	before := g.nodes[lost].Instance()
+	g.stop(lost)
+	if err := os.RemoveAll(g.opts[lost].Data); err != nil {
+		t.Fatal(err)
+	}
+	g.start(lost)
+	g.apply(c, "cmd-2", "2")
+	fresh := g.nodes[lost]
+	g.wait("the emptied node to wait", func() error {
+		waits, err := ask(g.ctx(), fresh, func(c *core) bool { return c.forming != nil && c.forming.excluded })
+		if err != nil || !waits {
+			return errors.Errorf("%v %v", waits, err)
+		}
+		return nil
+	})
+	if fresh.Instance() == before {
+		t.Fatal("the emptied folder has its old instance id")
+	}
+	self := wire.Replace{Old: g.opts[lost].Node, Node: g.opts[lost].Node, Addr: g.opts[lost].Listen, Instance: fresh.Instance()}
+	for range 2 { // a repeated call has no further effect
+		if err := c.Replace(g.ctx(), self); err != nil {
+			t.Fatal(err)
+		}
+	}
+	st, err := c.Status(g.ctx(), wire.Status{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	voters := map[string]bool{}
+	for _, n := range st.Nodes {
+		voters[n.Instance] = n.Voter
+	}
+	if len(voters) != 3 || !voters[fresh.Instance()] || voters[before] {
+		t.Fatalf("nodes after the replacement: %+v", st.Nodes)
+	}
+	g.stop((lost + 1) % 3)
+	if r := g.apply(c, "cmd-2", "9"); !r.Repeated {
+		t.Fatalf("repeated command after the second loss: %+v", r)
+	}
+	g.apply(c, "cmd-3", "3")
+}
+
+// Guards against a group that forms without all its nodes, so that two halves
+// could form two groups.
+func TestGroupFormsOnlyWithAllNodes(t *testing.T) {
+	g := newGroupWith(t, 3, nil, 0, 1)
+	for i := range 2 {
+		f, err := ask(g.ctx(), g.nodes[i], func(c *core) *formation { return c.forming })
+		if err != nil || f == nil {
+			t.Fatalf("node %d formed a group of its own: %v", i, err)
+		}
+	}
+	g.start(2)
+	g.apply(g.client(), "cmd", "1")
+}
+
+// Guards against a lost data folder that is taken for a new one: without its log
+// the node has forgotten its votes.
+func TestEmptiedLogIsRefused(t *testing.T) {
+	g := newGroup(t, 1)
+	g.apply(g.client(), "cmd", "1")
+	g.stop(0)
+	names, err := filepath.Glob(filepath.Join(g.opts[0].Data, "*"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		if filepath.Base(name) != membershipFile {
+			if err := os.Remove(name); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if _, err := Start(g.opts[0]); err == nil || !strings.Contains(err.Error(), "the log is empty") {
+		t.Fatalf("start without the log: %v", err)
+	}
+}
+
+// Guards against an entry that dies and leaves its jobs without an owner, and
+// against a lease that runs out although a follower sees the renewals.
+func TestLeaseEndsAndJobsMove(t *testing.T) {
+	g := newGroup(t, 3)
+	var entries []*member.Session
+	for i := range 3 { // one at each node
+		entries = append(entries, g.sessionAt(wire.KindEntry, fmt.Sprint("e", i), g.addrs()[i:i+1]))
+	}
+	dead := g.sessionAt(wire.KindEntry, "dead", g.addrs())
+	o := *admit(g, dead, wire.AdmitItem{}).Admitted
+	dead.Close()
+	g.wait("the takeover", func() error {
+		for _, e := range entries {
+			for _, a := range e.View().Assigned {
+				if a.Job == o.Job && a.Epoch == 2 && a.Record.Owner == e.Incarnation() {
+					return nil
+				}
+			}
+		}
+		return errors.New("the job has no new owner")
+	})
+	for i, e := range entries {
+		if !e.Current(time.Now()) {
+			t.Errorf("entry %d lost its lease", i)
+		}
+	}
+	ctx, cancel := context.WithTimeout(g.ctx(), 100*time.Millisecond)
+	defer cancel()
+	if _, err := dead.Admit(ctx, wire.AdmitItem{Tasks: 1}); err == nil {
+		t.Fatal("the closed session admitted a job")
+	}
+}
+
+// faultyFS fails syncs on demand.
+type faultyFS struct {
+	wal.FS
+	fail *atomic.Bool
+}
+
+type faultyFile struct {
+	wal.File
+	fail *atomic.Bool
+}
+
+func (f faultyFS) OpenAppend(name string) (wal.File, error) {
+	file, err := f.FS.OpenAppend(name)
+	return faultyFile{file, f.fail}, err
+}
+
+func (f faultyFile) Sync() error {
+	if f.fail.Load() {
+		return errors.New("input/output error")
+	}
+	return f.File.Sync()
+}
+
+// Guards against a node that goes on after a failed sync and acknowledges what
+// may be lost.
+func TestFailedSyncStopsTheNode(t *testing.T) {
+	var fail atomic.Bool
+	g := newGroupWith(t, 1, func(o *Options) { o.FS = faultyFS{wal.OSFS{}, &fail} })
+	c := g.client()
+	g.apply(c, "cmd-1", "1")
+	fail.Store(true)
+	ctx, cancel := context.WithTimeout(g.ctx(), time.Second)
+	defer cancel()
+	if r, err := c.Apply(ctx, wire.Apply{CommandID: "cmd-2", Expect: 1}); err == nil {
+		t.Fatalf("the change was accepted: %+v", r)
+	} else if v := verdict.From(err); v.Reason != verdict.NoQuorum {
+		t.Fatalf("verdict %v", v)
+	}
+	<-g.nodes[0].Done()
+	if err := g.nodes[0].Close(); err == nil || !strings.Contains(err.Error(), "input/output error") {
+		t.Fatalf("the node stopped with %v", err)
+	}
+	g.nodes[0] = nil
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -14,6 +14,7 @@
 
 const (
 	methodHello = "peer.hello"
+	methodPart  = "peer.part"
 	// maxAdmit bounds the records of one control.admit.
 	maxAdmit = 4096
 )
@@ -32,6 +33,7 @@
 	m.Concurrent(wire.MethodReplace, rpc.Handle(n.serveReplace))
 	m.Concurrent(wire.MethodDrain, rpc.Handle(n.serveDrain))
 	m.Ordered(wire.MethodStep, rpc.Handle(n.serveStep))
+	m.Ordered(methodPart, rpc.Handle(n.servePart))
 	m.Ordered(wire.MethodRenewals, rpc.Handle(n.serveRenewals))
 	m.Concurrent(methodHello, rpc.Handle(n.serveHello))
 	return m
@@ -296,6 +298,25 @@
 	return wire.Empty{}, err
 }
 
+// servePart takes a part of messages that are too large for one. The parts of a
+// connection arrive in order, one at a time.
+func (n *Node) servePart(ctx context.Context, conn *rpc.Conn, p part) (wire.Empty, error) {
+	a, ok := conn.Peer.Load().(*assembly)
+	if !ok {
+		a = &assembly{}
+		conn.Peer.Store(a)
+	}
+	data, err := a.add(p)
+	if err != nil || data == nil {
+		return wire.Empty{}, err
+	}
+	var s steps
+	if err := json.Unmarshal(data, &s); err != nil {
+		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "parts: %v", err)
+	}
+	return n.serveStep(ctx, conn, s)
+}
+
 func (n *Node) serveRenewals(ctx context.Context, _ *rpc.Conn, p wire.Renewals) (wire.Empty, error) {
 	arrived := time.Now()
 	err := n.post(ctx, func(c *core) {
