--- /dev/null
+++ b/control/bench_test.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/wal"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// slowFS takes several milliseconds for a sync, as the disks of the deployments do.
+type slowFS struct{ wal.FS }
+
+type slowFile struct{ wal.File }
+
+const syncTime = 5 * time.Millisecond
+
+func (f slowFS) OpenAppend(name string) (wal.File, error) {
+	file, err := f.FS.OpenAppend(name)
+	return slowFile{file}, err
+}
+
+func (f slowFile) Sync() error {
+	time.Sleep(syncTime)
+	return f.File.Sync()
+}
+
+func benchNode(b *testing.B) *Node {
+	n, err := Start(Options{Node: "c0", Listen: "127.0.0.1:0", Data: b.TempDir(), FS: slowFS{wal.OSFS{}}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() { n.Close() })
+	return n
+}
+
+func benchEntry(b *testing.B, n *Node) *member.Session {
+	self := wire.Registration{Kind: wire.KindEntry, Node: "entry-01", Addr: "10.21.0.17:7400", Weight: 1}
+	s, err := member.Open(b.Context(), member.Options{Servers: []string{n.Addr()}, Self: self})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(s.Close)
+	return s
+}
+
+// BenchmarkRenewal gives the bytes of a renewal without changes and of its reply,
+// and the time of the round trip.
+func BenchmarkRenewal(b *testing.B) {
+	n := benchNode(b)
+	s := benchEntry(b, n)
+	counters := &rpc.Counters{}
+	conn, err := rpc.Dial(b.Context(), n.Addr(), rpc.Security{}, nil, counters)
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer conn.Close()
+	req := wire.Renew{Incarnation: s.Incarnation(), Have: 1_000_000}
+	calls := 0
+	for b.Loop() {
+		var r wire.RenewReply
+		if err := conn.Call(b.Context(), wire.MethodRenew, req, &r); err != nil {
+			b.Fatal(err)
+		}
+		calls++
+	}
+	b.ReportMetric(float64(counters.BytesOut.Load())/float64(calls), "B/renewal")
+	b.ReportMetric(float64(counters.BytesIn.Load())/float64(calls), "B/reply")
+}
+
+// BenchmarkAdmit gives the jobs admitted and ended per second at one node whose
+// sync takes syncTime, one at a time and many at once.
+func BenchmarkAdmit(b *testing.B) {
+	for _, callers := range []int{1, 500} {
+		b.Run(fmt.Sprint("callers-", callers), func(b *testing.B) {
+			n := benchNode(b)
+			s := benchEntry(b, n)
+			var wg sync.WaitGroup
+			work := make(chan int)
+			b.ResetTimer()
+			for range callers {
+				wg.Go(func() {
+					for range work {
+						r, err := s.Admit(b.Context(), wire.AdmitItem{Team: "t", Service: "s", Tasks: 120, BodyHash: "h"})
+						if err != nil || r.Err != nil {
+							b.Errorf("%v %v", err, r.Err)
+						}
+						end := wire.CompleteItem{Ownership: *r.Admitted, State: wire.JobComplete}
+						if err := s.Complete(b.Context(), end); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			for i := range b.N {
+				work <- i
+			}
+			close(work)
+			wg.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "jobs/s")
+		})
+	}
+}
--- a/control/core.go
+++ b/control/core.go
@@ -43,8 +43,11 @@
 	broken error // a failed write outside process, which stops the node
 
 	waiters map[uint64]waiter
-	grown   int   // entries since the last snapshot
-	bytes   int64 // of these entries
+	// background runs a function outside the loop and what it returns inside.
+	background func(func() func(*core))
+	encoding   bool  // a snapshot is being encoded
+	grown      int   // entries since the last snapshot
+	bytes      int64 // of these entries
 }
 
 // waiter is the proposer of the record at an index.
@@ -74,6 +77,7 @@
 	if err := c.process(); err != nil {
 		return err
 	}
+	c.compact()
 	c.noteLeadership(now)
 	c.noteConfirmation()
 	c.forward(now)
@@ -107,9 +111,9 @@
 	for {
 		rd := c.raft.Ready()
 		if rd.Empty() {
-			return c.compact()
+			return nil
 		}
-		if rd.HardState != nil || rd.Snapshot != nil || len(rd.Entries) > 0 {
+		if rd.NeedsSync() {
 			if err := c.persist(rd); err != nil {
 				return err
 			}
@@ -164,6 +168,7 @@
 		c.state, c.committed = state, s.Group
 		c.resetGrowth()
 		c.failWaiters()
+		c.forgetEnded()
 	}
 	for _, e := range rd.Committed {
 		if err := c.applyEntry(e); err != nil {
@@ -173,6 +178,16 @@
 	return nil
 }
 
+// forgetEnded drops the leases of members that ended within a snapshot.
+func (c *core) forgetEnded() {
+	for inc := range c.leases.rows {
+		m, ok := c.state.Member(inc)
+		if ok && !m.Live() || !ok && uint64(inc) <= c.state.Index() {
+			c.leases.forget(inc)
+		}
+	}
+}
+
 func (c *core) applyEntry(e consensus.Entry) error {
 	c.grown++
 	c.bytes += int64(len(e.Data))
@@ -296,23 +311,18 @@
 
 // maintain proposes what time and renewals call for.
 func (c *core) maintain(now time.Time) {
-	ignore := func(controlstate.Result, *verdict.Error) {}
 	for _, inc := range c.leases.overdue(now, c.state.LiveMembers()) {
 		if !c.pending[inc] {
 			c.pending[inc] = true
 			klog.Infof("control: The lease of incarnation %d has run out.", inc)
-			c.propose(controlstate.Command{Expire: &controlstate.Expire{Incarnation: inc}}, ignore)
+			c.propose(controlstate.Command{Expire: &controlstate.Expire{Incarnation: inc}}, c.unlessRefused(inc))
 		}
 	}
+	c.forgetEnded()
 	for inc, l := range c.leases.rows {
-		m, ok := c.state.Member(inc)
-		if !ok || !m.Live() {
-			c.leases.forget(inc)
-			continue
-		}
-		if l.draining != c.state.DrainsItself(inc) && !c.pending[inc] {
+		if _, ok := c.state.Member(inc); ok && l.draining != c.state.DrainsItself(inc) && !c.pending[inc] {
 			c.pending[inc] = true
-			c.propose(controlstate.Command{Drain: &controlstate.Drain{Incarnation: inc, Drain: l.draining}}, ignore)
+			c.propose(controlstate.Command{Drain: &controlstate.Drain{Incarnation: inc, Drain: l.draining}}, c.unlessRefused(inc))
 		}
 	}
 	if c.ticking || now.Sub(c.compacted) < retentionInterval {
@@ -325,24 +335,46 @@
 	}
 }
 
-// compact replaces the log by a snapshot once it has grown enough.
-func (c *core) compact() error {
-	if c.grown < c.opt.SnapshotEntries && c.bytes < c.opt.SnapshotBytes {
-		return nil
+// unlessRefused lets the next check propose again what was refused.
+func (c *core) unlessRefused(inc ids.Incarnation) func(controlstate.Result, *verdict.Error) {
+	return func(_ controlstate.Result, e *verdict.Error) {
+		if e != nil {
+			delete(c.pending, inc)
+		}
 	}
-	data, err := c.state.Snapshot()
+}
+
+// compact replaces the log by a snapshot once it has grown enough. The tables
+// are encoded outside the loop, since that may take longer than the lease of the
+// leader.
+func (c *core) compact() {
+	if c.encoding || c.grown < c.opt.SnapshotEntries && c.bytes < c.opt.SnapshotBytes {
+		return
+	}
+	c.encoding = true
+	c.resetGrowth()
+	frozen := c.state.Freeze()
+	c.background(func() func(*core) {
+		data, err := frozen.Encode()
+		return func(c *core) { c.saveSnapshot(frozen.Index(), data, err) }
+	})
+}
+
+func (c *core) saveSnapshot(index uint64, data []byte, err error) {
+	c.encoding = false
 	if err != nil {
-		return errors.Wrap(err, "control: snapshot")
+		c.broken = errors.Wrap(err, "control: snapshot")
+		return
 	}
-	snap, err := c.raft.Compact(c.state.Index(), data)
+	snap, err := c.raft.Compact(index, data)
 	if err != nil {
-		return errors.Wrap(err, "control: snapshot")
+		// A snapshot of the leader has replaced the log meanwhile.
+		klog.Infof("control: The snapshot at %d is not needed: %v.", index, err)
+		return
 	}
-	c.resetGrowth()
 	if err := c.log.Append(nil, nil, &snap); err != nil {
-		return errors.Wrap(err, "control: snapshot")
+		c.broken = errors.Wrap(err, "control: snapshot")
 	}
-	return nil
 }
 
 func (c *core) resetGrowth() { c.grown, c.bytes = 0, 0 }
--- a/control/node.go
+++ b/control/node.go
@@ -93,6 +93,7 @@
 	n := &Node{core: c, opt: o, addr: o.Advertise, id: c.id.ID, mail: make(chan func(*core), mailLimit)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.server = rpc.NewServer(l, o.Security, n.mux(), o.Counters)
+	c.background = n.background
 	n.done.Go(n.loop)
 	if c.forming != nil {
 		n.done.Go(func() { n.form(dial) })
@@ -200,6 +201,15 @@
 	return c.join()
 }
 
+func (n *Node) background(f func() func(*core)) {
+	n.done.Go(func() {
+		then := f()
+		if err := n.post(n.ctx, then); err != nil {
+			klog.Infof("control: A snapshot was given up: %v.", err)
+		}
+	})
+}
+
 func (n *Node) loop() {
 	defer n.cancel()
 	ticker := time.NewTicker(n.opt.Tick / 2)
--- a/controlstate/jobs.go
+++ b/controlstate/jobs.go
@@ -15,8 +15,9 @@
 	maxRecords = 300_000
 	// keptRecords is the number above which ended records without a key are
 	// dropped before their retention ends, the oldest first. Only records with
-	// a key carry a promise about resubmission.
-	keptRecords = 250_000
+	// a key carry a promise about resubmission. At about 510 bytes each the kept
+	// ones stay below 32 MB.
+	keptRecords = 50_000
 	// overdue is how long after the longest deadline an open job is ended by
 	// the tables, because its owner never reported its end.
 	overdue = 10 * time.Minute
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -20,8 +20,8 @@
 	By        string            `json:"by,omitempty"`
 	Pairs     []wire.SourcePair `json:"pairs"`
 	Commands  []commandRow      `json:"commands"`
-	Members   []*memberRow      `json:"members"`
-	Jobs      []*jobRow         `json:"jobs"` // open ones by id, then ended ones in the order of their ends
+	Members   []memberRow       `json:"members"`
+	Jobs      []jobRow          `json:"jobs"` // open ones by id, then ended ones in the order of their ends
 	KeyFloor  int64             `json:"key_floor"`
 	Tombs     []byte            `json:"tombs"` // tombBytes for each: hash, then time in big endian
 	LogFloor  uint64            `json:"log_floor"`
@@ -30,32 +30,45 @@
 
 const tombBytes = 24
 
-// Snapshot returns the tables as JSON.
-func (s *State) Snapshot() ([]byte, error) {
+// Frozen is a copy of the tables that can be encoded while they change.
+type Frozen struct{ rows snapshot }
+
+// Freeze copies the tables. It takes a small part of the time of the encoding.
+func (s *State) Freeze() Frozen {
 	out := snapshot{
 		Index: s.index, Now: s.now,
 		ConfigVer: s.config.version, Command: s.config.command, By: s.config.by,
-		Pairs: s.config.sorted(), Commands: s.commands.order,
-		KeyFloor: s.jobs.keyFloor, LogFloor: s.log.floor, Log: s.log.records,
+		Pairs: s.config.sorted(), Commands: slices.Clone(s.commands.order),
+		KeyFloor: s.jobs.keyFloor, LogFloor: s.log.floor, Log: slices.Clone(s.log.records),
 	}
 	for _, inc := range s.members.order {
-		out.Members = append(out.Members, s.members.rows[inc])
+		out.Members = append(out.Members, *s.members.rows[inc])
 	}
+	out.Jobs = make([]jobRow, 0, len(s.jobs.rows))
 	for _, job := range s.jobs.admitted {
 		if r, ok := s.jobs.rows[job]; ok && r.isOpen() {
-			out.Jobs = append(out.Jobs, r)
+			out.Jobs = append(out.Jobs, *r)
 		}
 	}
 	for _, job := range s.jobs.ended {
-		out.Jobs = append(out.Jobs, s.jobs.rows[job])
+		out.Jobs = append(out.Jobs, *s.jobs.rows[job])
 	}
 	for _, t := range s.tombs.order {
 		out.Tombs = append(out.Tombs, t.hash[:]...)
 		out.Tombs = binary.BigEndian.AppendUint64(out.Tombs, uint64(t.at))
 	}
-	return json.Marshal(out)
+	return Frozen{out}
 }
 
+// Index returns the log index up to which the copy is complete.
+func (f Frozen) Index() uint64 { return f.rows.Index }
+
+// Encode returns the tables as JSON.
+func (f Frozen) Encode() ([]byte, error) { return json.Marshal(f.rows) }
+
+// Snapshot returns the tables as JSON.
+func (s *State) Snapshot() ([]byte, error) { return s.Freeze().Encode() }
+
 // Restore returns the tables that a snapshot holds.
 func Restore(data []byte) (*State, error) {
 	var in snapshot
@@ -74,11 +87,11 @@
 	for _, r := range in.Commands {
 		s.commands.add(r.ID, r.At, r.Reply)
 	}
-	for _, r := range in.Members {
-		s.members.add(r)
+	for i := range in.Members {
+		s.members.add(&in.Members[i])
 	}
 	for _, r := range in.Jobs {
-		s.jobs.add(r)
+		s.jobs.add(&r) // a copy, so that a dropped row does not keep the others
 	}
 	s.jobs.keyFloor = in.KeyFloor
 	for row := range slices.Chunk(in.Tombs, tombBytes) {
--- a/member/client.go
+++ b/member/client.go
@@ -67,18 +67,28 @@
 // node sees it when no leader can be reached: then StatusReply.Node differs
 // from StatusReply.Leader.
 func (c *Client) Status(ctx context.Context, q wire.Status) (wire.StatusReply, error) {
-	var r, l wire.StatusReply
-	if err := c.servers.callAny(ctx, wire.MethodStatus, q, &r); err != nil {
-		return r, err
-	}
-	addr := nodeAddr(r, r.Leader)
-	if r.Node == r.Leader || addr == "" {
-		return r, nil
+	var first *wire.StatusReply
+	for _, server := range c.servers.addrs {
+		r, err := c.StatusAt(ctx, server, q)
+		if err != nil {
+			continue
+		}
+		if r.Node == r.Leader {
+			return r, nil
+		}
+		if l, err := c.StatusAt(ctx, nodeAddr(r, r.Leader), q); err == nil && l.Node == l.Leader {
+			return l, nil
+		}
+		if first == nil || first.Leader == "" {
+			first = &r
+		}
 	}
-	if err := c.servers.call(ctx, writeTimeout, addr, wire.MethodStatus, q, &l); err != nil {
-		return r, nil
+	if first != nil {
+		return *first, nil
 	}
-	return l, nil
+	var r wire.StatusReply
+	err := c.servers.callAny(ctx, wire.MethodStatus, q, &r)
+	return r, err
 }
 
 func nodeAddr(r wire.StatusReply, node ids.Node) string {
@@ -94,6 +104,9 @@
 // without a leader.
 func (c *Client) StatusAt(ctx context.Context, addr string, q wire.Status) (wire.StatusReply, error) {
 	var r wire.StatusReply
+	if addr == "" {
+		return r, verdict.Refuse(verdict.BadRequest, "no address is given")
+	}
 	err := c.servers.call(ctx, writeTimeout, addr, wire.MethodStatus, q, &r)
 	return r, err
 }
