control: form the first group in two steps

Cause: a test over random schedules found that two nodes could form different groups when a disk was emptied during the first start: an announcement was used after its sender had made another one. Change: a node syncs the set of instances that it would form before it announces it as locked, and forms it once all peers have locked the same set. Conclusion: no instance can be in two groups.

--- a/control/formation.go
+++ b/control/formation.go
@@ -21,76 +21,89 @@
 	// Set is the group that the sender would form, empty until it has heard
 	// from all peers.
 	Set []consensus.Peer `json:"set,omitempty"`
-	// Formed is set once the sender holds state of a group.
+	// Locked is set once the sender will form Set or no group at all.
+	Locked bool `json:"locked,omitempty"`
+	// Formed is set once the sender holds state of a group. Set is then the
+	// group that it formed, or empty if it was added later.
 	Formed bool `json:"formed,omitempty"`
-	// First is the group that the sender formed.
-	First []consensus.Peer `json:"first,omitempty"`
 }
 
 // formation decides on the first group. A node announces the set of instances
-// that it would form a group of, and forms it only when every peer has announced
-// exactly this set. A node that has changed its announcement forgets what others
-// announced before, and a node that has formed a group only ever names that one.
-// So two different groups would need a node that announced the one after it had
-// formed the other.
+// that it would form a group of. Once every peer has announced the same set, the
+// node locks it: it syncs the set and never locks another one. It forms the group
+// once every peer has locked that set. As each group needs the locks of all its
+// nodes, no instance can be in two groups.
 //
 // A node whose folder was emptied has a new instance id. Its peers answer that
 // they have formed a group without it, so it waits to be added by control.replace.
+// If a folder is emptied between lock and formation, the group can't form until
+// the folders of the locked nodes are emptied too.
 type formation struct {
 	self  consensus.Peer
 	peers []Peer // all, this node included
 	heard map[ids.Node]hello
 	set   []consensus.Peer
+	// locked is set once set has been synced.
+	locked bool
 	// excluded is set once a peer has named a group without this instance.
 	excluded bool
 }
 
-func newFormation(self consensus.Peer, peers []Peer) *formation {
-	f := &formation{self: self, peers: peers, heard: map[ids.Node]hello{}}
+// newFormation starts with the set that the node locked in an earlier run, if any.
+func newFormation(self consensus.Peer, peers []Peer, locked []consensus.Peer) *formation {
+	f := &formation{self: self, peers: peers, heard: map[ids.Node]hello{}, set: locked, locked: len(locked) > 0}
 	f.propose()
 	return f
 }
 
 // hello returns what this node announces.
 func (f *formation) hello() hello {
-	return hello{Node: ids.Node(f.self.Name), Instance: f.self.ID, Set: f.set}
+	return hello{Node: ids.Node(f.self.Name), Instance: f.self.ID, Set: f.set, Locked: f.locked}
 }
 
-// receive takes the announcement of a peer and returns the group to form, if
-// there is one.
-func (f *formation) receive(h hello) (group consensus.Group, ok bool) {
+// receive takes the announcement of a peer. formed is set when the peer belongs
+// to a group that this node has locked.
+func (f *formation) receive(h hello) (formed bool) {
 	if h.Formed {
-		return f.adopt(h.First)
-	}
-	if !slices.ContainsFunc(f.peers, func(p Peer) bool { return p.Node == h.Node }) || h.Node == ids.Node(f.self.Name) {
-		return consensus.Group{}, false
-	}
-	f.heard[h.Node] = h
-	f.propose()
-	if f.set == nil {
-		return consensus.Group{}, false
+		f.excluded = !f.locked || !slices.Equal(h.Set, f.set)
+		return !f.excluded
 	}
 	for _, p := range f.peers {
-		if p.Node != ids.Node(f.self.Name) && !slices.Equal(f.heard[p.Node].Set, f.set) {
-			return consensus.Group{}, false
+		if p.Node == h.Node && p.Node != ids.Node(f.self.Name) {
+			f.heard[h.Node] = h
+			f.propose()
 		}
 	}
-	return consensus.Group{Peers: f.set}, true
+	return false
 }
 
-// adopt forms the group of a peer if this instance belongs to it. It is safe at
-// any later time, since this instance has never voted.
-func (f *formation) adopt(first []consensus.Peer) (consensus.Group, bool) {
-	if !slices.ContainsFunc(first, func(p consensus.Peer) bool { return p.ID == f.self.ID }) {
-		f.excluded = true
-		return consensus.Group{}, false
+// mayLock reports whether the node has to sync its set and then set locked.
+func (f *formation) mayLock() bool {
+	return !f.locked && f.agreed(func(hello) bool { return true })
+}
+
+// mayForm reports whether the node has to form the group of its set.
+func (f *formation) mayForm() bool {
+	return f.locked && f.agreed(func(h hello) bool { return h.Locked })
+}
+
+func (f *formation) agreed(ok func(hello) bool) bool {
+	for _, p := range f.peers {
+		if p.Node == ids.Node(f.self.Name) {
+			continue
+		}
+		if h := f.heard[p.Node]; !slices.Equal(h.Set, f.set) || !ok(h) {
+			return false
+		}
 	}
-	return consensus.Group{Peers: first}, true
+	return len(f.set) == len(f.peers)
 }
 
-// propose computes the announced set from the instances heard. When the set
-// changes, earlier announcements of others no longer count.
+// propose computes the announced set from the instances heard, unless it is locked.
 func (f *formation) propose() {
+	if f.locked {
+		return
+	}
 	set := []consensus.Peer{}
 	for _, p := range f.peers {
 		id := f.self.ID
@@ -104,14 +117,7 @@
 		set = append(set, consensus.Peer{ID: id, Name: string(p.Node), Addr: p.Addr, Voter: true})
 	}
 	slices.SortFunc(set, func(a, b consensus.Peer) int { return cmp.Compare(a.ID, b.ID) })
-	if slices.Equal(set, f.set) {
-		return
-	}
 	f.set = set
-	for node, h := range f.heard {
-		h.Set = nil
-		f.heard[node] = h
-	}
 }
 
 const (
@@ -126,7 +132,7 @@
 	if c.forming != nil {
 		return c.forming.hello()
 	}
-	return hello{Node: c.opt.Node, Instance: c.id.ID, Formed: true, First: c.member.First.Peers}
+	return hello{Node: c.opt.Node, Instance: c.id.ID, Formed: true, Set: c.member.First.Peers}
 }
 
 // exchange takes an announcement and answers with this node's own.
@@ -140,9 +146,11 @@
 		return
 	}
 	waiting := c.forming.excluded
-	g, ok := c.forming.receive(h)
-	if ok {
-		c.broken = c.formGroup(g)
+	if c.forming.receive(h) {
+		c.broken = c.formGroup()
+		return
+	}
+	if c.broken = c.form(); c.broken != nil || c.forming == nil {
 		return
 	}
 	if c.forming.excluded && !waiting {
@@ -151,6 +159,21 @@
 	}
 }
 
+// form locks and forms the first group as far as the peers have agreed.
+func (c *core) form() error {
+	if c.forming.mayLock() {
+		c.member.First = consensus.Group{Peers: c.forming.set}
+		if err := c.member.save(c.opt.FS, c.opt.Data); err != nil {
+			return err
+		}
+		c.forming.locked = true
+	}
+	if !c.forming.mayForm() {
+		return nil
+	}
+	return c.formGroup()
+}
+
 // formState tells the polling goroutine how to go on.
 type formState struct {
 	hello   hello
@@ -158,8 +181,8 @@
 	waiting bool
 }
 
-// form exchanges announcements with the peers until the node holds a group.
-func (n *Node) form(dial member.Dialer) {
+// pollPeers exchanges announcements with the peers until the node holds a group.
+func (n *Node) pollPeers(dial member.Dialer) {
 	for {
 		st, err := ask(n.ctx, n, func(c *core) formState {
 			return formState{hello: c.hello(), formed: c.forming == nil, waiting: c.forming != nil && c.forming.excluded}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -321,6 +321,19 @@
 		g.waitValue(a, "2")
 		g.waitCurrent(a)
 	}
+	direct, err := member.NewClient(member.ClientOptions{Servers: []string{g.opts[lost].Listen}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer direct.Close()
+	g.wait("the cut-off node to refuse reads", func() error {
+		ctx, cancel := context.WithTimeout(g.ctx(), 200*time.Millisecond)
+		defer cancel()
+		if _, err := direct.Get(ctx); err == nil {
+			return errors.New("it answered from old tables")
+		}
+		return nil
+	})
 	stale := member.Options{Servers: []string{g.opts[lost].Listen}, Self: wire.Registration{Kind: wire.KindAgent, Node: "a4", Addr: "x", Service: "s"}}
 	ctx, cancel := context.WithTimeout(g.ctx(), time.Second)
 	defer cancel()
--- a/control/identity.go
+++ b/control/identity.go
@@ -18,8 +18,8 @@
 	// Joined is set once the log holds state of a group. A joined node with an
 	// empty log has lost votes that it gave, so it must not start.
 	Joined bool `json:"joined"`
-	// First is the group that this node formed, for peers that have to form the
-	// same one. It is empty on a node that was added later.
+	// First is the group that this node has locked, and formed once Joined is
+	// set. It is empty on a node that was added later.
 	First consensus.Group `json:"first"`
 }
 
--- a/control/node.go
+++ b/control/node.go
@@ -96,7 +96,7 @@
 	c.background = n.background
 	n.done.Go(n.loop)
 	if c.forming != nil {
-		n.done.Go(func() { n.form(dial) })
+		n.done.Go(func() { n.pollPeers(dial) })
 	}
 	klog.Infof("control: Node %s, instance %s, serves on %s.", o.Node, c.id.ID, o.Advertise)
 	return n, nil
@@ -155,15 +155,9 @@
 		}
 		return nil
 	}
-	if len(c.member.First.Peers) > 0 {
-		return c.formGroup(c.member.First)
-	}
 	self := consensus.Peer{ID: c.id.ID, Name: string(c.opt.Node), Addr: c.opt.Advertise, Voter: true}
-	c.forming = newFormation(self, c.opt.Peers)
-	if len(c.opt.Peers) == 1 {
-		return c.formGroup(consensus.Group{Peers: c.forming.set})
-	}
-	return nil
+	c.forming = newFormation(self, c.opt.Peers, c.member.First.Peers)
+	return c.form()
 }
 
 func (c *core) newRaft(hs consensus.HardState, s *consensus.Snapshot, entries []consensus.Entry) *consensus.Node {
@@ -177,19 +171,14 @@
 	})
 }
 
-// formGroup starts this node with the first state of a new group.
-func (c *core) formGroup(g consensus.Group) error {
+// formGroup starts this node with the first state of the group that it has locked.
+func (c *core) formGroup() error {
 	data, err := controlstate.New().Snapshot()
 	if err != nil {
 		return errors.Wrap(err, "control: first snapshot")
 	}
+	g := c.member.First
 	s := consensus.Bootstrap(g, data)
-	// The membership names the group first: after a crash between the two writes
-	// the node can only form the same group.
-	c.member.First = g
-	if err := c.member.save(c.opt.FS, c.opt.Data); err != nil {
-		return err
-	}
 	if err := c.log.Append(nil, nil, &s); err != nil {
 		return errors.Wrap(err, "control: log")
 	}
