--- a/consensus/check_test.go
+++ b/consensus/check_test.go
@@ -18,6 +18,7 @@
 	logs      map[cursor]entryRecord
 	committed []commitRecord // by index
 	names     map[ID]string  // last known machine of an instance
+	lengths   []uint64       // of committed, by time
 	elections int
 }
 
@@ -35,6 +36,7 @@
 
 func newChecker() checker {
 	return checker{
+		lengths: []uint64{0},
 		leaders: map[uint64]ID{},
 		logs:    map[cursor]entryRecord{},
 		names:   map[ID]string{},
@@ -48,6 +50,18 @@
 	return h*prime + e.Term
 }
 
+const maxMessageBytes = 200
+
+func (c *checker) size(m Message) {
+	size := 0
+	for _, e := range m.Entries {
+		size += entrySize(e)
+	}
+	if size > maxMessageBytes && len(m.Entries) > 1 {
+		fail("flow control: a message of %d bytes", size)
+	}
+}
+
 // node checks election safety, log matching, leader completeness and that a
 // committed entry is never replaced. It looks only at what is new.
 func (c *checker) node(m *machine) {
@@ -57,6 +71,9 @@
 		c.commit(n.log.entries[i-n.log.base-1], n.term)
 	}
 	m.seen.index = n.commit
+	if at := n.ConfirmedTick(); at > 0 && n.commit+1 < c.lengths[m.ticks[at]] {
+		fail("confirmation: %s covers %d at tick %d, but %d were committed then", m.name, n.commit, at, c.lengths[m.ticks[at]]-1)
+	}
 	if n.role == leader && m.seen.term != n.term {
 		m.seen.term = n.term
 		c.elected(n)
--- a/consensus/clients_test.go
+++ b/consensus/clients_test.go
@@ -1,25 +1,28 @@
 package consensus
 
 import (
+	"slices"
 	"strconv"
 
 	"github.com/anishathalye/porcupine"
 )
 
-const clientCount = 3
+const (
+	clientCount = 3
+	clientTicks = 60 // after which a client gives up
+)
 
 // operation is one read or write of the register.
 type operation struct {
-	client int
-	write  bool
-	value  int // written or read
-	call   uint64
-	ret    uint64
-	index  uint64 // of the entry, or that a read has to see
-	term   uint64
-	id     uint64
-	ready  bool // the read is confirmed
-	done   bool
+	client    int
+	write     bool
+	value     int // written or read
+	call, ret uint64
+	on        *machine // that works on it
+	index     uint64   // of the entry, or that a read has to see
+	term      uint64
+	ready     bool // the read is confirmed
+	done      bool
 }
 
 // clients issue one operation each at a time and record the history.
@@ -31,11 +34,11 @@
 }
 
 func (c *clients) step(s *sim) {
-	for i := range c.current {
-		if o := c.current[i]; o != nil && s.now-o.call > 60*unitsPerTick {
-			c.abandon(s, o)
+	for i, o := range c.current {
+		if o != nil && s.now-o.call > clientTicks*s.perTick {
+			c.current[i] = nil
 		}
-		if c.current[i] == nil && !c.idle && s.rng.IntN(2*unitsPerTick) == 0 {
+		if c.current[i] == nil && !c.idle && s.rng.Uint64N(2*s.perTick) == 0 {
 			c.issue(s, i)
 		}
 	}
@@ -50,94 +53,70 @@
 		return
 	}
 	c.next++
-	o := &operation{client: client, write: s.rng.IntN(2) == 0, value: c.next, id: uint64(c.next), call: s.now}
+	o := &operation{client: client, write: s.rng.IntN(2) == 0, value: c.next, call: s.now, on: m}
+	if s.faults.localReads && !o.write && m.node.IsLeader() {
+		o.value, o.ret, o.done = m.state.Value, s.now, true
+		c.history = append(c.history, o)
+		return
+	}
 	var err error
 	if o.write {
 		o.index, err = m.node.Propose([]byte(strconv.Itoa(o.value)))
 		o.term = m.node.Term()
-	} else if s.faults.localReads {
-		if !m.node.IsLeader() {
-			return
-		}
-		o.value, o.ret, o.done = m.state.Value, s.now, true
-		c.history = append(c.history, o)
-		return
 	} else {
-		err = m.node.ReadIndex(o.id)
+		err = m.node.ReadIndex(uint64(o.value))
 	}
 	if err != nil {
 		return // refused with not-run
 	}
 	c.current[client] = o
-	m.pending = append(m.pending, o)
 	if o.write {
 		c.history = append(c.history, o)
 	}
 }
 
-// abandon gives up on an operation. A write may still take effect later.
-func (c *clients) abandon(s *sim, o *operation) {
-	c.current[o.client] = nil
-	for _, m := range s.machines {
-		m.drop(o)
-	}
-}
-
-func (m *machine) drop(o *operation) {
-	for i, p := range m.pending {
-		if p == o {
-			m.pending = append(m.pending[:i:i], m.pending[i+1:]...)
-			return
-		}
-	}
-}
-
+// lost ends the operations on a node that has crashed. Its writes may take effect.
 func (c *clients) lost(m *machine) {
-	for _, o := range m.pending {
-		c.current[o.client] = nil
+	for i, o := range c.current {
+		if o != nil && o.on == m {
+			c.current[i] = nil
+		}
 	}
-	m.pending = nil
 }
 
 // advanced answers the operations that the node of m has finished.
 func (c *clients) advanced(s *sim, m *machine, rd Ready) {
-	for _, o := range m.pending {
-		for _, r := range rd.Reads {
-			if !o.write && r.ID == o.id {
-				o.ready, o.index = true, r.Index
-			}
+	for i, o := range c.current {
+		if o == nil || o.on != m {
+			continue
 		}
-		for _, id := range rd.Dropped {
-			if !o.write && id == o.id {
-				c.abandon(s, o)
-			}
+		if !o.write {
+			c.confirm(o, rd)
 		}
-	}
-	for _, o := range m.pending {
-		if m.state.Index < o.index || !o.write && !o.ready {
+		if c.current[i] == nil || m.state.Index < o.index || !o.write && !o.ready {
 			continue
 		}
-		m.drop(o)
-		c.current[o.client] = nil
+		c.current[i] = nil
 		o.ret, o.done = s.now, true
 		if !o.write {
 			o.value = m.state.Value
 			c.history = append(c.history, o)
 		} else if s.check.committed[o.index].term != o.term {
-			c.replaced(o)
+			// Another entry has its place: it must not have run.
+			c.history = slices.DeleteFunc(c.history, func(h *operation) bool { return h == o })
 		}
 	}
 }
 
-// replaced removes a write whose place in the log another entry has taken. It
-// must not have run.
-func (c *clients) replaced(o *operation) {
-	for i, h := range c.history {
-		if h == o {
-			c.history = append(c.history[:i:i], c.history[i+1:]...)
-			return
+func (c *clients) confirm(o *operation, rd Ready) {
+	for _, r := range rd.Reads {
+		if r.ID == uint64(o.value) {
+			o.ready, o.index = true, r.Index
 		}
 	}
+	if slices.Contains(rd.Dropped, uint64(o.value)) {
+		c.current[o.client] = nil
+	}
 }
 
 type registerInput struct {
--- a/consensus/disturb_test.go
+++ b/consensus/disturb_test.go
@@ -10,6 +10,9 @@
 			s.start(m)
 		}
 	}
+	if s.rng.Float64() < s.faults.freeze {
+		s.pick().frozen = s.now + s.rng.Uint64N(40*unitsPerTick)
+	}
 	if s.rng.Float64() < s.faults.cut {
 		s.partition()
 	}
@@ -40,9 +43,10 @@
 // wipe empties the disk. The machine comes back as another instance.
 func (s *sim) wipe(m *machine) {
 	old := m.disk.id
-	m.disk = disk{id: old}
+	m.disk = disk{id: old, boot: m.disk.boot} // a wrong identity if it stays
 	m.backup = nil
 	if !s.faults.reuseID {
+		m.disk.boot = 0
 		s.dead[old] = true
 		m.disk.id = s.newID()
 	}
--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -102,9 +102,15 @@
 	}
 	p.paused = false
 	m := Message{}
-	if term, ok := n.log.term(p.next - 1); ok && p.mode != restoring {
+	term, ok := n.log.term(p.next - 1)
+	if p.mode != restoring && ok {
 		m.Index, m.LogTerm = p.next-1, term
 	}
+	if p.mode != restoring && !ok {
+		// Compact has dropped what the peer lacks. Unanswered messages would
+		// otherwise keep the window full, so that no snapshot is ever sent.
+		p.probe(p.next)
+	}
 	n.sendAppend(id, p, m)
 }
 
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -1,6 +1,13 @@
 package consensus
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+)
+
+// ErrSuperseded means that a later snapshot exists, for example one that has
+// just been received. There is nothing to do.
+var ErrSuperseded = errors.New("consensus: a later snapshot exists")
 
 // Ready returns what the caller must do next. The caller may call the other
 // methods meanwhile, but must call Advance before the next Ready.
@@ -60,12 +67,12 @@
 // snapshot that replaces it. data is the state machine's state at index. The
 // caller persists the snapshot with its next write.
 func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
+	if n.snap != nil && index <= n.snap.Index {
+		return Snapshot{}, ErrSuperseded
+	}
 	if index > n.applied {
 		return Snapshot{}, fmt.Errorf("consensus: compact at %d: applied only up to %d", index, n.applied)
 	}
-	if n.snap != nil && index <= n.snap.Index {
-		return Snapshot{}, fmt.Errorf("consensus: compact at %d: a snapshot at %d exists", index, n.snap.Index)
-	}
 	term, ok := n.log.term(index)
 	if !ok {
 		return Snapshot{}, fmt.Errorf("consensus: compact at %d: the log starts after %d", index, n.log.base)
--- a/consensus/schedules_test.go
+++ b/consensus/schedules_test.go
@@ -24,6 +24,7 @@
 	f.cut = []float64{0.0005, 0.003, 0.01}[seed/5%3]
 	f.longCut = []float64{0.05, 0.5}[seed/3%2]
 	f.operator = []float64{0, 0.005, 0.05}[seed/7%3]
+	f.freeze = []float64{0, 0.001}[seed/11%2]
 	f.wipe = 0.3
 	return f
 }
@@ -64,6 +65,13 @@
 	if m == nil {
 		fail("no leader %d ticks after all faults have ended", healTicks)
 	}
+	for _, o := range s.machines {
+		// 20 ticks are the 1 s after which a client leaves a node as outdated.
+		_, member := m.node.Group().Peer(o.disk.id)
+		if age := o.node.Now() - o.node.ConfirmedTick(); member && !s.dead[o.disk.id] && age > 20 {
+			fail("%s was last confirmed %d ticks ago", o.name, age)
+		}
+	}
 	if last := len(s.check.committed) - 1; int(m.state.Index) < last-5 {
 		fail("the leader has applied index %d of %d", m.state.Index, last)
 	}
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -1,11 +1,13 @@
 package consensus
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 )
 
-// unitsPerTick is the resolution of virtual time: 5 ms with a tick of 50 ms.
+// unitsPerTick is the resolution of virtual time in the schedules: 5 ms with a
+// tick of 50 ms.
 const unitsPerTick = 10
 
 // disk is what a machine has synced.
@@ -49,17 +51,18 @@
 
 // machine runs at most one node on its disk.
 type machine struct {
-	name    string
-	disk    disk
-	backup  *disk // older copy of disk
-	node    *Node // nil while it is down
-	phase   uint64
-	busy    *Ready // being persisted
-	doneAt  uint64
-	state   register
-	seen    cursor // commit index and leader's term that are checked
-	tail    cursor // last entry that is checked
-	pending []*operation
+	name   string
+	disk   disk
+	backup *disk // older copy of disk
+	node   *Node // nil while it is down
+	phase  uint64
+	busy   *Ready // being persisted
+	doneAt uint64
+	state  register
+	seen   cursor   // commit index and leader's term that are checked
+	tail   cursor   // last entry that is checked
+	frozen uint64   // time until which the process does not run
+	ticks  []uint64 // time of each tick of node, by the node's count
 }
 
 type packet struct {
@@ -73,6 +76,7 @@
 	loss, duplicate      float64
 	maxDelay             int // units
 	crash, cut, operator float64
+	freeze               float64
 	longCut              float64 // share of partitions that last long
 	wipe                 float64 // share of crashes that lose the disk
 	// Breaks of the contract, to show that the checks notice them.
@@ -92,6 +96,8 @@
 	ids      int
 	dead     map[ID]bool // instances whose disk is gone or outdated
 	quiet    bool        // no more faults
+	perTick  uint64      // units
+	syncTime func() uint64
 }
 
 func newSim(seed uint64, nodes int, f faults) *sim {
@@ -99,6 +105,8 @@
 	s.cut = map[[2]string]uint64{}
 	s.dead = map[ID]bool{}
 	s.check = newChecker()
+	s.perTick = unitsPerTick
+	s.syncTime = func() uint64 { return 1 + s.rng.Uint64N(2) }
 	var g Group
 	for i := range nodes {
 		m := &machine{name: fmt.Sprintf("m%d", i), phase: s.rng.Uint64N(unitsPerTick)}
@@ -125,7 +133,7 @@
 	d := m.disk
 	m.node = New(Config{
 		ID: d.id, Boot: d.boot, Seed: s.rng.Uint64(),
-		MaxMessageBytes: 200, Window: 4, KeepEntries: 8, CatchUpEntries: 16,
+		MaxMessageBytes: maxMessageBytes, Window: 4, KeepEntries: 8, CatchUpEntries: 16,
 		HardState: d.hard, Snapshot: d.snap, Entries: d.log,
 	})
 	m.state = register{}
@@ -133,6 +141,7 @@
 		m.state = decodeRegister(d.snap.Data)
 	}
 	m.seen, m.tail = cursor{}, cursor{}
+	m.ticks = []uint64{0, s.now}
 }
 
 // crash stops the node before or after the sync that is in progress.
@@ -160,15 +169,17 @@
 	s.now++
 	s.deliver()
 	for _, m := range s.machines {
-		if m.node == nil {
+		if m.node == nil || m.frozen > s.now {
 			continue
 		}
-		if (s.now+m.phase)%unitsPerTick == 0 {
+		if (s.now+m.phase)%s.perTick == 0 {
 			m.node.Tick()
+			m.ticks = append(m.ticks, s.now)
 		}
 		s.drive(m)
 		s.check.node(m)
 	}
+	s.check.lengths = append(s.check.lengths, uint64(len(s.check.committed)))
 	s.clients.step(s)
 	if !s.quiet {
 		s.disturb()
@@ -194,7 +205,7 @@
 	m.busy = &rd
 	m.doneAt = s.now
 	if rd.NeedsSync() {
-		m.doneAt += 1 + s.rng.Uint64N(2)
+		m.doneAt += s.syncTime()
 	}
 	if m.doneAt == s.now {
 		s.finish(m)
@@ -225,6 +236,9 @@
 		return
 	}
 	snap, err := m.node.Compact(m.state.Index, m.state.encode())
+	if errors.Is(err, ErrSuperseded) {
+		return
+	}
 	if err != nil {
 		panic(err)
 	}
@@ -233,6 +247,7 @@
 
 func (s *sim) transmit(ms []Message) {
 	for _, m := range ms {
+		s.check.size(m)
 		if s.rng.Float64() < s.faults.loss && !s.quiet {
 			continue
 		}
@@ -260,6 +275,10 @@
 		if to == nil || to.node == nil || s.silent(from, to) {
 			continue
 		}
+		if to.frozen > s.now {
+			s.packets = append(s.packets, packet{to.frozen, p.m})
+			continue
+		}
 		to.node.Step(p.m)
 		s.check.node(to)
 	}
