control: send large messages on a connection of their own; bound the configuration

Cause: a record of 3 MB held up heartbeats for longer than the leader's lease, so the group changed leaders without end; members gave up replies of 1 MB after 500 ms each time. Change: messages from 512 KB travel in parts on a second connection; a configuration is at most 256 KB; the time limit of a renewal doubles after each round of failures, up to 8 s.

--- a/control/peers.go
+++ b/control/peers.go
@@ -23,8 +23,10 @@
 	redialPause = 100 * time.Millisecond
 	sendTimeout = 2 * time.Second
 	// batchBytes bounds the log records that are sent together, before encoding.
-	batchBytes = 1 << 20
-	partBytes  = 1 << 20
+	batchBytes = 256 << 10
+	// bulkBytes is the size from which a message has a connection of its own.
+	bulkBytes = 512 << 10
+	partBytes = 256 << 10
 	// maxAssembled bounds a message that arrives in parts.
 	maxAssembled = 512 << 20
 )
@@ -46,19 +48,25 @@
 	conn *rpc.Conn // used by run only
 }
 
-// links holds one link for each peer address.
+// lane separates large messages from the others, which must not wait for them.
+type lane struct {
+	addr string
+	bulk bool
+}
+
+// links holds the links to the peers.
 type links struct {
 	dial   member.Dialer
 	self   steps
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   sync.WaitGroup
-	byAddr map[string]*link // used by the node's loop only
+	byLane map[lane]*link // used by the node's loop only
 }
 
 func newLinks(dial member.Dialer, self consensus.ID, addr string) *links {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &links{dial: dial, self: steps{From: self, Addr: addr}, ctx: ctx, cancel: cancel, byAddr: map[string]*link{}}
+	return &links{dial: dial, self: steps{From: self, Addr: addr}, ctx: ctx, cancel: cancel, byLane: map[lane]*link{}}
 }
 
 func (ls *links) close() {
@@ -66,14 +74,18 @@
 	ls.done.Wait()
 }
 
-func (ls *links) to(addr string) *link {
-	l := ls.byAddr[addr]
+func (ls *links) to(addr string, bulk bool) *link {
+	l := ls.byLane[lane{addr, bulk}]
 	if l == nil {
+		limit := outboxLimit
+		if bulk {
+			limit = 1 // a snapshot is sent again before a slow one has arrived
+		}
 		l = &link{
 			addr: addr, self: ls.self, dial: ls.dial,
-			out: make(chan consensus.Message, outboxLimit), rest: make(chan wire.Renewals, 1),
+			out: make(chan consensus.Message, limit), rest: make(chan wire.Renewals, 1),
 		}
-		ls.byAddr[addr] = l
+		ls.byLane[lane{addr, bulk}] = l
 		ls.done.Go(func() { l.run(ls.ctx) })
 	}
 	return l
@@ -83,7 +95,7 @@
 // not keep up.
 func (ls *links) step(addr string, m consensus.Message) {
 	select {
-	case ls.to(addr).out <- m:
+	case ls.to(addr, messageSize(m) >= bulkBytes).out <- m:
 	default:
 	}
 }
@@ -91,7 +103,7 @@
 // renewals queues lease renewals for the leader.
 func (ls *links) renewals(addr string, r wire.Renewals) {
 	select {
-	case ls.to(addr).rest <- r:
+	case ls.to(addr, false).rest <- r:
 	default:
 	}
 }
@@ -128,7 +140,7 @@
 // sendSteps sends messages, in parts when they exceed the bound on a message,
 // as the snapshot of large tables does.
 func (l *link) sendSteps(ctx context.Context, batch steps) {
-	if size(batch.Messages) < batchBytes+partBytes {
+	if size(batch.Messages) < batchBytes+bulkBytes {
 		l.send(ctx, wire.MethodStep, batch)
 		return
 	}
@@ -195,12 +207,18 @@
 func size(messages []consensus.Message) int {
 	n := 0
 	for _, m := range messages {
-		for _, e := range m.Entries {
-			n += len(e.Data)
-		}
-		if m.Snapshot != nil {
-			n += len(m.Snapshot.Data)
-		}
+		n += messageSize(m)
+	}
+	return n
+}
+
+func messageSize(m consensus.Message) int {
+	n := 0
+	for _, e := range m.Entries {
+		n += len(e.Data)
+	}
+	if m.Snapshot != nil {
+		n += len(m.Snapshot.Data)
 	}
 	return n
 }
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -12,7 +14,9 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wal"
 	"github.com/baobabshore/baobabshore/wire"
@@ -224,3 +228,77 @@
 	}
 	g.nodes[0] = nil
 }
+
+// Guards against an operators' draining mark that does not reach the entries, and
+// against one mark that clears the other.
+func TestDrainingMarks(t *testing.T) {
+	g := newGroup(t, 3)
+	c := g.client()
+	entry, agent := g.session(wire.KindEntry, "e1"), g.session(wire.KindAgent, "a1")
+	draining := func(want bool) func() error {
+		return func() error {
+			if m, ok := entry.View().Member(agent.Incarnation()); !ok || m.Draining != want {
+				return errors.Errorf("%+v", m)
+			}
+			return nil
+		}
+	}
+	if err := c.Drain(g.ctx(), "a1", true); err != nil {
+		t.Fatal(err)
+	}
+	g.wait("the operators' mark", draining(true))
+	agent.SetDraining(true)
+	g.wait("the member's own mark", func() error {
+		own, err := ask(g.ctx(), g.nodes[g.leader()], func(c *core) bool { return c.state.DrainsItself(agent.Incarnation()) })
+		if err != nil || !own {
+			return errors.Errorf("%v %v", own, err)
+		}
+		return nil
+	})
+	if err := c.Drain(g.ctx(), "a1", false); err != nil {
+		t.Fatal(err)
+	}
+	st, err := c.Status(g.ctx(), wire.Status{})
+	if err != nil || len(st.Members) != 2 || !st.Members[1].Draining {
+		t.Fatalf("status %+v %v", st.Members, err)
+	}
+	agent.SetDraining(false)
+	g.wait("the end of both marks", draining(false))
+	if err := agent.Leave(g.ctx()); err != nil {
+		t.Fatal(err)
+	}
+	g.wait("the member's leave", func() error {
+		if m, ok := entry.View().Member(agent.Incarnation()); ok && m.Live() {
+			return errors.Errorf("%+v", m)
+		}
+		return nil
+	})
+}
+
+// Guards against a node that can never catch up because the snapshot exceeds the
+// bound on a message.
+func TestLargeSnapshotArrives(t *testing.T) {
+	n := &Node{mail: make(chan func(*core), 1)}
+	n.ctx, n.cancel = context.WithCancel(t.Context())
+	defer n.cancel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := rpc.NewServer(l, rpc.Security{}, n.mux(), nil)
+	defer server.Close()
+	ls := newLinks(newNetwork().dialer("sender"), "from", "addr")
+	defer ls.close()
+	size := wire.MaxMessageBytes
+	if testing.Short() {
+		size = 4 * partBytes
+	}
+	data := bytes.Repeat([]byte("x"), size)
+	snap := &consensus.Snapshot{Index: 7, Term: 1, Data: data, Group: consensus.Group{Peers: []consensus.Peer{{ID: "from", Voter: true}}}}
+	ls.step(server.Addr(), consensus.Message{Kind: consensus.MsgSnapshot, From: "from", To: "to", Term: 1, Snapshot: snap})
+	c := &core{raft: consensus.New(consensus.Config{ID: "to", Boot: 1}), addrs: map[consensus.ID]string{}}
+	(<-n.mail)(c)
+	if rd := c.raft.Ready(); rd.Snapshot == nil || !bytes.Equal(rd.Snapshot.Data, data) {
+		t.Fatal("the snapshot did not arrive as it was sent")
+	}
+}
--- a/controlstate/config.go
+++ b/controlstate/config.go
@@ -15,7 +15,11 @@
 const (
 	maxPairs     = 5_000
 	maxPairBytes = 4 << 10
-	maxIDBytes   = 128
+	// maxConfigBytes bounds a configuration, which travels in one log record and
+	// may travel in one reply to a renewal. A record of 3 MB holds up heartbeats
+	// for longer than the leader's lease.
+	maxConfigBytes = 256 << 10
+	maxIDBytes     = 128
 	// commandRetention is how long the answer to an operator's command is kept
 	// for a repetition.
 	commandRetention = 48 * time.Hour
@@ -104,7 +108,11 @@
 		return l, verdict.Refuse(verdict.BadRequest, "%d settings are above the limit of %d", len(pairs), maxPairs)
 	}
 	seen := make(map[string]bool, len(pairs))
+	total := 0
 	for _, p := range pairs {
+		if total += len(p.Key) + len(p.Value); total > maxConfigBytes {
+			return l, verdict.Refuse(verdict.BadRequest, "the settings are longer than %d bytes", maxConfigBytes)
+		}
 		if p.Key == "" || len(p.Key)+len(p.Value) > maxPairBytes {
 			return l, verdict.Refuse(verdict.BadRequest, "setting %.40q is empty or longer than %d bytes", p.Key, maxPairBytes)
 		}
--- a/member/converge_test.go
+++ b/member/converge_test.go
@@ -258,7 +258,7 @@
 			m.sim.after(m.tracker.pause(), m.renew)
 		}
 	}
-	m.sim.after(renewTimeout, func() { done(m.tracker.failed) })
+	m.sim.after(m.tracker.timeout(), func() { done(m.tracker.failed) })
 	if n.cut {
 		return
 	}
--- a/member/decide.go
+++ b/member/decide.go
@@ -13,6 +13,7 @@
 	servers   int // number of servers
 	server    int // index of the server in use
 	moves     int // changes of the server since the last pause of a whole interval
+	failures  int // renewals without a usable reply since the last good one
 	moved     bool
 	view      *View
 	confirmed time.Time // when the view is known to have been current
@@ -30,6 +31,7 @@
 		t.gone = true
 		return false
 	}
+	t.failures = 0
 	if r.Version < t.view.Version {
 		t.move() // the server is behind; its view would be a step back
 		return false
@@ -49,7 +51,17 @@
 }
 
 // failed takes note of a renewal without a usable reply.
-func (t *tracker) failed() { t.move() }
+func (t *tracker) failed() {
+	t.failures++
+	t.move()
+}
+
+// timeout returns how long to wait for the reply to the next renewal. It grows
+// while no server answers, so that a large view gets through a slow network.
+func (t *tracker) timeout() time.Duration {
+	rounds := min(t.failures/t.servers, maxDoublings)
+	return renewTimeout << rounds
+}
 
 func (t *tracker) move() {
 	t.server = (t.server + 1) % t.servers
--- a/member/decide_test.go
+++ b/member/decide_test.go
@@ -61,7 +61,8 @@
 }
 
 // Guards against a session that waits a whole interval before it leaves a failed
-// server, and against one that asks failed servers without any pause.
+// server, against one that asks failed servers without any pause, and against a
+// view that never arrives because it takes longer than the time limit.
 func TestChangeOfServer(t *testing.T) {
 	tr := newTracker(3, 2)
 	var pauses []time.Duration
@@ -75,8 +76,11 @@
 			t.Fatalf("pauses %v, want %v", pauses, want)
 		}
 	}
+	if tr.timeout() != 4*renewTimeout {
+		t.Fatalf("the time limit is %v after two rounds of failures", tr.timeout())
+	}
 	tr.accept(time.Now(), wire.RenewReply{Version: 1, ConfirmedAge: wire.SwitchAfter.Milliseconds() + 1})
-	if tr.server != 0 || tr.pause() != retryPause {
+	if tr.server != 0 || tr.pause() != retryPause || tr.timeout() != renewTimeout {
 		t.Fatalf("the session stays at a server with an old confirmation: %+v", tr)
 	}
 }
--- a/member/servers.go
+++ b/member/servers.go
@@ -15,6 +15,8 @@
 	// renewTimeout bounds one renewal, so that two unreachable servers can be
 	// passed over before the view is stale.
 	renewTimeout = 500 * time.Millisecond
+	// maxDoublings bounds the growth of renewTimeout, to 8 s.
+	maxDoublings = 4
 	// writeTimeout bounds one attempt of a write at one server. It is above the
 	// 2 s in which a new leader is elected.
 	writeTimeout = 3 * time.Second
--- a/member/session.go
+++ b/member/session.go
@@ -265,11 +265,12 @@
 func (s *Session) renew(ctx context.Context) {
 	s.mu.Lock()
 	addr := s.servers.addrs[s.tracker.server]
+	timeout := s.tracker.timeout()
 	req := wire.Renew{Incarnation: s.inc, Have: s.tracker.view.Version, Draining: s.draining.Load()}
 	s.mu.Unlock()
 	var r wire.RenewReply
 	sent := time.Now()
-	err := s.servers.call(ctx, renewTimeout, addr, wire.MethodRenew, req, &r)
+	err := s.servers.call(ctx, timeout, addr, wire.MethodRenew, req, &r)
 
 	s.mu.Lock()
 	changed := false
