--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/wal"
@@ -72,6 +75,63 @@
 	b.ReportMetric(float64(counters.BytesIn.Load())/float64(calls), "B/reply")
 }
 
+// BenchmarkQuietGroup gives the bytes per second of each of three control nodes
+// that serve today's 13 members without any jobs, and the processor time of all
+// these processes together.
+func BenchmarkQuietGroup(b *testing.B) {
+	var peers []Peer
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		peers = append(peers, Peer{Node: ids.Node(fmt.Sprint("c", i)), Addr: l.Addr().String()})
+		l.Close()
+	}
+	var nodes []*Node
+	var servers []string
+	for _, p := range peers {
+		n, err := Start(Options{Node: p.Node, Listen: p.Addr, Peers: peers, Data: b.TempDir()})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { n.Close() })
+		nodes, servers = append(nodes, n), append(servers, p.Addr)
+	}
+	for i := range 13 {
+		self := wire.Registration{Kind: wire.KindAgent, Node: ids.Node(fmt.Sprint("a", i)), Addr: "10.21.0.17:7400", Service: "mostrador"}
+		s, err := member.Open(b.Context(), member.Options{Servers: servers, Self: self})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(s.Close)
+	}
+	before, cpu := traffic(nodes), cpuTime(b)
+	b.ResetTimer()
+	for range b.N {
+		time.Sleep(time.Second)
+	}
+	b.ReportMetric(float64(traffic(nodes)-before)/float64(len(nodes))/float64(b.N), "B/s-each-way-per-node")
+	b.ReportMetric(100*(cpuTime(b)-cpu).Seconds()/float64(b.N), "%core-all")
+}
+
+// traffic returns the mean of the bytes sent and received by servers and links.
+func traffic(nodes []*Node) int64 {
+	sum := int64(0)
+	for _, n := range nodes {
+		sum += n.Counters().BytesIn.Load() + n.Counters().BytesOut.Load()
+	}
+	return sum / 2
+}
+
+func cpuTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
 // BenchmarkAdmit gives the jobs admitted and ended per second at one node whose
 // sync takes syncTime, one at a time and many at once.
 func BenchmarkAdmit(b *testing.B) {
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -302,9 +302,16 @@
 		}
 		return nil
 	})
-	g.apply(c, "cmd-2", "8")
+	change := g.apply(c, "cmd-2", "8")
 	g.waitValue(agent, "8")
 	g.waitCurrent(entry)
+	g.wait("the count of members that hold the change", func() error {
+		st, err := c.Status(g.ctx(), wire.Status{Index: change.Index})
+		if err != nil || st.Live != 2 || st.Holding != 2 {
+			return errors.Errorf("%d of %d hold it, %v", st.Holding, st.Live, err)
+		}
+		return nil
+	})
 }
 
 // Guards against a member that stays with a node that is cut off, and against a
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/goleak"
 
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/member"
@@ -229,6 +230,27 @@
 	g.nodes[0] = nil
 }
 
+// Guards against a planned stop that ends with an error or leaves goroutines.
+func TestRunStopsCleanly(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	ctx, cancel := context.WithCancel(t.Context())
+	o := Options{Node: "c0", Listen: freeAddr(t), Data: t.TempDir()}
+	done := make(chan error)
+	go func() { done <- Run(ctx, o) }()
+	c, err := member.NewClient(member.ClientOptions{Servers: []string{o.Listen}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Apply(ctx, wire.Apply{CommandID: "c"}); err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+	cancel()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Guards against an operators' draining mark that does not reach the entries, and
 // against one mark that clears the other.
 func TestDrainingMarks(t *testing.T) {
--- a/controlstate/size_test.go
+++ b/controlstate/size_test.go
@@ -61,39 +61,38 @@
 	return float64(len(data))
 }
 
-// changeOnce applies one change of the configuration.
-func changeOnce(s *State, n int) {
-	s.Apply(s.Index()+1, Command{Apply: &wire.Apply{
-		CommandID: fmt.Sprint("c", n), Expect: wire.AnyVersion, By: "operator",
-		Pairs: append(pairsOf(s), wire.Pair{Key: fmt.Sprintf("teams.extra-%02d.quota", n%50), Value: fmt.Sprint(n)}),
-	}})
-}
-
-func pairsOf(s *State) []wire.Pair {
-	var out []wire.Pair
+// changeSetting applies a change of one setting.
+func changeSetting(tb testing.TB, s *State, key string, value int) {
+	var pairs []wire.Pair
 	for _, p := range s.Configuration().Pairs {
-		if !strings.HasPrefix(p.Key, "teams.extra") {
-			out = append(out, p.Pair)
+		if p.Key != key {
+			pairs = append(pairs, p.Pair)
 		}
 	}
-	return out
+	r := s.Apply(s.Index()+1, Command{Apply: &wire.Apply{
+		CommandID: fmt.Sprint("c", s.Index()), Expect: wire.AnyVersion, By: "operator",
+		Pairs: append(pairs, wire.Pair{Key: key, Value: fmt.Sprint(value)}),
+	}})
+	if r.Apply.Err != nil {
+		tb.Fatal(r.Apply.Err)
+	}
 }
 
 // BenchmarkDelta gives the bytes of the changes sent to an entry that missed
 // some versions, and the time to gather them.
 func BenchmarkDelta(b *testing.B) {
-	for _, missed := range []int{1, 500} {
-		b.Run(fmt.Sprint("missed-", missed), func(b *testing.B) {
+	for _, c := range []struct{ missed, settings int }{{1, 1}, {500, 50}, {500, 500}} {
+		b.Run(fmt.Sprintf("missed-%d-of-%d-settings", c.missed, c.settings), func(b *testing.B) {
 			s, entry, _ := typical(b)
 			since := ids.Version(s.Index())
-			for i := range missed {
-				changeOnce(s, i)
+			for i := range c.missed {
+				changeSetting(b, s, fmt.Sprintf("teams.extra-%03d.quota", i%c.settings), i)
 			}
-			var c wire.Changes
+			var changes wire.Changes
 			for b.Loop() {
-				c, _ = s.Changes(since, entry)
+				changes, _ = s.Changes(since, entry)
 			}
-			b.ReportMetric(jsonBytes(b, c), "B/delta")
+			b.ReportMetric(jsonBytes(b, changes), "B/delta")
 		})
 	}
 	b.Run("whole", func(b *testing.B) {
