--- a/control/node.go
+++ b/control/node.go
@@ -98,7 +98,7 @@
 	if c.forming != nil {
 		n.done.Go(func() { n.pollPeers(dial) })
 	}
-	klog.Infof("control: Node %s, instance %s, serves on %s.", o.Node, c.id.ID, o.Advertise)
+	klog.Infof("control: Node %s, instance %s, serves on %s in failure domain %q.", o.Node, c.id.ID, o.Advertise, o.Domain)
 	return n, nil
 }
 
