--- /dev/null
+++ b/settings/check.go
@@ -0,0 +1,297 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/baobabshore/baobabshore/ids"
+)
+
+const (
+	maxNameBytes = 63
+	maxPathBytes = 4096
+)
+
+// Names are part of flat keys, URLs and metrics, so they hold no dots and slashes.
+var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9_-]*[a-z0-9])?$`)
+
+// Checked is a settings type that Check accepts.
+type Checked interface {
+	Cluster | Control | Entry | Agent
+}
+
+// Check returns nil if v is valid as a whole, or a Problems with all faults.
+func Check[T Checked](v T) error {
+	r := &report{}
+	checkAny(v, r)
+	return r.err()
+}
+
+func checkAny(v any, r *report) {
+	switch v := v.(type) {
+	case Cluster:
+		checkCluster(v, r)
+	case Control:
+		checkControl(v, r)
+	case Entry:
+		checkEntry(v, r)
+	case Agent:
+		checkAgent(v, r)
+	}
+}
+
+func checkCluster(c Cluster, r *report) {
+	checkValue(reflect.ValueOf(c), field{}, "", r)
+	if len(c.Teams) == 0 {
+		r.add("teams", "there is no team, so no caller could submit anything", "add a team, for example teams: {acme: {quota: 1}}")
+	}
+	if len(c.Services) == 0 {
+		r.add("services", "there is no service, so nothing could run", "add a service, for example services: {web: {slots: 8}}")
+	}
+	for _, name := range sortedNames(c.Services) {
+		s := c.Services[name]
+		checkConnections(s.Slots, s.Connections, "services."+string(name), r)
+	}
+	checkJobs(c.Jobs, r)
+}
+
+func checkJobs(j Jobs, r *report) {
+	if j.Retention < j.MaxDeadline {
+		r.add("jobs.retention", fmt.Sprintf("%s is below max_deadline (%s), so a key could be forgotten before its job must end", short(j.Retention), short(j.MaxDeadline)),
+			fmt.Sprintf("set retention to %s or more, or lower max_deadline", short(j.MaxDeadline)))
+	}
+	if j.TombstoneRetention < j.Retention {
+		r.add("jobs.tombstone_retention", fmt.Sprintf("%s is below retention (%s)", short(j.TombstoneRetention), short(j.Retention)),
+			fmt.Sprintf("set tombstone_retention to %s or more", short(j.Retention)))
+	}
+}
+
+func checkConnections(slots, connections int, key string, r *report) {
+	if connections < slots {
+		r.add(join(key, "connections"), fmt.Sprintf("%d connections are fewer than the %d slots, so some slots could never be used", connections, slots),
+			fmt.Sprintf("set connections to %d or more, or lower slots", slots))
+	}
+}
+
+func checkControl(c Control, r *report) {
+	checkValue(reflect.ValueOf(c), field{}, "", r)
+	checkProcess(c.Process, r)
+	checkPeers(c, r)
+	if port(c.Listen) == "0" && c.Advertise == "" {
+		r.add("listen", "port 0 gives the control node another address at each start", "name a port")
+	}
+}
+
+func checkPeers(c Control, r *report) {
+	nodes := map[ids.Node]bool{}
+	addresses := map[string]bool{}
+	for i, p := range c.Peers {
+		key := "peers." + strconv.Itoa(i)
+		if nodes[p.Node] {
+			r.add(key+".node", fmt.Sprintf("%q is listed twice", p.Node), "give each peer its own name")
+		}
+		if addresses[p.Address] {
+			r.add(key+".address", fmt.Sprintf("%q is listed twice", p.Address), "give each peer its own address")
+		}
+		nodes[p.Node] = true
+		addresses[p.Address] = true
+	}
+	if !nodes[c.Node] && !c.Join && c.Node != "" && len(c.Peers) > 0 {
+		r.add("peers", fmt.Sprintf("this node (%q) is not among them", c.Node), "add it, or set join: true if it replaces another node")
+	}
+	if len(c.Peers)%2 == 0 && !c.Join && len(c.Peers) > 0 {
+		r.add("peers", fmt.Sprintf("%d nodes tolerate no more losses than %d", len(c.Peers), len(c.Peers)-1), "list an odd number of nodes")
+	}
+}
+
+func checkEntry(e Entry, r *report) {
+	checkValue(reflect.ValueOf(e), field{}, "", r)
+	checkProcess(e.Process, r)
+	checkDistinct(r, listener{"listen", e.Listen}, listener{"ops", e.Ops}, listener{"callers", e.Callers})
+}
+
+func checkAgent(a Agent, r *report) {
+	checkValue(reflect.ValueOf(a), field{}, "", r)
+	checkProcess(a.Process, r)
+	checkConnections(a.Slots, a.Connections, "", r)
+	checkDistinct(r, listener{"listen", a.Listen}, listener{"ops", a.Ops}, listener{"upstream", a.Upstream})
+}
+
+func checkProcess(p Process, r *report) {
+	checkDistinct(r, listener{"listen", p.Listen}, listener{"ops", p.Ops})
+	checkExposed("listen", p.Listen, p, r)
+	checkExposed("ops", p.Ops, p, r)
+	if wildcard(p.Listen) && p.Advertise == "" {
+		r.add("advertise", fmt.Sprintf("listen %q has no address that others could use", p.Listen), "set advertise to host:port on which others reach this process")
+	}
+	checkTLS(p.TLS, r)
+}
+
+func checkTLS(t TLS, r *report) {
+	if !t.Set() {
+		return
+	}
+	for _, f := range [...]struct{ key, path string }{{"tls.cert", t.Cert}, {"tls.key", t.Key}, {"tls.ca", t.CA}} {
+		if f.path == "" {
+			r.add(f.key, "TLS needs cert, key and ca", "set all three, or remove tls")
+		}
+	}
+}
+
+func checkExposed(key, address string, p Process, r *report) {
+	if address == "" || loopback(address) || p.TokenFile != "" || p.TLS.Set() {
+		return
+	}
+	r.add(key, fmt.Sprintf("%q is reachable from other machines, without a token or TLS", address),
+		"set token_file or tls, or bind to 127.0.0.1")
+}
+
+type listener struct{ key, address string }
+
+func checkDistinct(r *report, ls ...listener) {
+	for i, l := range ls {
+		for _, other := range ls[:i] {
+			if l.address == other.address && l.address != "" && port(l.address) != "0" {
+				r.add(l.key, fmt.Sprintf("%q is also the address of %s", l.address, other.key), "use another port")
+			}
+		}
+	}
+}
+
+// checkValue checks bounds, forms and missing keys of v and all it holds.
+func checkValue(v reflect.Value, f field, key string, r *report) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for _, f := range fieldsOf(v.Type()) {
+			checkValue(v.FieldByIndex(f.index), f, join(key, f.key), r)
+		}
+	case reflect.Map:
+		checkMap(v, key, r)
+	case reflect.Slice:
+		checkSlice(v, f, key, r)
+	case reflect.String:
+		checkText(v.String(), f, key, r)
+	default:
+		checkRange(v, f, key, r)
+	}
+}
+
+func checkMap(v reflect.Value, key string, r *report) {
+	for _, k := range v.MapKeys() {
+		name := join(key, k.String())
+		checkText(k.String(), field{form: "name", need: true}, name, r)
+		checkValue(v.MapIndex(k), field{}, name, r)
+	}
+}
+
+func checkSlice(v reflect.Value, f field, key string, r *report) {
+	if v.Len() == 0 && f.need {
+		r.add(key, "the list is missing or empty", "add "+f.unit)
+	}
+	for i := range v.Len() {
+		checkValue(v.Index(i), f, join(key, strconv.Itoa(i)), r)
+	}
+}
+
+func checkRange(v reflect.Value, f field, key string, r *report) {
+	if f.min == "" {
+		return
+	}
+	low, high := reflect.New(v.Type()).Elem(), reflect.New(v.Type()).Elem()
+	if parseScalar(low, f.min) != nil || parseScalar(high, f.max) != nil {
+		panic("settings: malformed range of " + key)
+	}
+	if less(v, low) || less(high, v) {
+		r.add(key, formatScalar(v)+" is out of range", fmt.Sprintf("use %s to %s (%s)", f.min, f.max, f.unit))
+	}
+}
+
+func less(a, b reflect.Value) bool {
+	if a.Kind() == reflect.Float64 {
+		return a.Float() < b.Float()
+	}
+	return a.Int() < b.Int()
+}
+
+func checkText(s string, f field, key string, r *report) {
+	if s == "" {
+		if f.need {
+			r.add(key, "the value is missing", "set it ("+f.unit+")")
+		}
+		return
+	}
+	switch f.form {
+	case "name":
+		if len(s) > maxNameBytes || !namePattern.MatchString(s) {
+			r.add(key, fmt.Sprintf("%q is not a name", s), fmt.Sprintf("use at most %d of a-z, 0-9, - and _, with a letter or digit first and last", maxNameBytes))
+		}
+	case "address", "listen":
+		checkAddress(s, f.form == "listen", key, r)
+	case "path":
+		if len(s) > maxPathBytes || !utf8.ValidString(s) || strings.ContainsFunc(s, unicode.IsControl) {
+			r.add(key, fmt.Sprintf("%q is not a path", s), "write a path without control characters")
+		}
+	}
+}
+
+func checkAddress(s string, listen bool, key string, r *report) {
+	const fix = "write host:port, for example 127.0.0.1:7100"
+	host, portText, err := net.SplitHostPort(s)
+	if err != nil || strings.ContainsFunc(host, notHost) {
+		r.add(key, fmt.Sprintf("%q is not an address", s), fix)
+		return
+	}
+	n, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil || strconv.FormatUint(n, 10) != portText {
+		r.add(key, fmt.Sprintf("%q is not a port from 0 to 65535", portText), fix)
+		return
+	}
+	if !listen && (host == "" || n == 0 || wildcard(s)) {
+		r.add(key, fmt.Sprintf("%q can't be connected to", s), fix)
+	}
+}
+
+func notHost(c rune) bool {
+	return c > unicode.MaxASCII || !unicode.IsLetter(c) && !unicode.IsDigit(c) && !strings.ContainsRune(".-_:%", c)
+}
+
+func port(address string) string {
+	_, p, _ := net.SplitHostPort(address)
+	return p
+}
+
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return true // reported as malformed
+	}
+	ip := net.ParseIP(host)
+	return host == "localhost" || ip != nil && ip.IsLoopback()
+}
+
+func wildcard(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return false
+	}
+	ip := net.ParseIP(host)
+	return host == "" || ip != nil && ip.IsUnspecified()
+}
+
+func short(d Duration) string { return formatScalar(reflect.ValueOf(d)) }
+
+func sortedNames[K ~string, V any](m map[K]V) []K {
+	names := make([]K, 0, len(m))
+	for k := range m {
+		names = append(names, k)
+	}
+	slices.Sort(names)
+	return names
+}
--- a/settings/cluster.go
+++ b/settings/cluster.go
@@ -1,5 +1,9 @@
 // Package settings holds the settings of the daemons and the configuration of
 // the whole system. It reads them from YAML, checks them whole, and prints them.
+//
+// Struct tags describe each setting: yaml gives its key, range its inclusive
+// bounds, unit what is counted, form the shape of a text, and need marks a key
+// without a default.
 package settings
 
 import (
@@ -19,41 +23,42 @@
 // Service is a group of upstreams that serve the same requests.
 type Service struct {
 	// Slots is how many tasks one upstream runs at once at most.
-	Slots int `yaml:"slots"`
+	Slots int `yaml:"slots" range:"1..4096" unit:"tasks at once on one upstream"`
 	// Connections is how many connections one agent opens to its upstream at most.
-	Connections int `yaml:"connections"`
+	Connections int `yaml:"connections" range:"1..65535" unit:"connections of one agent, at least slots"`
 	// Timeout bounds one task on an upstream.
-	Timeout Duration `yaml:"timeout"`
+	Timeout Duration `yaml:"timeout" range:"1ms..1h" unit:"time for one task on an upstream"`
 }
 
 // Team is a group of callers.
 type Team struct {
 	// Quota is the team's share of the slots, relative to the other teams.
-	Quota int `yaml:"quota"`
+	Quota int `yaml:"quota" range:"1..1000000" unit:"share of the slots, relative to the other teams"`
 	// MaxQueued bounds the tasks of the team that wait at one entry.
-	MaxQueued int `yaml:"max_queued"`
+	MaxQueued int `yaml:"max_queued" range:"1..10000000" unit:"tasks that wait at one entry"`
 }
 
 // Dispatch tunes placement and retries.
 type Dispatch struct {
 	// Tradeoff is the balance from 0 (fewest messages) to 1 (fastest answers).
-	Tradeoff float64 `yaml:"tradeoff"`
+	Tradeoff float64 `yaml:"tradeoff" range:"0..1" unit:"0 = fewest messages, 1 = fastest answers"`
 	// RetryBudget is the number of retries allowed for each success of the recent past.
-	RetryBudget float64 `yaml:"retry_budget"`
+	RetryBudget float64 `yaml:"retry_budget" range:"0..1" unit:"retries for each recent success"`
 	// QuarantineShare is the largest share of a service's upstreams in quarantine.
-	QuarantineShare float64 `yaml:"quarantine_share"`
+	QuarantineShare float64 `yaml:"quarantine_share" range:"0..1" unit:"largest share of a service's upstreams in quarantine"`
 }
 
 // Jobs sets what is kept of jobs.
 type Jobs struct {
 	// Retention is how long a job's record and answer are kept after its end.
-	Retention Duration `yaml:"retention"`
+	Retention Duration `yaml:"retention" range:"1m..168h" unit:"time a record and its answer are kept after the job's end, at least max_deadline"`
 	// TombstoneRetention is how long a key without a creation time stays refused.
-	TombstoneRetention Duration `yaml:"tombstone_retention"`
-	// MaxDeadline bounds the deadline that a caller may ask for.
-	MaxDeadline Duration `yaml:"max_deadline"`
+	TombstoneRetention Duration `yaml:"tombstone_retention" range:"1h..8760h" unit:"time a key without creation time stays refused, at least retention"`
+	// MaxDeadline bounds the deadline that a caller may ask for. Agents delete
+	// rows 1 h 10 min after they were made, so it is at most 1 h.
+	MaxDeadline Duration `yaml:"max_deadline" range:"1s..1h" unit:"longest deadline that a caller may ask for"`
 	// MaxOpen bounds the open jobs of the whole system.
-	MaxOpen int `yaml:"max_open"`
+	MaxOpen int `yaml:"max_open" range:"1..10000000" unit:"open jobs of the whole system"`
 }
 
 // Duration is a time span written as in Go, for example "1h" or "500ms".
--- /dev/null
+++ b/settings/daemon.go
@@ -0,0 +1,122 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// Process holds the settings that all daemons have.
+type Process struct {
+	Node          ids.Node   `yaml:"node" form:"name" need:"true" unit:"name of this process, unique in the deployment"`
+	Region        ids.Region `yaml:"region" form:"name" unit:"name of the region"`
+	FailureDomain ids.Domain `yaml:"failure_domain" form:"name" need:"true" unit:"name of the failure domain"`
+	// Listen is the address of the listener for the system's other processes.
+	Listen string `yaml:"listen" form:"listen" unit:"host:port for the system's other processes"`
+	// Advertise is the address on which the other processes reach Listen. Empty
+	// means the address that the listener got.
+	Advertise string `yaml:"advertise" form:"address" unit:"host:port on which others reach listen, empty = listen"`
+	// Ops is the address of the operators' HTTP listener.
+	Ops string `yaml:"ops" form:"listen" unit:"host:port for metrics, health and dumps"`
+	// TokenFile holds the token that all processes of the deployment share.
+	TokenFile string `yaml:"token_file" form:"path" unit:"file with the shared token, empty = none"`
+	TLS       TLS    `yaml:"tls"`
+}
+
+// TLS names the PEM files for mutual TLS between the system's processes. All
+// three are set, or none.
+type TLS struct {
+	Cert string `yaml:"cert" form:"path" unit:"PEM file, certificate of this process"`
+	Key  string `yaml:"key" form:"path" unit:"PEM file, key of the certificate"`
+	CA   string `yaml:"ca" form:"path" unit:"PEM file, authority of all certificates"`
+}
+
+// Set reports whether TLS is in use.
+func (t TLS) Set() bool { return t != TLS{} }
+
+// Control holds the settings of baobab-control.
+type Control struct {
+	Process `yaml:",inline"`
+	// Data is the folder of the log and the snapshots.
+	Data string `yaml:"data" form:"path" need:"true" unit:"folder of the replicated log"`
+	// Peers are all nodes of the control group, this one included.
+	Peers []Peer `yaml:"peers" need:"true" unit:"all nodes of the control group"`
+	// Join is set on a node that takes the place of another. It founds no group
+	// and waits until baobabctl replace has added it.
+	Join bool `yaml:"join" unit:"true = wait to be added by baobabctl replace"`
+}
+
+// Peer is a node of the control group.
+type Peer struct {
+	Node    ids.Node `yaml:"node" form:"name" need:"true" unit:"name of the control node"`
+	Address string   `yaml:"address" form:"address" need:"true" unit:"host:port of its listener"`
+}
+
+// Entry holds the settings of baobab-entry.
+type Entry struct {
+	Process `yaml:",inline"`
+	// Control lists the listeners of control nodes.
+	Control []string `yaml:"control" form:"address" need:"true" unit:"host:port of each control node"`
+	// Callers is the address of the callers' HTTP listener.
+	Callers string `yaml:"callers" form:"listen" unit:"host:port of the callers' HTTP listener"`
+	// Weight is the size of this entry relative to the others.
+	Weight int    `yaml:"weight" range:"1..1000" unit:"size of this entry relative to the others"`
+	Limits Limits `yaml:"limits"`
+}
+
+// Limits bounds what callers can ask of one entry.
+type Limits struct {
+	Connections int      `yaml:"connections" range:"1..1000000" unit:"connections of callers at once"`
+	BodyBytes   int      `yaml:"body_bytes" range:"1024..67108864" unit:"bytes of one request of a caller"`
+	ReadTimeout Duration `yaml:"read_timeout" range:"100ms..10m" unit:"time for reading one request"`
+	IdleTimeout Duration `yaml:"idle_timeout" range:"1s..1h" unit:"time an idle connection is kept"`
+	// AnswerBytes bounds the memory of the answers kept for callers.
+	AnswerBytes int `yaml:"answer_bytes" range:"1048576..17179869184" unit:"bytes of answers kept for callers"`
+}
+
+// Agent holds the settings of baobab-agent.
+type Agent struct {
+	Process `yaml:",inline"`
+	// Control lists the listeners of control nodes.
+	Control []string    `yaml:"control" form:"address" need:"true" unit:"host:port of each control node"`
+	Service ids.Service `yaml:"service" form:"name" need:"true" unit:"service of the upstream"`
+	// Upstream is the address of the upstream's HTTP listener.
+	Upstream    string `yaml:"upstream" form:"address" need:"true" unit:"host:port of the upstream"`
+	Slots       int    `yaml:"slots" range:"1..4096" unit:"tasks at once on the upstream"`
+	Connections int    `yaml:"connections" range:"1..65535" unit:"connections to the upstream, at least slots"`
+}
+
+func defaultProcess(listen, ops string) Process {
+	return Process{Region: "main", Listen: listen, Ops: ops}
+}
+
+// DefaultControl returns the defaults of a control node.
+func DefaultControl() Control {
+	return Control{Process: defaultProcess("127.0.0.1:7100", "127.0.0.1:7101")}
+}
+
+// DefaultEntry returns the defaults of an entry.
+func DefaultEntry() Entry {
+	return Entry{
+		Process: defaultProcess("127.0.0.1:7200", "127.0.0.1:7201"),
+		Callers: "127.0.0.1:8080",
+		Weight:  1,
+		Limits: Limits{
+			Connections: 4096,
+			BodyBytes:   2 * wire.MaxBodyBytes,
+			ReadTimeout: Duration(10 * time.Second),
+			IdleTimeout: Duration(time.Minute),
+			AnswerBytes: 256 << 20,
+		},
+	}
+}
+
+// DefaultAgent returns the defaults of an agent.
+func DefaultAgent() Agent {
+	return Agent{
+		Process:     defaultProcess("127.0.0.1:7300", "127.0.0.1:7301"),
+		Slots:       DefaultService().Slots,
+		Connections: DefaultService().Connections,
+	}
+}
