--- a/settings/field.go
+++ b/settings/field.go
@@ -116,7 +116,7 @@
 	case v.Kind() == reflect.Int:
 		return strconv.FormatInt(v.Int(), 10)
 	case v.Kind() == reflect.Float64:
-		return strconv.FormatFloat(v.Float(), 'g', -1, 64)
+		return strconv.FormatFloat(v.Float(), 'f', -1, 64)
 	case v.Kind() == reflect.Bool:
 		return strconv.FormatBool(v.Bool())
 	}
