rpc: verify the peer's certificate against the dialed host

Cause: Dial passed a TLS configuration without a server name, which crypto/tls refuses, so no connection with the TLS files of the settings came up. Change: Dial names the host of the address unless the configuration names one. Test: go test ./rpc -run TestMutualTLS (fails before the change).

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -136,7 +136,7 @@
 		return nil, verdict.Refuse(verdict.ConnectionFailed, "dial %s: %v", addr, err)
 	}
 	if sec.TLS != nil {
-		tc := tls.Client(raw, sec.TLS)
+		tc := tls.Client(raw, clientTLS(sec.TLS, addr))
 		if err := tc.HandshakeContext(ctx); err != nil {
 			raw.Close()
 			return nil, verdict.Refuse(verdict.ConnectionFailed, "TLS with %s: %v", addr, err)
@@ -154,6 +154,18 @@
 	return c, nil
 }
 
+// clientTLS names the host of addr as the one that the peer's certificate must
+// be for, unless the configuration names one.
+func clientTLS(conf *tls.Config, addr string) *tls.Config {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil || conf.ServerName != "" || conf.InsecureSkipVerify {
+		return conf
+	}
+	conf = conf.Clone()
+	conf.ServerName = host
+	return conf
+}
+
 // Server accepts connections on one listener.
 type Server struct {
 	mux      *Mux
