--- a/settings/check.go
+++ b/settings/check.go
@@ -103,10 +103,10 @@
 		nodes[p.Node] = true
 		addresses[p.Address] = true
 	}
-	if !nodes[c.Node] && !c.Join && c.Node != "" && len(c.Peers) > 0 {
-		r.add("peers", fmt.Sprintf("this node (%q) is not among them", c.Node), "add it, or set join: true if it replaces another node")
+	if !nodes[c.Node] && c.Node != "" && len(c.Peers) > 0 {
+		r.add("peers", fmt.Sprintf("this node (%q) is not among them", c.Node), "add this node and its address to the list")
 	}
-	if len(c.Peers)%2 == 0 && !c.Join && len(c.Peers) > 0 {
+	if len(c.Peers)%2 == 0 && len(c.Peers) > 0 {
 		r.add("peers", fmt.Sprintf("%d nodes tolerate no more losses than %d", len(c.Peers), len(c.Peers)-1), "list an odd number of nodes")
 	}
 }
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -40,11 +40,9 @@
 	Process `yaml:",inline"`
 	// Data is the folder of the log and the snapshots.
 	Data string `yaml:"data" form:"path" need:"true" unit:"folder of the replicated log"`
-	// Peers are all nodes of the control group, this one included.
-	Peers []Peer `yaml:"peers" need:"true" unit:"all nodes of the control group"`
-	// Join is set on a node that takes the place of another. It founds no group
-	// and waits until baobabctl replace has added it.
-	Join bool `yaml:"join" unit:"true = wait to be added by baobabctl replace"`
+	// Peers are all nodes of the control group, this one included. A node that
+	// replaces another lists itself and the remaining nodes.
+	Peers []Peer `yaml:"peers" need:"true" unit:"all nodes of the control group, this one included"`
 }
 
 // Peer is a node of the control group.
