--- /dev/null
+++ b/ctl/jobs.go
@@ -0,0 +1,234 @@
+package ctl
+
+import (
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	submitHelp = "Submits the job in FILE (- for standard input; JSON as in POST /v1/jobs) to the entry and waits for its answer within --timeout. " +
+		"A job with a key can be submitted again, also to another entry: it runs once."
+	jobHelp    = "Shows the state of a job, or its answer once it has ended. Waits for the end with --wait, within --timeout."
+	cancelHelp = "Cancels a job: its tasks that have not started never start. A job that has ended keeps its end."
+)
+
+// waitMargin is how much earlier than --timeout an entry should answer.
+const waitMargin = 500 * time.Millisecond
+
+type request struct {
+	method, addr, path string
+	headers            []wire.Header
+	body               []byte
+	tls                *tls.Config
+}
+
+type response struct {
+	status int
+	body   []byte
+	// verdict and reason are those of the headers, empty if there are none.
+	verdict, reason string
+}
+
+// send makes one HTTP request. It never repeats it.
+func (a *app) send(r request) (response, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	scheme := "http"
+	if r.tls != nil {
+		scheme = "https"
+	}
+	req.Header.SetMethod(r.method)
+	req.SetRequestURI(scheme + "://" + r.addr + r.path)
+	for _, h := range r.headers {
+		req.Header.Set(h.Name, h.Value)
+	}
+	req.SetBody(r.body)
+	client := fasthttp.Client{
+		TLSConfig:                 r.tls,
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+	}
+	defer client.CloseIdleConnections()
+	err := client.DoTimeout(req, resp, time.Duration(a.Timeout))
+	var dial *fasthttp.ErrDialWithUpstream
+	switch {
+	case errors.As(err, &dial), errors.Is(err, fasthttp.ErrDialTimeout):
+		return response{}, verdict.Refuse(verdict.ConnectionFailed, "%s can't be reached: %v", r.addr, err)
+	case err != nil:
+		return response{}, verdict.Unknown(verdict.ConnectionFailed, "%s gave no answer: %v", r.addr, err)
+	}
+	return response{
+		status:  resp.StatusCode(),
+		body:    append([]byte(nil), resp.Body()...),
+		verdict: string(resp.Header.Peek("Baobab-Verdict")),
+		reason:  string(resp.Header.Peek("Baobab-Reason")),
+	}, nil
+}
+
+// jobAnswer is the part of an entry's answer that people need.
+type jobAnswer struct {
+	ID      ids.Job         `json:"id"`
+	State   wire.JobState   `json:"state"`
+	Detail  string          `json:"detail"`
+	Tasks   int             `json:"tasks"`
+	Done    int             `json:"done"`
+	Need    bool            `json:"need_bodies"`
+	Results json.RawMessage `json:"results"`
+}
+
+func (a *app) waitQuery() string {
+	wait := max(time.Duration(a.Timeout)-waitMargin, 0)
+	return "?wait=" + wait.String()
+}
+
+// report prints an entry's answer on a job and returns its outcome.
+func (a *app) report(r response) error {
+	var j jobAnswer
+	if err := json.Unmarshal(r.body, &j); err != nil {
+		return verdict.Unknown(verdict.Internal, "status %d with an answer that is not JSON", r.status)
+	}
+	if a.JSON && j.ID != 0 {
+		a.printf("%s\n", r.body)
+	}
+	switch {
+	case r.status == fasthttp.StatusOK:
+		if !a.JSON {
+			a.printf("Job %d is complete, %d tasks.\n", j.ID, j.Tasks)
+			a.printResults(j.Results)
+		}
+		return nil
+	case r.status == fasthttp.StatusAccepted:
+		return a.unfinished(j)
+	}
+	e := &verdict.Error{Verdict: verdict.Parse(r.verdict), Reason: verdict.Reason(r.reason), Detail: j.Detail}
+	if a.JSON && j.ID != 0 {
+		return &exit{exitOf(e.Verdict), errSilent}
+	}
+	if j.ID == 0 {
+		return e
+	}
+	return fmt.Errorf("job %d has ended without an answer (%s): %w", j.ID, j.State, e)
+}
+
+// errSilent is the error of a command that has printed its JSON already.
+var errSilent = errors.New("")
+
+func (a *app) unfinished(j jobAnswer) error {
+	if a.JSON {
+		return &exit{ExitUnknown, errSilent}
+	}
+	hint := fmt.Sprintf("Ask again: baobabctl job %d --wait", j.ID)
+	if j.Need {
+		hint = "Its entry was lost before some tasks started. Submit the same file again: nothing runs twice."
+	}
+	return &exit{ExitUnknown, errors.Errorf("job %d is running, %d of %d tasks are done. %s", j.ID, j.Done, j.Tasks, hint)}
+}
+
+func (a *app) printResults(raw json.RawMessage) {
+	var results []struct {
+		Index  int             `json:"index"`
+		Status int             `json:"status"`
+		Body   json.RawMessage `json:"body"`
+	}
+	if json.Unmarshal(raw, &results) != nil {
+		return
+	}
+	for _, r := range results {
+		a.printf("%d: status %d %s\n", r.Index, r.Status, r.Body)
+	}
+}
+
+type submitCommand struct {
+	*app
+	Args file `positional-args:"yes"`
+}
+
+// Execute submits the job.
+func (c *submitCommand) Execute([]string) error {
+	body, err := c.readFile(c.Args.Name)
+	if err != nil {
+		return err
+	}
+	if !json.Valid(body) {
+		return usage("%s is not JSON", c.Args.Name)
+	}
+	p := c.progress()
+	p.show("Waiting for the answer, at most %v.", time.Duration(c.Timeout))
+	r, err := c.send(request{
+		method: fasthttp.MethodPost, addr: c.Entry, path: "/v1/jobs" + c.waitQuery(),
+		headers: []wire.Header{{Name: "Content-Type", Value: "application/json"}}, body: body,
+	})
+	p.end()
+	if err != nil {
+		return err
+	}
+	return c.report(r)
+}
+
+type jobID struct {
+	ID string `positional-arg-name:"JOB" required:"yes"`
+}
+
+func (j jobID) parse() (ids.Job, error) {
+	id, err := ids.ParseJob(j.ID)
+	if err != nil {
+		return 0, usage("%q is not a job id, which is a whole number", j.ID)
+	}
+	return id, nil
+}
+
+type jobCommand struct {
+	*app
+	Wait bool  `long:"wait" description:"wait until the job has ended, within --timeout"`
+	Args jobID `positional-args:"yes"`
+}
+
+// Execute shows the job.
+func (c *jobCommand) Execute([]string) error {
+	id, err := c.Args.parse()
+	if err != nil {
+		return err
+	}
+	path := "/v1/jobs/" + id.String()
+	if c.Wait {
+		path += c.waitQuery()
+	}
+	r, err := c.send(request{method: fasthttp.MethodGet, addr: c.Entry, path: path})
+	if err != nil {
+		return err
+	}
+	return c.report(r)
+}
+
+type cancelCommand struct {
+	*app
+	Args jobID `positional-args:"yes"`
+}
+
+// Execute cancels the job.
+func (c *cancelCommand) Execute([]string) error {
+	id, err := c.Args.parse()
+	if err != nil {
+		return err
+	}
+	r, err := c.send(request{method: fasthttp.MethodDelete, addr: c.Entry, path: "/v1/jobs/" + id.String()})
+	if err != nil {
+		return err
+	}
+	var j jobAnswer
+	if json.Unmarshal(r.body, &j) == nil && j.State == wire.JobCanceled {
+		c.show(json.RawMessage(r.body), func() { c.printf("Job %d is cancelled.\n", id) })
+		return nil
+	}
+	return c.report(r)
+}
