--- a/agent/options.go
+++ b/agent/options.go
@@ -29,6 +29,8 @@
 	// Slots and Connections are registered as the size of the upstream.
 	Slots, Connections int
 	Security           rpc.Security
+	// Counters counts the messages with entries, nil for none.
+	Counters *rpc.Counters
 	// Session opens the session with the control group.
 	Session OpenSession
 	// Scope receives metrics, nil for none.
--- a/eventloop/loop.go
+++ b/eventloop/loop.go
@@ -92,6 +92,16 @@
 	<-l.done
 }
 
+// Stopped reports whether the loop has been told to stop.
+func (l *Loop) Stopped() bool {
+	select {
+	case <-l.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 func (l *Loop) run() {
 	defer close(l.done)
 	timer := time.NewTimer(0)
