--- /dev/null
+++ b/entry/http.go
@@ -0,0 +1,317 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	pathJobs     = "/v1/jobs"
+	pathServices = "/v1/services/"
+	// maxWait bounds how long a caller may wait for a job in one request.
+	maxWait = 10 * time.Minute
+)
+
+func (e *Entry) httpServer() *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:                       e.handle,
+		ErrorHandler:                  refuseMalformed,
+		Concurrency:                   e.opts.Connections,
+		ReadBufferSize:                e.opts.HeaderBytes,
+		MaxRequestBodySize:            e.opts.BodyBytes,
+		ReadTimeout:                   e.opts.ReadTimeout,
+		WriteTimeout:                  e.opts.WriteTimeout,
+		IdleTimeout:                   e.opts.IdleTimeout,
+		DisableHeaderNamesNormalizing: false,
+		DisablePreParseMultipartForm:  true,
+		NoDefaultServerHeader:         true,
+		CloseOnShutdown:               true,
+		Logger:                        quiet{},
+	}
+}
+
+// quiet drops the HTTP library's own log lines, which callers can provoke.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// refuseMalformed answers a request that could not be read.
+func refuseMalformed(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		writeError(ctx, verdict.Refuse(tooLarge, "the body is too large"))
+	case errors.As(err, &small):
+		writeError(ctx, verdict.Refuse(tooLarge, "the header is too large"))
+	case errors.As(err, &timeout) && timeout.Timeout():
+		writeError(ctx, verdict.Refuse(verdict.BadRequest, "the request did not arrive in time"))
+	default:
+		writeError(ctx, verdict.Refuse(verdict.BadRequest, "malformed HTTP request"))
+	}
+}
+
+func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if p := recover(); p != nil {
+			klog.Errorf("entry: Request failed: %v.", p)
+			writeError(ctx, verdict.Unknown(verdict.Internal, "the entry failed on this request"))
+		}
+	}()
+	path := string(ctx.Path())
+	switch {
+	case path == pathJobs:
+		e.handleJobs(ctx)
+	case strings.HasPrefix(path, pathJobs+"/"):
+		e.handleJob(ctx, path[len(pathJobs)+1:])
+	case strings.HasPrefix(path, pathServices):
+		e.handleService(ctx)
+	default:
+		writeError(ctx, verdict.Refuse(verdict.UnknownService, "known paths: /v1/jobs, /v1/jobs/ID, /v1/services/NAME/"))
+	}
+}
+
+// handleJobs accepts a job.
+func (e *Entry) handleJobs(ctx *fasthttp.RequestCtx) {
+	if !ctx.IsPost() {
+		writeError(ctx, verdict.Refuse(verdict.BadRequest, "/v1/jobs takes POST only"))
+		return
+	}
+	wait, err := waitOf(ctx)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	s, err := parseJob(ctx.PostBody())
+	if err == nil {
+		err = s.keyFromHeaders(ctx)
+	}
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	st, err := e.life.Load().submit(e.requestContext(), s, e.watch(ctx, wait))
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	writeJob(ctx, st)
+}
+
+// handleJob reads or cancels a job.
+func (e *Entry) handleJob(ctx *fasthttp.RequestCtx, name string) {
+	id, perr := ids.ParseJob(name)
+	if perr != nil || id == 0 {
+		writeError(ctx, verdict.Refuse(verdict.UnknownJob, "%q is not the id of a job", name))
+		return
+	}
+	wait, err := waitOf(ctx)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	l := e.life.Load()
+	var st wire.JobStatus
+	switch {
+	case ctx.IsGet() || ctx.IsHead():
+		st, err = l.state(e.requestContext(), id, e.watch(ctx, wait))
+	case ctx.IsDelete():
+		st, err = l.cancelJob(e.requestContext(), id, e.watch(ctx, cancelWait))
+	default:
+		err = verdict.Refuse(verdict.BadRequest, "/v1/jobs/ID takes GET and DELETE only")
+	}
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	writeJob(ctx, st)
+}
+
+// waitOf reads ?wait=, a Go duration such as 500ms or 10s.
+func waitOf(ctx *fasthttp.RequestCtx) (time.Duration, *verdict.Error) {
+	text := string(ctx.QueryArgs().Peek("wait"))
+	if text == "" {
+		return 0, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d < 0 || d > maxWait {
+		return 0, verdict.Refuse(verdict.BadRequest, "wait: %q is not a duration from 0s to %v, for example 10s", text, maxWait)
+	}
+	return d, nil
+}
+
+// keyFromHeaders takes the key of a job from the headers if the body has none.
+func (s *submission) keyFromHeaders(ctx *fasthttp.RequestCtx) *verdict.Error {
+	key, keyTime, err := keyHeaders(ctx)
+	if err != nil || key == "" {
+		return err
+	}
+	if s.Key != "" && (s.Key != key || s.KeyTime != keyTime) {
+		return verdict.Refuse(verdict.BadRequest, "key: the body and the header %s differ", headerKey)
+	}
+	s.Key, s.KeyTime = key, keyTime
+	return nil
+}
+
+func keyHeaders(ctx *fasthttp.RequestCtx) (key string, keyTime int64, err *verdict.Error) {
+	key = string(ctx.Request.Header.Peek(headerKey))
+	if text := string(ctx.Request.Header.Peek(headerKeyTime)); text != "" {
+		n, perr := strconv.ParseInt(text, 10, 64)
+		if perr != nil || n <= 0 {
+			return "", 0, verdict.Refuse(verdict.BadRequest, "%s: must be a time in Unix milliseconds", headerKeyTime)
+		}
+		keyTime = n
+	}
+	return key, keyTime, checkKey(key, keyTime)
+}
+
+// handleService passes a single request on.
+func (e *Entry) handleService(ctx *fasthttp.RequestCtx) {
+	s, err := parseSingle(ctx)
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	l := e.life.Load()
+	var a wire.Answer
+	if s.Key != "" {
+		a, err = l.keyed(e.requestContext(), s.submission, e.watch(ctx, s.Deadline))
+	} else {
+		a, err = l.single(s, e.watch(ctx, s.Deadline))
+	}
+	if err != nil {
+		writeError(ctx, err)
+		return
+	}
+	writeAnswer(ctx, a)
+}
+
+// single is a request for one task, with or without a key.
+type single struct {
+	submission
+	Idempotent bool
+}
+
+// parseSingle copies what is needed of a request, since its buffers are used
+// again after the handler has returned.
+func parseSingle(ctx *fasthttp.RequestCtx) (single, *verdict.Error) {
+	service, path, err := splitService(string(ctx.Request.Header.RequestURI()))
+	if err != nil {
+		return single{}, err
+	}
+	method := string(ctx.Method())
+	if !validMethod(method) {
+		return single{}, verdict.Refuse(verdict.BadRequest, "method %q is not supported", method)
+	}
+	if len(ctx.PostBody()) > wire.MaxBodyBytes {
+		return single{}, verdict.Refuse(tooLarge, "the body has %d bytes, at most %d are allowed", len(ctx.PostBody()), wire.MaxBodyBytes)
+	}
+	team := string(ctx.Request.Header.Peek(headerTeam))
+	if !validName(team) {
+		return single{}, verdict.Refuse(verdict.BadRequest, "%s: a name of 1 to %d printable characters is needed", headerTeam, maxNameBytes)
+	}
+	key, keyTime, err := keyHeaders(ctx)
+	if err != nil {
+		return single{}, err
+	}
+	idempotent, err := idempotentOf(ctx, method)
+	if err != nil {
+		return single{}, err
+	}
+	spec := wire.TaskSpec{Method: method, Path: path, Headers: copyHeaders(ctx), Body: bytes.Clone(ctx.PostBody())}
+	s := single{Idempotent: idempotent, submission: submission{
+		Team: ids.Team(team), Service: ids.Service(service), Key: key, KeyTime: keyTime,
+		Tasks: []wire.TaskSpec{spec}, Deadline: wire.DefaultDeadline,
+	}}
+	s.BodyHash = hashTasks(s.Service, s.Tasks)
+	return s, nil
+}
+
+// splitService divides /v1/services/NAME/rest?query into the name and /rest?query.
+func splitService(uri string) (service, path string, err *verdict.Error) {
+	rest, ok := strings.CutPrefix(uri, pathServices)
+	if !ok {
+		return "", "", verdict.Refuse(verdict.BadRequest, "the path must be written as %sNAME/", pathServices)
+	}
+	name, path, found := strings.Cut(rest, "/")
+	if !found {
+		var query string
+		name, query, found = strings.Cut(rest, "?")
+		if found {
+			path = "?" + query
+		}
+	}
+	if !validName(name) || strings.ContainsAny(name, "%?#") {
+		return "", "", verdict.Refuse(verdict.UnknownService, "%q is not the name of a service", name)
+	}
+	path = "/" + path
+	return name, path, checkPath(path)
+}
+
+// idempotentOf reads Baobab-Idempotent. Without it the method decides, as HTTP
+// defines: a POST or PATCH is not idempotent.
+func idempotentOf(ctx *fasthttp.RequestCtx, method string) (bool, *verdict.Error) {
+	text := string(ctx.Request.Header.Peek(headerIdempotent))
+	if text == "" {
+		return method != "POST" && method != "PATCH", nil
+	}
+	v, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, verdict.Refuse(verdict.BadRequest, "%s: must be true or false", headerIdempotent)
+	}
+	return v, nil
+}
+
+func copyHeaders(ctx *fasthttp.RequestCtx) []wire.Header {
+	var out []wire.Header
+	for name, value := range ctx.Request.Header.All() {
+		if forwarded(string(name)) {
+			out = append(out, wire.Header{Name: string(name), Value: string(value)})
+		}
+	}
+	return out
+}
+
+// forwarded reports whether a header is passed on to or from the upstream.
+func forwarded(name string) bool {
+	name = strings.ToLower(name)
+	switch name {
+	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection",
+		"te", "trailer", "transfer-encoding", "upgrade", "content-length", "host", "date", "server", "expect":
+		return false
+	}
+	return !strings.HasPrefix(name, "baobab-")
+}
+
+// writeAnswer passes the upstream's answer to the caller of a single request.
+func writeAnswer(ctx *fasthttp.RequestCtx, a wire.Answer) {
+	h := &ctx.Response.Header
+	for _, f := range a.Headers {
+		if forwarded(f.Name) {
+			h.Add(f.Name, f.Value)
+		}
+	}
+	reason := verdict.Complete
+	if a.Status >= fasthttp.StatusInternalServerError {
+		reason = verdict.UpstreamFailed
+	}
+	h.Set(headerVerdict, verdict.Ran.String())
+	h.Set(headerReason, string(reason))
+	ctx.SetStatusCode(a.Status)
+	ctx.SetBody(a.Body)
+}
+
+// requestContext ends when the entry is closed.
+func (e *Entry) requestContext() context.Context { return e.ctx }
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,109 @@
+// Package entry is the daemon that accepts callers' jobs and single requests
+// over HTTP, has them admitted by the control group, and lets the dispatch core
+// place their tasks on the agents.
+package entry
+
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// maxDeadline bounds the deadline that a caller may ask for. Agents keep rows
+// for longer than this.
+const maxDeadline = time.Hour
+
+// Options sets up an entry. Zero values of the bounds and times stand for the
+// defaults of withDefaults.
+type Options struct {
+	Node   ids.Node
+	Region ids.Region
+	Domain ids.Domain
+	// Weight is the size of this entry relative to the others.
+	Weight int
+	// Callers is the address of the callers' HTTP listener.
+	Callers string
+	// Listen is the address for other entries, Advertise the one that is
+	// registered. An empty Advertise stands for the address of the listener.
+	Listen, Advertise string
+	Security          rpc.Security
+	// Counters counts the messages with agents and entries, nil for none.
+	Counters *rpc.Counters
+	// Session opens the session with the control group.
+	Session OpenSession
+	// Scope receives metrics, nil for none.
+	Scope tally.Scope
+	// Seed starts the random choices of the dispatch core.
+	Seed uint64
+
+	// Connections bounds the callers' connections.
+	Connections int
+	// BodyBytes bounds the body of one request of a caller.
+	BodyBytes int
+	// HeaderBytes bounds the header of one request of a caller.
+	HeaderBytes int
+	// ReadTimeout, WriteTimeout and IdleTimeout bound one request, one answer
+	// and the pause between requests on a caller's connection.
+	ReadTimeout, WriteTimeout, IdleTimeout time.Duration
+	// AnswerBytes bounds the memory of the answers kept for callers.
+	AnswerBytes int64
+	// AdmitTimeout bounds the wait for a job's record.
+	AdmitTimeout time.Duration
+	// TickMin is the least time between two ticks of the core.
+	TickMin time.Duration
+	// PingAfter is the silence of an agent with work after which it is asked
+	// whether it lives; SuspectAfter is the wait for its answer.
+	PingAfter, SuspectAfter time.Duration
+}
+
+func (o Options) withDefaults() (Options, error) {
+	if o.Node == "" {
+		return o, errors.New("entry: no node name")
+	}
+	if o.Session == nil {
+		return o, errors.New("entry: no session with the control group")
+	}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	orString(&o.Callers, "127.0.0.1:0")
+	orString(&o.Listen, "127.0.0.1:0")
+	orInt(&o.Weight, 1)
+	orInt(&o.Connections, 4096)
+	orInt(&o.BodyBytes, 2*wire.MaxBodyBytes)
+	orInt(&o.HeaderBytes, 16<<10)
+	if o.AnswerBytes == 0 {
+		o.AnswerBytes = 256 << 20
+	}
+	orTime(&o.ReadTimeout, 10*time.Second)
+	orTime(&o.WriteTimeout, 30*time.Second)
+	orTime(&o.IdleTimeout, time.Minute)
+	orTime(&o.AdmitTimeout, 5*time.Second)
+	orTime(&o.TickMin, 500*time.Microsecond)
+	orTime(&o.PingAfter, 500*time.Millisecond)
+	orTime(&o.SuspectAfter, time.Second)
+	return o, nil
+}
+
+func orInt(v *int, def int) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+func orString(v *string, def string) {
+	if *v == "" {
+		*v = def
+	}
+}
+
+func orTime(v *time.Duration, def time.Duration) {
+	if *v == 0 {
+		*v = def
+	}
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,174 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// peerTimeout bounds a question to another entry beyond the caller's wait.
+	peerTimeout = 2 * time.Second
+	// peerAnswerBytes is the size of the results in one answer to another entry.
+	// Base64 and headers fit into wire.MaxMessageBytes beside it.
+	peerAnswerBytes = 10 << 20
+)
+
+// peers keeps connections to other entries, made when they are needed.
+type peers struct {
+	sec      rpc.Security
+	counters *rpc.Counters
+
+	mu    sync.Mutex
+	conns map[string]*rpc.Conn // by address
+}
+
+func newPeers(sec rpc.Security, counters *rpc.Counters) *peers {
+	return &peers{sec: sec, counters: counters, conns: map[string]*rpc.Conn{}}
+}
+
+func (p *peers) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, c := range p.conns {
+		c.Close()
+		delete(p.conns, addr)
+	}
+}
+
+func (p *peers) conn(ctx context.Context, addr string) (*rpc.Conn, error) {
+	p.mu.Lock()
+	c := p.conns[addr]
+	p.mu.Unlock()
+	if c != nil {
+		return c, nil
+	}
+	c, err := rpc.Dial(ctx, addr, p.sec, nil, p.counters)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if old := p.conns[addr]; old != nil {
+		c.Close()
+		return old, nil
+	}
+	p.conns[addr] = c
+	go p.forget(addr, c)
+	return c, nil
+}
+
+func (p *peers) forget(addr string, c *rpc.Conn) {
+	<-c.Done()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[addr] == c {
+		delete(p.conns, addr)
+	}
+}
+
+func (p *peers) call(ctx context.Context, wait time.Duration, addr, method string, params, result any) *verdict.Error {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	c, err := p.conn(ctx, addr)
+	if err != nil {
+		return verdict.From(err)
+	}
+	return verdict.From(c.Call(ctx, method, params, result))
+}
+
+func (p *peers) state(ctx context.Context, addr string, id ids.Job, wait time.Duration) (wire.JobStatus, *verdict.Error) {
+	var st wire.JobStatus
+	err := p.call(ctx, wait, addr, wire.MethodState, wire.StateQuery{Job: id, WaitMS: wait.Milliseconds()}, &st)
+	return st, err
+}
+
+func (p *peers) cancel(ctx context.Context, addr string, id ids.Job) (wire.JobStatus, *verdict.Error) {
+	var st wire.JobStatus
+	err := p.call(ctx, cancelWait, addr, wire.MethodCancel, wire.JobQuery{Job: id}, &st)
+	return st, err
+}
+
+func (p *peers) bodies(ctx context.Context, addr string, b wire.Bodies) *verdict.Error {
+	return p.call(ctx, 0, addr, wire.MethodBodies, b, nil)
+}
+
+// mux serves the questions of other entries and of operators.
+func (e *Entry) mux() *rpc.Mux {
+	m := rpc.NewMux()
+	m.Concurrent(wire.MethodState, rpc.Handle(e.serveState))
+	m.Concurrent(wire.MethodBodies, rpc.Handle(e.serveBodies))
+	m.Concurrent(wire.MethodCancel, rpc.Handle(e.serveCancel))
+	m.Concurrent(wire.MethodDump, rpc.Handle(func(context.Context, *rpc.Conn, wire.Empty) (any, error) {
+		return e.Dump(), nil
+	}))
+	return m
+}
+
+func (e *Entry) owned(id ids.Job) (*job, error) {
+	if j := e.jobs.get(id); j != nil {
+		return j, nil
+	}
+	return nil, verdict.Refuse(verdict.UnknownJob, "job %d is not at this entry", id)
+}
+
+func (e *Entry) serveState(_ context.Context, _ *rpc.Conn, q wire.StateQuery) (wire.JobStatus, error) {
+	j, err := e.owned(q.Job)
+	if err != nil {
+		return wire.JobStatus{}, err
+	}
+	wait := min(max(time.Duration(q.WaitMS)*time.Millisecond, 0), maxWait)
+	return e.statusFor(j, watch{limit: wait})
+}
+
+func (e *Entry) serveCancel(ctx context.Context, _ *rpc.Conn, q wire.JobQuery) (wire.JobStatus, error) {
+	j, err := e.owned(q.Job)
+	if err != nil {
+		return wire.JobStatus{}, err
+	}
+	j.life.loop.Post(func(now time.Duration) { j.life.core.Cancel(now, q.Job) })
+	return e.statusFor(j, watch{limit: cancelWait})
+}
+
+// statusFor returns a job's state for another entry.
+func (e *Entry) statusFor(j *job, w watch) (wire.JobStatus, error) {
+	st, lost := j.life.await(j, w)
+	if lost != nil {
+		return wire.JobStatus{}, lost
+	}
+	size := 0
+	for _, a := range st.Results {
+		size += len(a.Body) + answerOverhead
+	}
+	if size > peerAnswerBytes {
+		st.Results, st.Reason = nil, verdict.AnswerExpired
+		st.Detail = "the answer is too large for another entry; ask the owner"
+	}
+	return st, nil
+}
+
+// serveBodies takes in the bodies of a job that this entry owns. The sender has
+// checked their hash; it is checked again, because a wrong body would run.
+func (e *Entry) serveBodies(ctx context.Context, _ *rpc.Conn, b wire.Bodies) (wire.Empty, error) {
+	l := e.life.Load()
+	rec, err := l.lookUp(ctx, b.Job)
+	if err != nil {
+		return wire.Empty{}, err
+	}
+	s := submission{Team: rec.Team, Service: rec.Service, Tasks: b.Tasks, Deadline: wire.DefaultDeadline}
+	s.BodyHash = hashTasks(rec.Service, b.Tasks)
+	switch {
+	case rec.Owner != l.self:
+		return wire.Empty{}, verdict.Refuse(verdict.UnknownJob, "job %d has another owner", b.Job)
+	case s.BodyHash != rec.BodyHash:
+		return wire.Empty{}, verdict.Refuse(verdict.KeyReuse, "job %d has another body", b.Job)
+	case rec.State == wire.JobOpen:
+		l.supply(rec, s, l.loop.Now())
+	}
+	return wire.Empty{}, nil
+}
--- a/entry/reply.go
+++ b/entry/reply.go
@@ -99,15 +99,15 @@
 
 // jobReply is the JSON of a job's state or answer.
 type jobReply struct {
-	ID       ids.Job         `json:"id"`
-	Location string          `json:"location"`
-	State    wire.JobState   `json:"state"`
+	ID       ids.Job       `json:"id"`
+	Location string        `json:"location"`
+	State    wire.JobState `json:"state"`
 	// Verdict is nil while the job is open.
-	Verdict  *verdict.Verdict `json:"verdict,omitempty"`
-	Reason   verdict.Reason  `json:"reason,omitempty"`
-	Detail   string          `json:"detail,omitempty"`
-	Tasks    int             `json:"tasks"`
-	Done     int             `json:"done"`
+	Verdict *verdict.Verdict `json:"verdict,omitempty"`
+	Reason  verdict.Reason   `json:"reason,omitempty"`
+	Detail  string           `json:"detail,omitempty"`
+	Tasks   int              `json:"tasks"`
+	Done    int              `json:"done"`
 	// NeedBodies asks the caller to submit the job again under the same key.
 	NeedBodies bool         `json:"need_bodies,omitempty"`
 	Results    []taskResult `json:"results,omitempty"`
--- /dev/null
+++ b/entry/session.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// Session is what an entry needs of a member.Session.
+type Session interface {
+	Incarnation() ids.Incarnation
+	View() *member.View
+	// Changes receives a value after the view has changed.
+	Changes() <-chan struct{}
+	// Gone is closed when the incarnation has ended.
+	Gone() <-chan struct{}
+	// Current reports whether the view is current enough for new work.
+	Current(now time.Time) bool
+	SetDraining(d bool)
+	// Admit asks for the record of a job. An error has verdict not-run.
+	Admit(ctx context.Context, item wire.AdmitItem) (wire.AdmitResult, error)
+	// Complete records the end of a job. It may be repeated.
+	Complete(ctx context.Context, item wire.CompleteItem) error
+	// Job returns the record of a job.
+	Job(ctx context.Context, job ids.Job) (wire.JobRecord, error)
+	Leave(ctx context.Context) error
+	Close()
+}
+
+// OpenSession registers an incarnation. It retries until ctx ends.
+type OpenSession func(ctx context.Context, self wire.Registration) (Session, error)
+
+// ControlGroup opens sessions with the control nodes at the given addresses.
+func ControlGroup(servers []string, sec rpc.Security, counters *rpc.Counters) OpenSession {
+	return func(ctx context.Context, self wire.Registration) (Session, error) {
+		s, err := member.Open(ctx, member.Options{Servers: servers, Security: sec, Self: self, Counters: counters})
+		if err != nil {
+			return nil, err
+		}
+		return s, nil
+	}
+}
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -187,8 +187,8 @@
 }
 
 // hashTasks returns the SHA-256 of a canonical form of what the caller wants
-// run. The deadline and the declared run time are left out, since a
-// resubmission may state others.
+// run. The deadline, the declared run time and headers other than Content-Type
+// are left out, since a resubmission may state others.
 func hashTasks(service ids.Service, tasks []wire.TaskSpec) string {
 	h := sha256.New()
 	enc := json.NewEncoder(h)
@@ -196,7 +196,9 @@
 	for _, t := range tasks {
 		_ = enc.Encode([]string{t.Method, t.Path})
 		for _, f := range t.Headers {
-			_ = enc.Encode([]string{f.Name, f.Value})
+			if strings.EqualFold(f.Name, "Content-Type") {
+				_ = enc.Encode(f.Value)
+			}
 		}
 		body := canonical(t.Body)
 		_ = enc.Encode(len(body))
--- /dev/null
+++ b/entry/submit.go
@@ -0,0 +1,322 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/baobabshore/baobabshore/dispatch"
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// submit admits a job and returns its state, after the caller's wait.
+func (l *life) submit(ctx context.Context, s submission, w watch) (wire.JobStatus, *verdict.Error) {
+	arrived := l.loop.Now()
+	if err := l.precheck(s, arrived); err != nil {
+		l.entry.metrics.refused.Inc(1)
+		return wire.JobStatus{}, err
+	}
+	actx, cancel := context.WithTimeout(ctx, min(l.entry.opts.AdmitTimeout, s.Deadline))
+	defer cancel()
+	r, err := l.session.Admit(actx, wire.AdmitItem{
+		Team: s.Team, Service: s.Service, Key: s.Key, KeyTime: s.KeyTime,
+		BodyHash: s.BodyHash, Tasks: len(s.Tasks),
+	})
+	switch {
+	case err != nil:
+		return wire.JobStatus{}, verdict.From(err)
+	case r.Err != nil:
+		l.entry.metrics.refused.Inc(1)
+		return wire.JobStatus{}, r.Err
+	case r.Duplicate != nil:
+		return l.duplicate(ctx, *r.Duplicate, s, arrived, w)
+	case r.Admitted == nil:
+		return wire.JobStatus{}, verdict.Refuse(verdict.Internal, "the control group gave no result")
+	}
+	j := l.begin(*r.Admitted, s, arrived)
+	return l.await(j, w)
+}
+
+// precheck refuses what need not be recorded first.
+func (l *life) precheck(s submission, arrived time.Duration) *verdict.Error {
+	if err := l.entry.refusal(l); err != nil {
+		return err
+	}
+	var refused *verdict.Error
+	ok := l.loop.Call(func(now time.Duration) {
+		l.core.SetCurrent(l.session.Current(time.Now()))
+		refused = l.core.Admit(now, s.spec(arrived))
+	})
+	if !ok {
+		return verdict.Refuse(verdict.Stale, "the entry is registering again")
+	}
+	return refused
+}
+
+func (s submission) spec(arrived time.Duration) dispatch.JobSpec {
+	return dispatch.JobSpec{
+		Team: s.Team, Service: s.Service, Tasks: len(s.Tasks),
+		RunTime: s.RunTime, Deadline: arrived + s.Deadline,
+	}
+}
+
+// begin starts an admitted job, once.
+func (l *life) begin(own wire.Ownership, s submission, arrived time.Duration) *job {
+	rec := wire.JobRecord{Team: s.Team, Service: s.Service, Tasks: len(s.Tasks), BodyHash: s.BodyHash}
+	j, added := l.addJob(rec, own)
+	if added {
+		l.loop.Post(func(now time.Duration) {
+			l.core.Submit(now, dispatch.Job{JobSpec: s.spec(arrived), ID: own.Job, Epoch: own.Epoch, Specs: s.Tasks})
+		})
+	}
+	return j
+}
+
+// duplicate answers a resubmission with the state of the first submission, and
+// hands over the bodies if the owner lacks them.
+func (l *life) duplicate(ctx context.Context, rec wire.JobRecord, s submission, arrived time.Duration, w watch) (wire.JobStatus, *verdict.Error) {
+	if rec.BodyHash != s.BodyHash || rec.Tasks != len(s.Tasks) || rec.Service != s.Service {
+		return wire.JobStatus{}, verdict.Refuse(verdict.KeyReuse, "the key belongs to job %d, which has another body", rec.Job)
+	}
+	if rec.State != wire.JobOpen {
+		return l.stateOf(ctx, rec, w)
+	}
+	if rec.Owner == l.self {
+		l.supply(rec, s, arrived)
+		return l.stateOf(ctx, rec, w)
+	}
+	owner, ok := l.session.View().Member(rec.Owner)
+	if !ok || !owner.Live() {
+		return openState(rec), nil
+	}
+	st, err := l.entry.peers.state(ctx, owner.Addr, rec.Job, 0)
+	if err == nil && !st.NeedBodies {
+		return l.stateOf(ctx, rec, w)
+	}
+	if err != nil && err.Reason != verdict.UnknownJob {
+		return openState(rec), nil // the owner can't be asked now
+	}
+	if err := l.entry.peers.bodies(ctx, owner.Addr, wire.Bodies{Job: rec.Job, Tasks: s.Tasks}); err != nil {
+		return openState(rec), nil // the caller may submit again
+	}
+	return l.stateOf(ctx, rec, w)
+}
+
+// supply gives this entry the bodies of a job that it owns. A job of the first
+// epoch that is not in the table was recorded by an admission whose reply was
+// lost; nothing of it has started.
+func (l *life) supply(rec wire.JobRecord, s submission, arrived time.Duration) {
+	own := wire.Ownership{Job: rec.Job, Epoch: rec.Epoch}
+	if l.entry.jobs.get(rec.Job) == nil && rec.Epoch == 1 {
+		l.begin(own, s, arrived)
+		return
+	}
+	l.loop.Post(func(now time.Duration) {
+		if rec.Epoch > 1 {
+			l.takeOver(now, wire.Assigned{Ownership: own, Record: rec})
+		}
+		l.core.Bodies(now, rec.Job, s.Tasks)
+	})
+}
+
+// state returns the state of any job, after the caller's wait.
+func (l *life) state(ctx context.Context, id ids.Job, w watch) (wire.JobStatus, *verdict.Error) {
+	if j := l.entry.jobs.get(id); j != nil {
+		return l.await(j, w)
+	}
+	rec, err := l.lookUp(ctx, id)
+	if err != nil {
+		return wire.JobStatus{}, err
+	}
+	return l.stateOf(ctx, rec, w)
+}
+
+// lookUp reads the record of a job from the control group.
+func (l *life) lookUp(ctx context.Context, id ids.Job) (wire.JobRecord, *verdict.Error) {
+	ctx, cancel := context.WithTimeout(ctx, l.entry.opts.AdmitTimeout)
+	defer cancel()
+	rec, err := l.session.Job(ctx, id)
+	if err != nil {
+		return rec, verdict.From(err)
+	}
+	return rec, nil
+}
+
+// stateOf returns the state of a recorded job from its owner.
+func (l *life) stateOf(ctx context.Context, rec wire.JobRecord, w watch) (wire.JobStatus, *verdict.Error) {
+	if j := l.entry.jobs.get(rec.Job); j != nil {
+		return l.await(j, w)
+	}
+	owner, ok := l.session.View().Member(rec.Owner)
+	if rec.Owner == l.self || !ok || !owner.Live() {
+		return withoutOwner(rec), nil
+	}
+	st, err := l.entry.peers.state(ctx, owner.Addr, rec.Job, w.limit)
+	if err != nil {
+		return withoutOwner(rec), nil
+	}
+	return st, nil
+}
+
+// withoutOwner is the state of a job whose owner can't be asked. An ended job
+// has lost its answer with the owner.
+func withoutOwner(rec wire.JobRecord) wire.JobStatus {
+	st := openState(rec)
+	if rec.State == wire.JobOpen {
+		return st
+	}
+	st.Verdict, st.Reason = rec.Verdict, rec.Reason
+	if rec.State == wire.JobComplete {
+		st.Reason = verdict.AnswerExpired
+	}
+	return st
+}
+
+func openState(rec wire.JobRecord) wire.JobStatus {
+	return wire.JobStatus{Job: rec.Job, State: rec.State, Tasks: rec.Tasks}
+}
+
+// await waits for a job of this entry. A caller that leaves does not end it.
+func (l *life) await(j *job, w watch) (wire.JobStatus, *verdict.Error) {
+	how := w.wait(j.done, l.entry.ctx.Done())
+	st, lost := l.entry.jobs.state(j)
+	if lost != nil {
+		return st, lost
+	}
+	if st.State != wire.JobOpen {
+		return st, nil
+	}
+	if how == waitStop {
+		return st, verdict.Unknown(verdict.Draining, "the entry is stopping; ask for job %d again", j.id)
+	}
+	j.life.loop.Call(func(time.Duration) {
+		if p, ok := j.life.core.Progress(j.id); ok {
+			st.Done, st.NeedBodies = p.Done, p.NeedBodies
+		}
+	})
+	return st, nil
+}
+
+// cancelWait bounds the wait for the outcome of a cancellation.
+const cancelWait = 2 * time.Second
+
+// cancelJob ends a job that nobody needs any more and returns its state.
+func (l *life) cancelJob(ctx context.Context, id ids.Job, w watch) (wire.JobStatus, *verdict.Error) {
+	if j := l.entry.jobs.get(id); j != nil {
+		j.life.loop.Post(func(now time.Duration) { j.life.core.Cancel(now, id) })
+		return l.await(j, w)
+	}
+	rec, err := l.lookUp(ctx, id)
+	if err != nil {
+		return wire.JobStatus{}, err
+	}
+	owner, ok := l.session.View().Member(rec.Owner)
+	if rec.State != wire.JobOpen || rec.Owner == l.self || !ok || !owner.Live() {
+		return l.stateOf(ctx, rec, w)
+	}
+	st, err := l.entry.peers.cancel(ctx, owner.Addr, id)
+	if err != nil {
+		return withoutOwner(rec), nil
+	}
+	return st, nil
+}
+
+// keyed runs a single request with a key as a job of one task.
+func (l *life) keyed(ctx context.Context, s submission, w watch) (wire.Answer, *verdict.Error) {
+	begin := time.Now()
+	st, err := l.submit(ctx, s, w)
+	if err == nil {
+		err = failureOf(st)
+	}
+	if err != nil {
+		l.entry.metrics.requestEnded(err.Verdict, time.Since(begin))
+		return wire.Answer{}, err
+	}
+	l.entry.metrics.requestEnded(verdict.Ran, time.Since(begin))
+	return st.Results[0], nil
+}
+
+// failureOf returns why a job of one task has no answer, or nil.
+func failureOf(st wire.JobStatus) *verdict.Error {
+	switch {
+	case st.State == wire.JobOpen:
+		return verdict.Unknown(verdict.DeadlinePassed, "job %d has not ended in time; ask for it by its id", st.Job)
+	case st.State == wire.JobComplete && len(st.Results) == 1:
+		return nil
+	}
+	return &verdict.Error{Verdict: st.Verdict, Reason: st.Reason, Detail: st.Detail}
+}
+
+// single runs a request without a key. Nothing of it is left when its caller
+// has gone.
+func (l *life) single(s single, w watch) (wire.Answer, *verdict.Error) {
+	begin := time.Now()
+	a, err := l.runSingle(s, w)
+	v := verdict.Ran
+	if err != nil {
+		v = err.Verdict
+	}
+	l.entry.metrics.requestEnded(v, time.Since(begin))
+	return a, err
+}
+
+func (l *life) runSingle(s single, w watch) (wire.Answer, *verdict.Error) {
+	if err := l.entry.refusal(l); err != nil {
+		return wire.Answer{}, err
+	}
+	r, err := l.request(s)
+	if err != nil {
+		return wire.Answer{}, err
+	}
+	// The core ends the request at its deadline, so this wait only bounds a fault.
+	w.limit += l.entry.opts.SuspectAfter
+	switch w.wait(r.done, l.entry.ctx.Done()) {
+	case waitDone:
+	case waitLimit:
+		l.abort(r)
+		return wire.Answer{}, verdict.Unknown(verdict.DeadlinePassed, "no answer before the deadline")
+	default:
+		l.abort(r)
+		return wire.Answer{}, verdict.Unknown(verdict.Canceled, "nobody waits for the request any more")
+	}
+	switch {
+	case r.lost != nil:
+		return wire.Answer{}, r.lost
+	case r.out.Err != nil:
+		return wire.Answer{}, r.out.Err
+	case len(r.out.Results) != 1:
+		return wire.Answer{}, verdict.Unknown(verdict.Internal, "%d answers to a single request", len(r.out.Results))
+	}
+	return r.out.Results[0], nil
+}
+
+// request passes a single request to the core.
+func (l *life) request(s single) (*request, *verdict.Error) {
+	r := &request{key: ids.RequestOf(l.self, l.seq.Add(1)), done: make(chan struct{})}
+	var refused *verdict.Error
+	ok := l.loop.Call(func(now time.Duration) {
+		l.core.SetCurrent(l.session.Current(time.Now()))
+		refused = l.core.Request(now, dispatch.Request{
+			Key: r.key, Team: s.Team, Service: s.Service, Spec: s.Tasks[0],
+			Idempotent: s.Idempotent, Deadline: now + s.Deadline,
+		})
+		if refused == nil {
+			l.requests[r.key] = r
+		}
+	})
+	if !ok {
+		return nil, verdict.Refuse(verdict.Stale, "the entry is registering again")
+	}
+	return r, refused
+}
+
+// abort forgets a request whose caller has gone.
+func (l *life) abort(r *request) {
+	l.loop.Post(func(now time.Duration) {
+		if l.requests[r.key] == r {
+			delete(l.requests, r.key)
+			l.core.Abort(now, r.key)
+		}
+	})
+}
