executor: decide starts, fencing, credit and answers of an agent

Start.Try, Answer.Try and Recall.Try let an agent accept a later placement of a task that it refused before and tell it from a delayed copy of the start. Report.Held lets an entry separate its own tasks from those of other entries.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -27,7 +27,7 @@
 	JobSpec
 	ID    ids.Job
 	Epoch ids.Epoch
-	// Tasks bodies in order. Nil for a takeover, until Bodies supplies them.
+	// Specs holds the task bodies in order. Nil for a takeover, until Bodies supplies them.
 	Specs []wire.TaskSpec
 	// Takeover is set when the job comes from a former owner. The core then
 	// claims it at every incarnation that could hold rows of it before it
--- /dev/null
+++ b/executor/credit.go
@@ -0,0 +1,81 @@
+package executor
+
+import "time"
+
+// shareCredit computes how many tasks each connected entry may hold. Slots and
+// look-ahead are divided by need (held and waiting tasks), smallest need first.
+// What nobody needs is granted to all, so that an idle entry can start at once.
+// Each entry keeps at least one unit, or it could never show its demand.
+func (c *Core) shareCredit() {
+	for _, s := range c.order {
+		s.credit = 0
+	}
+	if c.draining || c.down || c.limit() == 0 {
+		return
+	}
+	left := c.limit() + c.cfg.LookAhead
+	entries := c.connectedEntries()
+	pending := entries
+	for len(pending) > 0 {
+		share := max(left/len(pending), 1)
+		var unmet []*session
+		met := 0
+		for _, s := range pending {
+			if need := s.holding + s.demand; need <= share {
+				s.credit = need
+				met += need
+				continue
+			}
+			unmet = append(unmet, s)
+		}
+		left -= met
+		if len(unmet) == len(pending) {
+			c.shareEqually(unmet, left)
+			left = 0
+			break
+		}
+		pending = unmet
+	}
+	for _, s := range entries {
+		s.credit = max(s.credit+max(left, 0), 1)
+	}
+}
+
+// shareEqually gives each entry the same part of left, the rest to the first ones.
+func (c *Core) shareEqually(entries []*session, left int) {
+	left = max(left, 0)
+	for i, s := range entries {
+		s.credit = left / len(entries)
+		if i < left%len(entries) {
+			s.credit++
+		}
+	}
+}
+
+// connectedEntries lists the entries that can hold tasks.
+func (c *Core) connectedEntries() []*session {
+	var list []*session
+	for _, s := range c.order {
+		if s.connected && c.live[s.entry] {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// worthReporting tells whether a report must go out. A change of credit alone
+// is reported when it opens or closes the upstream to the entry.
+func (c *Core) worthReporting(now time.Duration, s *session) bool {
+	if s.due || len(s.answers)+len(s.extra)+len(s.started) > 0 {
+		return true
+	}
+	if s.reportedD != c.draining || s.reportedX != c.down {
+		return true
+	}
+	if s.credit == s.granted {
+		return false
+	}
+	wasOpen := s.granted > s.holding+c.cfg.LookAhead
+	isOpen := s.credit > s.holding+c.cfg.LookAhead
+	return wasOpen != isOpen
+}
--- a/wire/task.go
+++ b/wire/task.go
@@ -44,22 +44,32 @@
 type Start struct {
 	Key ids.TaskKey `json:"k"`
 	// Epoch of the owner, zero for a single request.
-	Epoch   ids.Epoch `json:"ep,omitempty"`
-	Method  string    `json:"m"`
-	Path    string    `json:"p"`
-	Headers []Header  `json:"h,omitempty"`
-	Body    []byte    `json:"b,omitempty"`
+	Epoch ids.Epoch `json:"ep,omitempty"`
+	// Try numbers the placements of the task by its owner, from 1. An agent that
+	// has refused or returned a try accepts only a later one, so a delayed copy
+	// of the start can't run.
+	Try     uint32   `json:"y,omitempty"`
+	Method  string   `json:"m"`
+	Path    string   `json:"p"`
+	Headers []Header `json:"h,omitempty"`
+	Body    []byte   `json:"b,omitempty"`
 	// BudgetMS is the time left for the task when the message was sent. The
 	// agent refuses the task when it can't start within it.
 	BudgetMS int64 `json:"t"`
 }
 
+// Recall names one try of a task that the entry takes back.
+type Recall struct {
+	Key ids.TaskKey `json:"k"`
+	Try uint32      `json:"y,omitempty"`
+}
+
 // Exchange is the message of an entry to an agent.
 type Exchange struct {
 	Entry  ids.Incarnation `json:"e"`
 	Starts []Start         `json:"s,omitempty"`
 	// Recalls takes back tasks that have not started.
-	Recalls []ids.TaskKey `json:"r,omitempty"`
+	Recalls []Recall `json:"r,omitempty"`
 	// Cancels drops the unstarted tasks of jobs and aborts the started ones.
 	Cancels []Ownership `json:"c,omitempty"`
 	// Aborts ends single requests whose answer nobody waits for any more.
@@ -75,7 +85,10 @@
 
 // Answer is the end of a task at an agent.
 type Answer struct {
-	Key     ids.TaskKey     `json:"k"`
+	Key ids.TaskKey `json:"k"`
+	// Try is the try of the start that is answered. It keeps a repeated refusal
+	// of an earlier try apart from the answer to a later one.
+	Try     uint32          `json:"y,omitempty"`
 	Verdict verdict.Verdict `json:"v"`
 	Reason  verdict.Reason  `json:"r,omitempty"`
 	Status  int             `json:"s,omitempty"` // HTTP status of the upstream, zero if there was none
@@ -96,7 +109,9 @@
 	Started []ids.TaskKey `json:"s,omitempty"`
 	// Credit is how many tasks of this entry the agent holds at once at most,
 	// queued and running together.
-	Credit   int  `json:"c"`
+	Credit int `json:"c"`
+	// Held is how many tasks of this entry are queued or running there now.
+	Held     int  `json:"h,omitempty"`
 	Running  int  `json:"n"` // tasks running for all entries
 	Queued   int  `json:"q"` // tasks queued for all entries
 	Draining bool `json:"d,omitempty"`
