--- /dev/null
+++ b/dispatch/admission.go
@@ -0,0 +1,155 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/baobabshore/baobabshore/verdict"
+)
+
+const (
+	// minRetryAfter and maxRetryAfter bound the delay given with a refusal.
+	minRetryAfter = 200 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+	// noUpstreamRetry is a little above the time that an agent takes to
+	// register and to appear in the view.
+	noUpstreamRetry = 2 * time.Second
+	// learntAfter is the number of answers after which a service's learnt run
+	// time is preferred to a declared one.
+	learntAfter = 20
+	// declaredError is the factor by which declared run times may be wrong.
+	declaredError = 10
+)
+
+// Admit decides whether a job can be taken in, before it has a record. It
+// changes nothing. A refusal has verdict not-run.
+func (c *Core) Admit(now time.Duration, s JobSpec) *verdict.Error {
+	if err := c.feasible(now, s); err != nil {
+		return err
+	}
+	if !c.current {
+		return verdict.Refuse(verdict.Stale, "the view is not confirmed as current").After(minRetryAfter * 5)
+	}
+	svc := c.services[s.Service]
+	if svc.capacity() <= 0 {
+		return verdict.Refuse(verdict.NoUpstream, "no upstream of service %s is usable now", s.Service).After(noUpstreamRetry)
+	}
+	if err := c.withinTeamLimit(svc, s); err != nil {
+		return err
+	}
+	return c.meetsDeadline(now, svc, s)
+}
+
+// feasible checks what waiting can't change and names the constraint.
+func (c *Core) feasible(now time.Duration, s JobSpec) *verdict.Error {
+	cfg, ok := c.cfg.Services[s.Service]
+	if !ok {
+		return verdict.Refuse(verdict.UnknownService, "service %q is not configured", s.Service)
+	}
+	if _, ok := c.cfg.Teams[s.Team]; !ok {
+		return verdict.Refuse(verdict.UnknownTeam, "team %q is not configured", s.Team)
+	}
+	budget := s.Deadline - now
+	switch {
+	case s.Tasks > maxTasks:
+		return verdict.Refuse(verdict.Infeasible, "%d tasks exceed the maximum of %d for a job", s.Tasks, maxTasks)
+	case c.cfg.MaxDeadline > 0 && budget > c.cfg.MaxDeadline:
+		return verdict.Refuse(verdict.Infeasible, "the deadline in %v exceeds the maximum of %v", budget, c.cfg.MaxDeadline)
+	case min(cfg.Slots, cfg.Connections) <= 0:
+		return verdict.Refuse(verdict.Infeasible, "service %q has no configured capacity", s.Service)
+	case c.cfg.Teams[s.Team].MaxQueued > 0 && s.Tasks > c.cfg.Teams[s.Team].MaxQueued:
+		return verdict.Refuse(verdict.Infeasible, "%d tasks exceed the maximum of %d queued tasks of team %q",
+			s.Tasks, c.cfg.Teams[s.Team].MaxQueued, s.Team)
+	case budget <= 0:
+		return verdict.Refuse(verdict.DeadlinePassed, "the deadline passed %v ago", -budget)
+	case cfg.Timeout > 0 && s.RunTime > declaredError*cfg.Timeout:
+		return verdict.Refuse(verdict.Infeasible, "the declared run time %v exceeds the timeout %v of service %q",
+			s.RunTime, cfg.Timeout, s.Service)
+	}
+	return nil
+}
+
+// withinTeamLimit checks the team's limit of waiting tasks.
+func (c *Core) withinTeamLimit(svc *service, s JobSpec) *verdict.Error {
+	limit := c.cfg.Teams[s.Team].MaxQueued
+	t := svc.fair.teams[s.Team]
+	if limit <= 0 || t == nil || t.waiting+s.Tasks <= limit {
+		return nil
+	}
+	over := float64(t.waiting + s.Tasks - limit)
+	wait := seconds(over * svc.taskWork(s.RunTime) / svc.capacity())
+	return verdict.Refuse(verdict.OverQuota, "team %q has %d of %d tasks queued", s.Team, t.waiting, limit).
+		After(clampRetry(wait))
+}
+
+// meetsDeadline estimates when the job would be served under fair sharing.
+func (c *Core) meetsDeadline(now time.Duration, svc *service, s JobSpec) *verdict.Error {
+	work := svc.taskWork(s.RunTime)
+	if work <= 0 {
+		return nil
+	}
+	own := seconds(float64(s.Tasks) * work / svc.capacity())
+	wait := seconds(svc.expectedAhead(c.cfg, s) * work / svc.capacity())
+	single := seconds(work * svc.meanSlowness())
+	late := now + wait + max(own, single) - s.Deadline
+	if late > 0 {
+		return verdict.Refuse(verdict.Overloaded, "the answer is expected %v after the deadline", late).
+			After(clampRetry(late))
+	}
+	// A job that is long by itself may wait in proportion.
+	limit := max(c.cfg.MaxWait, own)
+	if wait > limit {
+		return verdict.Refuse(verdict.Overloaded, "the expected wait of %v exceeds %v", wait, limit).
+			After(clampRetry(wait - limit))
+	}
+	return nil
+}
+
+// expectedAhead returns how many tasks are served before the last task of a new
+// job: what fair sharing among all jobs gives, or what the team's quota
+// guarantees, whichever is less.
+func (s *service) expectedAhead(cfg Config, spec JobSpec) float64 {
+	quota := max(cfg.Teams[spec.Team].Quota, 1)
+	t := s.fair.teams[spec.Team]
+	own, others, quotas := 0, 0, quota
+	if t != nil {
+		own = t.sizes.ahead(spec.Tasks)
+		others = -t.waiting
+		if t.pos >= 0 {
+			quotas = 0
+		}
+	}
+	others += s.fair.waiting
+	quotas += s.fair.quotas
+	guaranteed := float64(own+spec.Tasks)*float64(quotas)/float64(quota) - float64(spec.Tasks)
+	return min(float64(own+others), guaranteed)
+}
+
+// taskWork returns the expected run time of a task on an upstream of slowness
+// 1, in seconds, zero if unknown.
+func (s *service) taskWork(declared time.Duration) float64 {
+	if s.work.n >= learntAfter || declared == 0 {
+		return s.work.mean
+	}
+	return declared.Seconds() / declaredError
+}
+
+// capacity returns the work that the usable upstreams do for this entry each second.
+func (s *service) capacity() float64 { return s.usable.total() }
+
+// meanSlowness returns the slowness of a typical slot.
+func (s *service) meanSlowness() float64 {
+	if s.usable.total() <= 0 || s.slots <= 0 {
+		return 1
+	}
+	return float64(s.slots) / s.usable.total()
+}
+
+// clampRetry bounds a retry delay.
+func clampRetry(d time.Duration) time.Duration {
+	return min(max(d, minRetryAfter), maxRetryAfter)
+}
+
+// seconds converts to a duration, up to a day.
+func seconds(s float64) time.Duration {
+	return time.Duration(min(s, 86400) * float64(time.Second))
+}
--- /dev/null
+++ b/dispatch/dump.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+)
+
+// Messages counts messages to and from agents. The unit is one start, recall,
+// answer and so on; Envelopes counts the messages on the wire that carry them.
+type Messages struct {
+	Envelopes uint64 `json:"envelopes"`
+	Starts    uint64 `json:"starts"`
+	Answers   uint64 `json:"answers"`
+	Recalls   uint64 `json:"recalls"`
+	Resends   uint64 `json:"resends"`
+	Claims    uint64 `json:"claims"`
+	Retries   uint64 `json:"retries"`
+	Hedges    uint64 `json:"hedges"`
+	// Wasted messages by cause.
+	WastedNoCredit  uint64 `json:"wasted_no_credit"`
+	WastedRefused   uint64 `json:"wasted_refused"`
+	WastedRecalled  uint64 `json:"wasted_recalled"`
+	WastedHedge     uint64 `json:"wasted_hedge"`
+	WastedCanceled  uint64 `json:"wasted_canceled"`
+	WastedUnmatched uint64 `json:"wasted_unmatched"`
+}
+
+// Sent is the number of starts, answers, recalls and resends.
+func (m Messages) Sent() uint64 { return m.Starts + m.Answers + m.Recalls + m.Resends }
+
+// Wasted is the number of messages that did not contribute to an answer. A
+// refused, recalled or abandoned start wastes the start and its answer.
+func (m Messages) Wasted() uint64 {
+	pairs := m.WastedNoCredit + m.WastedRefused + m.WastedRecalled + m.WastedHedge + m.WastedCanceled
+	return 2*pairs + m.Recalls + m.Resends + m.WastedUnmatched
+}
+
+// Useful is the number of messages that contributed to an answer.
+func (m Messages) Useful() uint64 { return m.Sent() - min(m.Wasted(), m.Sent()) }
+
+// Messages returns the counters since New.
+func (c *Core) Messages() Messages { return c.msgs }
+
+// Decision is one recent decision with its reason.
+type Decision struct {
+	At       time.Duration   `json:"at"`
+	Kind     string          `json:"kind"`
+	Upstream ids.Incarnation `json:"upstream,omitempty"`
+	Key      ids.TaskKey     `json:"key"`
+	Reason   string          `json:"reason,omitempty"`
+}
+
+// ringSize is the number of decisions kept for dumps.
+const ringSize = 256
+
+// decisionRing keeps the most recent decisions.
+type decisionRing struct {
+	items [ringSize]Decision
+	next  int
+	full  bool
+}
+
+// decide records a decision.
+func (c *Core) decide(now time.Duration, kind string, up ids.Incarnation, key ids.TaskKey, reason string) {
+	r := &c.ring
+	r.items[r.next] = Decision{At: now, Kind: kind, Upstream: up, Key: key, Reason: reason}
+	r.next++
+	if r.next == ringSize {
+		r.next, r.full = 0, true
+	}
+}
+
+// list returns the decisions, oldest first.
+func (r *decisionRing) list() []Decision {
+	var out []Decision
+	if r.full {
+		out = append(out, r.items[r.next:]...)
+	}
+	return append(out, r.items[:r.next]...)
+}
+
+// UpstreamDump is the table row of an upstream.
+type UpstreamDump struct {
+	Incarnation ids.Incarnation `json:"incarnation"`
+	Node        ids.Node        `json:"node"`
+	Service     ids.Service     `json:"service"`
+	Health      Health          `json:"health"`
+	Connected   bool            `json:"connected"`
+	Gone        bool            `json:"gone,omitempty"`
+	Draining    bool            `json:"draining,omitempty"`
+	Down        bool            `json:"down,omitempty"`
+	Credit      int             `json:"credit"`
+	Held        int             `json:"held"`
+	Others      int             `json:"others"`
+	Slowness    float64         `json:"slowness"`
+	FailRate    float64         `json:"fail_rate"`
+}
+
+// ServiceDump is the table row of a service.
+type ServiceDump struct {
+	Name     ids.Service `json:"name"`
+	Waiting  int         `json:"waiting"`
+	Work     float64     `json:"work_s"`
+	Capacity float64     `json:"capacity"`
+}
+
+// JobDump is the table row of an open job or single request.
+type JobDump struct {
+	Job        ids.Job     `json:"job,omitempty"`
+	Request    ids.TaskKey `json:"request"`
+	Epoch      ids.Epoch   `json:"epoch,omitempty"`
+	Team       ids.Team    `json:"team"`
+	Tasks      int         `json:"tasks"`
+	Done       int         `json:"done"`
+	Waiting    int         `json:"waiting"`
+	Sent       int         `json:"sent"`
+	NeedBodies bool        `json:"need_bodies,omitempty"`
+}
+
+// Dump holds the tables and the recent decisions.
+type Dump struct {
+	Current   bool           `json:"current"`
+	Services  []ServiceDump  `json:"services"`
+	Upstreams []UpstreamDump `json:"upstreams"`
+	Jobs      []JobDump      `json:"jobs"`
+	Messages  Messages       `json:"messages"`
+	Retry     float64        `json:"retry_tokens"`
+	Recent    []Decision     `json:"recent"`
+}
+
+// Dump returns a copy of the tables.
+func (c *Core) Dump() Dump {
+	d := Dump{Current: c.current, Messages: c.msgs, Retry: c.tokens, Recent: c.ring.list()}
+	for _, s := range c.svcOrder {
+		d.Services = append(d.Services, ServiceDump{
+			Name: s.name, Waiting: s.fair.waiting, Work: s.work.mean, Capacity: s.capacity(),
+		})
+	}
+	for _, u := range c.upOrder {
+		d.Upstreams = append(d.Upstreams, u.dump())
+	}
+	for _, j := range c.sortedJobs() {
+		d.Jobs = append(d.Jobs, j.dump())
+	}
+	return d
+}
+
+// dump copies the row of an upstream.
+func (u *upstream) dump() UpstreamDump {
+	return UpstreamDump{
+		Incarnation: u.inc, Node: u.member.Node, Service: u.svc.name, Health: u.health,
+		Connected: u.connected, Gone: u.gone, Draining: u.draining, Down: u.down,
+		Credit: u.credit, Held: u.held, Others: u.others, Slowness: u.slow, FailRate: u.failRate,
+	}
+}
+
+// dump copies the row of a job.
+func (j *job) dump() JobDump {
+	return JobDump{
+		Job: j.id, Request: j.key, Epoch: j.epoch, Team: j.team, Tasks: len(j.tasks), Done: j.done,
+		Waiting: j.waiting, Sent: j.sent, NeedBodies: j.takeover != nil && j.takeover.needBodies,
+	}
+}
--- /dev/null
+++ b/dispatch/index.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"math"
+	"math/bits"
+)
+
+const (
+	// bucketCount and bucketsPerOctave cover a range of 2^16 in cost at a
+	// resolution of 4.4 %, finer than the error of a learnt speed.
+	bucketCount      = 256
+	bucketsPerOctave = 16
+	bucketOrigin     = bucketCount / 2
+)
+
+// bucketOf returns the bucket of a cost given as a natural logarithm.
+func bucketOf(logCost float64) int {
+	b := bucketOrigin + int(math.Round(logCost/math.Ln2*bucketsPerOctave))
+	return min(max(b, 0), bucketCount-1)
+}
+
+// bucketIndex finds the upstreams of least cost in constant time.
+type bucketIndex struct {
+	bits  [bucketCount / 64]uint64
+	lists [bucketCount][]*upstream
+	size  int
+}
+
+// place is the position of an upstream in an index.
+type place struct {
+	bucket int
+	pos    int
+	in     bool
+}
+
+// add puts u into a bucket.
+func (x *bucketIndex) add(u *upstream, at *place, bucket int) {
+	*at = place{bucket: bucket, pos: len(x.lists[bucket]), in: true}
+	x.lists[bucket] = append(x.lists[bucket], u)
+	x.bits[bucket/64] |= 1 << (bucket % 64)
+	x.size++
+}
+
+// remove takes the upstream at a place out. placeOf returns the place of
+// another upstream in the same index, which may move.
+func (x *bucketIndex) remove(at *place, placeOf func(*upstream) *place) {
+	list := x.lists[at.bucket]
+	last := list[len(list)-1]
+	list[at.pos] = last
+	placeOf(last).pos = at.pos
+	list[len(list)-1] = nil
+	x.lists[at.bucket] = list[:len(list)-1]
+	if len(list) == 1 {
+		x.bits[at.bucket/64] &^= 1 << (at.bucket % 64)
+	}
+	at.in = false
+	x.size--
+}
+
+// next returns the first non-empty bucket at or after from, or -1.
+func (x *bucketIndex) next(from int) int {
+	if from >= bucketCount {
+		return -1
+	}
+	w := from / 64
+	word := x.bits[w] &^ (1<<(from%64) - 1)
+	for {
+		if word != 0 {
+			return w*64 + bits.TrailingZeros64(word)
+		}
+		w++
+		if w == len(x.bits) {
+			return -1
+		}
+		word = x.bits[w]
+	}
+}
+
+// pick returns an upstream of the cheapest bucket other than avoid, or nil.
+// salt decides between upstreams of the same bucket.
+func (x *bucketIndex) pick(avoid *upstream, salt uint64) *upstream {
+	for b := x.next(0); b >= 0; b = x.next(b + 1) {
+		list := x.lists[b]
+		at := int(salt % uint64(len(list)))
+		if list[at] != avoid {
+			return list[at]
+		}
+		if len(list) > 1 {
+			return list[(at+1)%len(list)]
+		}
+	}
+	return nil
+}
+
+// fenwick holds sums over cost buckets.
+type fenwick struct {
+	tree [bucketCount + 1]float64
+}
+
+// add changes the value of a bucket.
+func (f *fenwick) add(bucket int, v float64) {
+	for i := bucket + 1; i <= bucketCount; i += i & -i {
+		f.tree[i] += v
+	}
+}
+
+// below returns the sum of all buckets before the given one.
+func (f *fenwick) below(bucket int) float64 {
+	sum := 0.0
+	for i := bucket; i > 0; i -= i & -i {
+		sum += f.tree[i]
+	}
+	return sum
+}
+
+// total returns the sum of all buckets.
+func (f *fenwick) total() float64 { return f.below(bucketCount) }
--- /dev/null
+++ b/dispatch/timers.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timerKind tells what a timer is for.
+type timerKind uint8
+
+const (
+	deadlineTimer timerKind = iota // the job's deadline
+	hedgeTimer                     // a second attempt of a single request
+	unblockTimer                   // an upstream may be used again
+	claimTimer                     // claims without a reply are sent again
+	flushTimer                     // acknowledgements go out without a start
+)
+
+// timer is an event in the future.
+type timer struct {
+	at   time.Duration
+	seq  uint64
+	pos  int // position in the heap, -1 when not set
+	kind timerKind
+	job  *job
+	att  *attempt
+	up   *upstream
+}
+
+// timerHeap orders timers by time and then by insertion.
+type timerHeap struct {
+	items timerItems
+	seq   uint64
+}
+
+type timerItems []*timer
+
+func (h timerItems) Len() int { return len(h) }
+func (h timerItems) Less(i, k int) bool {
+	if h[i].at != h[k].at {
+		return h[i].at < h[k].at
+	}
+	return h[i].seq < h[k].seq
+}
+func (h timerItems) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].pos, h[k].pos = i, k
+}
+func (h *timerItems) Push(x any) {
+	t := x.(*timer)
+	t.pos = len(*h)
+	*h = append(*h, t)
+}
+func (h *timerItems) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	t.pos = -1
+	*h = old[:len(old)-1]
+	return t
+}
+
+// add sets a timer and returns it.
+func (h *timerHeap) add(at time.Duration, t *timer) *timer {
+	h.seq++
+	t.at, t.seq = at, h.seq
+	heap.Push(&h.items, t)
+	return t
+}
+
+// cancel removes a timer. It accepts nil and timers that are not set.
+func (h *timerHeap) cancel(t *timer) {
+	if t != nil && t.pos >= 0 {
+		heap.Remove(&h.items, t.pos)
+	}
+}
+
+// first returns when the next timer is due, zero for never.
+func (h *timerHeap) first() time.Duration {
+	if len(h.items) == 0 {
+		return 0
+	}
+	return h.items[0].at
+}
+
+// runTimers handles all timers that are due.
+func (c *Core) runTimers(now time.Duration) {
+	for len(c.timers.items) > 0 && c.timers.items[0].at <= now {
+		t := heap.Pop(&c.timers.items).(*timer)
+		switch t.kind {
+		case deadlineTimer:
+			c.deadlinePassed(now, t.job)
+		case hedgeTimer:
+			c.hedge(now, t.att)
+		case unblockTimer:
+			c.unblock(now, t.up)
+		case claimTimer:
+			c.repeatClaims(now, t.job)
+		case flushTimer:
+			t.up.flushSet = false
+			c.mark(t.up)
+		}
+	}
+}
