executor: keep the slot of a call whose answer was given up

Cause: after the task timeout the entry must learn may-have-run at once, but the upstream still works, so its slot must not be given to another task. Change: TimedOut answers the task and lowers the limit until Finished.

--- a/executor/answers.go
+++ b/executor/answers.go
@@ -28,6 +28,9 @@
 // same task is ignored.
 func (c *Core) Finished(now time.Duration, a wire.Answer) {
 	r := c.rows[a.Key]
+	if c.endLinger(r) {
+		return
+	}
 	if r == nil || r.state != wire.TaskRunning {
 		return
 	}
--- a/executor/core.go
+++ b/executor/core.go
@@ -26,7 +26,9 @@
 	queue   []*row // in order of arrival; rows that left the state queued are skipped
 	queued  int
 	running int
-	meanRun time.Duration // moving average of run times, zero until known
+	// lingering counts calls whose answer was given up. They hold their slots.
+	lingering int
+	meanRun   time.Duration // moving average of run times, zero until known
 
 	acked       []*row // ended rows in order of acknowledgement, bodies dropped first from the front
 	answerBytes int64
@@ -50,6 +52,7 @@
 	ackedAt  time.Duration
 	sentAt   time.Duration // last transmission of the answer
 	resends  int
+	lingers  bool // the answer was given up, the call goes on
 }
 
 // job is what the table knows of a job beyond its rows.
@@ -191,4 +194,4 @@
 }
 
 // limit is the number of tasks that may run at once.
-func (c *Core) limit() int { return min(c.cfg.Slots, c.cfg.Connections) }
+func (c *Core) limit() int { return min(c.cfg.Slots, c.cfg.Connections) - c.lingering }
