--- a/agent/agent.go
+++ b/agent/agent.go
@@ -217,7 +217,7 @@
 func (a *Agent) Dump() any {
 	l := a.life.Load()
 	var d dump
-	l.loop.Call(func(now time.Duration) { d = l.dump(now) })
+	l.loop.Call(func(time.Duration) { d = l.dump() })
 	return d
 }
 
--- a/agent/life.go
+++ b/agent/life.go
@@ -206,13 +206,12 @@
 	Down        bool              `json:"down"`
 	Calls       int64             `json:"calls"`
 	Entries     []ids.Incarnation `json:"entries"`
-	Core        any               `json:"core"`
 }
 
-func (l *life) dump(now time.Duration) dump {
+func (l *life) dump() dump {
 	d := dump{
 		Incarnation: l.self, Current: l.session.Current(time.Now()),
-		Down: l.down.Load(), Calls: l.calls.Load(), Core: l.core.Dump(now),
+		Down: l.down.Load(), Calls: l.calls.Load(),
 	}
 	for e := range l.peers {
 		d.Entries = append(d.Entries, e)
