devcluster: run the whole system in one process

Cause: trials, the demo and tests need the whole system without installation. Not run yet: it needs package control.

--- /dev/null
+++ b/devcluster/parts.go
@@ -0,0 +1,193 @@
+package devcluster
+
+import (
+	"context"
+	"sync/atomic"
+
+	"github.com/go-faster/errors"
+
+	"github.com/baobabshore/baobabshore/agent"
+	"github.com/baobabshore/baobabshore/control"
+	"github.com/baobabshore/baobabshore/entry"
+	"github.com/baobabshore/baobabshore/ops"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/settings"
+	"github.com/baobabshore/baobabshore/upstreamsim"
+	"github.com/baobabshore/baobabshore/verdict"
+)
+
+func (c *Cluster) addUnits() {
+	for i := range c.opts.Controls {
+		c.controls = append(c.controls, &unit[*control.Node]{
+			name: string(controlNode(i)),
+			open: func(context.Context) (*control.Node, error) { return c.openControl(i) },
+		})
+	}
+	for i := range c.opts.Weights {
+		c.entries = append(c.entries, &unit[pages[*entry.Entry]]{
+			name: string(entryNode(i)),
+			open: func(ctx context.Context) (pages[*entry.Entry], error) { return c.openEntry(ctx, i) },
+		})
+	}
+	for i := range c.opts.Speeds {
+		c.agents = append(c.agents, &unit[pages[*agent.Agent]]{
+			name: string(AgentNode(i)),
+			open: func(ctx context.Context) (pages[*agent.Agent], error) { return c.openAgent(ctx, i) },
+		})
+		c.upstreams = append(c.upstreams, &unit[*upstreamsim.Server]{
+			name: "upstream of " + string(AgentNode(i)),
+			open: func(context.Context) (*upstreamsim.Server, error) { return c.openUpstream(i) },
+		})
+	}
+}
+
+func (c *Cluster) openControl(i int) (*control.Node, error) {
+	o := control.Options{
+		Node: controlNode(i), Listen: c.addrs.control[i], Region: region, Domain: domain(i),
+		Data: c.dataOf(i), Counters: c.counts["control"],
+	}
+	for j, addr := range c.addrs.control {
+		o.Peers = append(o.Peers, control.Peer{Node: controlNode(j), Addr: addr})
+	}
+	return control.Start(o)
+}
+
+func (c *Cluster) openEntry(ctx context.Context, i int) (pages[*entry.Entry], error) {
+	s := settings.DefaultEntry()
+	s.Node, s.Region, s.FailureDomain = entryNode(i), region, domain(i)
+	s.Listen, s.Ops, s.Callers = c.addrs.entry[i], c.addrs.entryOps[i], c.addrs.callers[i]
+	s.Control, s.Weight = c.addrs.control, c.opts.Weights[i]
+	if err := settings.Check(s); err != nil {
+		return pages[*entry.Entry]{}, err
+	}
+	var running atomic.Pointer[entry.Entry]
+	p, err := ops.New(ops.Options{
+		Addr: s.Ops, Prefix: "baobab_entry",
+		Ready: func() error { return readyOf(running.Load()) },
+		Dump:  func() any { return dumpOf(running.Load()) },
+	})
+	if err != nil {
+		return pages[*entry.Entry]{}, err
+	}
+	o := entry.FromSettings(s, rpc.Security{})
+	o.Scope, o.Counters = p.Scope(), c.counts["entry"]
+	o.Session = entry.ControlGroup(s.Control, rpc.Security{}, o.Counters)
+	e, err := entry.Start(ctx, o)
+	if err != nil {
+		return pages[*entry.Entry]{}, errors.Join(err, p.Close())
+	}
+	running.Store(e)
+	return pages[*entry.Entry]{e, p}, nil
+}
+
+func (c *Cluster) openAgent(ctx context.Context, i int) (pages[*agent.Agent], error) {
+	s := settings.DefaultAgent()
+	s.Node, s.Region, s.FailureDomain = AgentNode(i), region, domain(i)
+	s.Listen, s.Ops = c.addrs.agent[i], c.addrs.agentOps[i]
+	s.Control, s.Service, s.Upstream = c.addrs.control, Service, c.addrs.upstream[i]
+	s.Slots, s.Connections = c.size()
+	if err := settings.Check(s); err != nil {
+		return pages[*agent.Agent]{}, err
+	}
+	var running atomic.Pointer[agent.Agent]
+	p, err := ops.New(ops.Options{
+		Addr: s.Ops, Prefix: "baobab_agent",
+		Ready: func() error { return readyOf(running.Load()) },
+		Dump:  func() any { return dumpOf(running.Load()) },
+	})
+	if err != nil {
+		return pages[*agent.Agent]{}, err
+	}
+	o := agent.FromSettings(s, rpc.Security{})
+	o.Scope, o.Counters = p.Scope(), c.counts["agent"]
+	o.Session = agent.ControlGroup(s.Control, rpc.Security{}, o.Counters)
+	a, err := agent.Start(ctx, o)
+	if err != nil {
+		return pages[*agent.Agent]{}, errors.Join(err, p.Close())
+	}
+	running.Store(a)
+	return pages[*agent.Agent]{a, p}, nil
+}
+
+func (c *Cluster) size() (slots, connections int) {
+	s := c.opts.Config.Services[Service]
+	return s.Slots, s.Connections
+}
+
+func (c *Cluster) openUpstream(i int) (*upstreamsim.Server, error) {
+	slots, _ := c.size()
+	s, err := upstreamsim.Start(upstreamsim.Options{Addr: c.addrs.upstream[i], Slots: slots, Speed: c.opts.Speeds[i]})
+	if err != nil {
+		return nil, err
+	}
+	c.mu.Lock()
+	c.sims = append(c.sims, s)
+	c.mu.Unlock()
+	return s, nil
+}
+
+// daemon is what the operators' pages show.
+type daemon interface {
+	Ready() error
+	Dump() any
+}
+
+func readyOf[T any, P interface {
+	*T
+	daemon
+}](p P) error {
+	if p == nil {
+		return verdict.Refuse(verdict.Stale, "the process is registering")
+	}
+	return p.Ready()
+}
+
+func dumpOf[T any, P interface {
+	*T
+	daemon
+}](p P) any {
+	if p == nil {
+		return nil
+	}
+	return p.Dump()
+}
+
+// StopControl stops a control node.
+func (c *Cluster) StopControl(i int) error { return c.controls[i].stop() }
+
+// StartControl starts a stopped control node again, on its old data.
+func (c *Cluster) StartControl(ctx context.Context, i int) error { return c.controls[i].start(ctx) }
+
+// StopEntry ends an entry at once, as a crash does.
+func (c *Cluster) StopEntry(i int) error { return c.entries[i].stop() }
+
+// DrainEntry stops an entry as SIGTERM does: it finishes its jobs first.
+func (c *Cluster) DrainEntry(ctx context.Context, i int) error {
+	e, ok := c.entries[i].get()
+	if !ok {
+		return errors.Errorf("%s does not run", entryNode(i))
+	}
+	err := e.part.Drain(ctx)
+	return errors.Join(err, c.entries[i].stop())
+}
+
+// StartEntry starts a stopped entry again, as a new incarnation.
+func (c *Cluster) StartEntry(ctx context.Context, i int) error { return c.entries[i].start(ctx) }
+
+// StopAgent ends an agent at once, as a crash does.
+func (c *Cluster) StopAgent(i int) error { return c.agents[i].stop() }
+
+// StartAgent starts a stopped agent again, as a new incarnation.
+func (c *Cluster) StartAgent(ctx context.Context, i int) error { return c.agents[i].start(ctx) }
+
+// Upstream returns the sample upstream beside agent i.
+func (c *Cluster) Upstream(i int) *upstreamsim.Server {
+	s, _ := c.upstreams[i].get()
+	return s
+}
+
+// StopUpstream stops an upstream. Its agent stays.
+func (c *Cluster) StopUpstream(i int) error { return c.upstreams[i].stop() }
+
+// StartUpstream starts a stopped upstream again.
+func (c *Cluster) StartUpstream(ctx context.Context, i int) error { return c.upstreams[i].start(ctx) }
--- /dev/null
+++ b/devcluster/unit.go
@@ -0,0 +1,66 @@
+package devcluster
+
+import (
+	"context"
+	"io"
+	"sync"
+
+	"github.com/go-faster/errors"
+)
+
+// unit is a part of the system that can be stopped and started again.
+type unit[T io.Closer] struct {
+	name string
+	open func(ctx context.Context) (T, error)
+
+	mu      sync.Mutex
+	running bool
+	part    T
+}
+
+func (u *unit[T]) start(ctx context.Context) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.running {
+		return errors.Errorf("%s runs already", u.name)
+	}
+	part, err := u.open(ctx)
+	if err != nil {
+		return errors.Wrap(err, u.name)
+	}
+	u.part, u.running = part, true
+	return nil
+}
+
+// stop ends the part at once, without a drain.
+func (u *unit[T]) stop() error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.running {
+		return nil
+	}
+	u.running = false
+	return errors.Wrap(u.part.Close(), u.name)
+}
+
+// get returns the part and whether it runs.
+func (u *unit[T]) get() (T, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.part, u.running
+}
+
+// pages is a part together with its listener for operators.
+type pages[T io.Closer] struct {
+	part T
+	ops  io.Closer
+}
+
+// Close ends both.
+func (p pages[T]) Close() error {
+	err := p.part.Close()
+	if oerr := p.ops.Close(); err == nil {
+		err = oerr
+	}
+	return err
+}
