--- a/ctl/config.go
+++ b/ctl/config.go
@@ -34,7 +34,7 @@
 }
 
 type checkCommand struct {
-	*app
+	app *app
 	As    string `long:"as" default:"cluster" choice:"cluster" choice:"control" choice:"entry" choice:"agent" description:"what the file holds: the cluster configuration, or the settings of a daemon"`
 	Print bool   `long:"print" description:"write the checked file with defaults and units as comments"`
 	Args  file   `positional-args:"yes"`
@@ -42,7 +42,7 @@
 
 // Execute checks the file.
 func (c *checkCommand) Execute([]string) error {
-	data, err := c.readFile(c.Args.Name)
+	data, err := c.app.readFile(c.Args.Name)
 	if err != nil {
 		return err
 	}
@@ -51,12 +51,12 @@
 		return err
 	}
 	if c.Print {
-		c.printf("%s", printed)
+		c.app.printf("%s", printed)
 		return nil
 	}
-	c.show(struct {
+	c.app.show(struct {
 		OK bool `json:"ok"`
-	}{true}, func() { c.printf("%s is valid.\n", c.Args.Name) })
+	}{true}, func() { c.app.printf("%s is valid.\n", c.Args.Name) })
 	return nil
 }
 
@@ -77,7 +77,7 @@
 }
 
 type applyCommand struct {
-	*app
+	app *app
 	Expect    string `long:"expect" value-name:"VERSION" description:"configuration version that the change was made from (default: the version read just before)"`
 	CommandID string `long:"command-id" value-name:"ID" description:"id of the command; the same id takes effect once (default: a random one)"`
 	Wait      bool   `long:"wait" description:"wait until all live members have the change, within --timeout"`
@@ -96,7 +96,7 @@
 
 // Execute applies the file.
 func (c *applyCommand) Execute([]string) error {
-	data, err := c.readFile(c.Args.Name)
+	data, err := c.app.readFile(c.Args.Name)
 	if err != nil {
 		return err
 	}
@@ -104,7 +104,7 @@
 	if err != nil {
 		return err
 	}
-	client, err := c.client()
+	client, err := c.app.client()
 	if err != nil {
 		return err
 	}
@@ -113,7 +113,7 @@
 }
 
 func (c *applyCommand) apply(client *member.Client, pairs []wire.Pair) error {
-	ctx, cancel := c.deadline()
+	ctx, cancel := c.app.deadline()
 	defer cancel()
 	before, err := client.Get(ctx)
 	if err != nil {
@@ -128,8 +128,8 @@
 	if cmd.CommandID == "" {
 		cmd.CommandID = member.NewNonce()
 	}
-	if !c.JSON {
-		fmt.Fprintf(c.Err, "Command id %s, from version %d.\n", cmd.CommandID, cmd.Expect)
+	if !c.app.JSON {
+		fmt.Fprintf(c.app.Err, "Command id %s, from version %d.\n", cmd.CommandID, cmd.Expect)
 	}
 	reply, err := client.Apply(ctx, cmd)
 	if err != nil {
@@ -142,7 +142,7 @@
 	if c.Wait {
 		err = c.waitFor(ctx, client, reply, &report)
 	}
-	c.show(report, func() { c.printApplied(report) })
+	c.app.show(report, func() { c.printApplied(report) })
 	return err
 }
 
@@ -165,7 +165,7 @@
 
 // waitFor polls until all live members hold the change.
 func (c *applyCommand) waitFor(ctx context.Context, client *member.Client, r wire.ApplyReply, report *applied) error {
-	p := c.progress()
+	p := c.app.progress()
 	defer p.end()
 	for {
 		st, err := client.Status(ctx, wire.Status{Index: r.Index})
@@ -188,15 +188,15 @@
 	if r.Repeated {
 		state = "in force since an earlier sending of this command"
 	}
-	c.printf("Version %d is %s.\n", r.Version, state)
+	c.app.printf("Version %d is %s.\n", r.Version, state)
 	for _, d := range r.Changes {
-		c.printf("  %s\n", d)
+		c.app.printf("  %s\n", d)
 	}
 	if len(r.Changes) == 0 {
-		c.printf("  No value differs from the version before.\n")
+		c.app.printf("  No value differs from the version before.\n")
 	}
 	if c.Wait {
-		c.printf("%d of %d members have it.\n", r.Holding, r.Live)
+		c.app.printf("%d of %d members have it.\n", r.Holding, r.Live)
 	}
 }
 
@@ -238,18 +238,18 @@
 }
 
 type getCommand struct {
-	*app
+	app *app
 	YAML bool `long:"yaml" description:"write a file for check and apply"`
 }
 
 // Execute shows the values in force.
 func (c *getCommand) Execute([]string) error {
-	client, err := c.client()
+	client, err := c.app.client()
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	ctx, cancel := c.deadline()
+	ctx, cancel := c.app.deadline()
 	defer cancel()
 	r, err := client.Get(ctx)
 	if err != nil {
@@ -258,7 +258,7 @@
 	if c.YAML {
 		return c.printYAML(r)
 	}
-	c.show(r, func() { c.printPairs(r) })
+	c.app.show(r, func() { c.printPairs(r) })
 	return nil
 }
 
@@ -271,17 +271,17 @@
 	if err != nil {
 		return err
 	}
-	c.printf("# version %d, command %s\n%s", r.ConfigVer, r.CommandID, settings.Print(conf))
+	c.app.printf("# version %d, command %s\n%s", r.ConfigVer, r.CommandID, settings.Print(conf))
 	return nil
 }
 
 func (c *getCommand) printPairs(r wire.GetReply) {
 	if r.ConfigVer == 0 {
-		c.printf("No configuration has been applied yet. Try: baobabctl apply FILE\n")
+		c.app.printf("No configuration has been applied yet. Try: baobabctl apply FILE\n")
 		return
 	}
-	c.printf("Version %d, made by command %s.\n", r.ConfigVer, r.CommandID)
-	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	c.app.printf("Version %d, made by command %s.\n", r.ConfigVer, r.CommandID)
+	w := tabwriter.NewWriter(c.app.Out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "KEY\tVALUE\tSINCE VERSION\tBY\tCOMMAND")
 	for _, p := range r.Pairs {
 		fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\n", p.Key, p.Value, p.ConfigVer, p.By, p.CommandID)
--- a/ctl/jobs.go
+++ b/ctl/jobs.go
@@ -149,30 +149,30 @@
 }
 
 type submitCommand struct {
-	*app
+	app *app
 	Args file `positional-args:"yes"`
 }
 
 // Execute submits the job.
 func (c *submitCommand) Execute([]string) error {
-	body, err := c.readFile(c.Args.Name)
+	body, err := c.app.readFile(c.Args.Name)
 	if err != nil {
 		return err
 	}
 	if !json.Valid(body) {
 		return usage("%s is not JSON", c.Args.Name)
 	}
-	p := c.progress()
-	p.show("Waiting for the answer, at most %v.", time.Duration(c.Timeout))
-	r, err := c.send(request{
-		method: fasthttp.MethodPost, addr: c.Entry, path: "/v1/jobs" + c.waitQuery(),
+	p := c.app.progress()
+	p.show("Waiting for the answer, at most %v.", time.Duration(c.app.Timeout))
+	r, err := c.app.send(request{
+		method: fasthttp.MethodPost, addr: c.app.Entry, path: "/v1/jobs" + c.app.waitQuery(),
 		headers: []wire.Header{{Name: "Content-Type", Value: "application/json"}}, body: body,
 	})
 	p.end()
 	if err != nil {
 		return err
 	}
-	return c.report(r)
+	return c.app.report(r)
 }
 
 type jobID struct {
@@ -188,7 +188,7 @@
 }
 
 type jobCommand struct {
-	*app
+	app *app
 	Wait bool  `long:"wait" description:"wait until the job has ended, within --timeout"`
 	Args jobID `positional-args:"yes"`
 }
@@ -201,17 +201,17 @@
 	}
 	path := "/v1/jobs/" + id.String()
 	if c.Wait {
-		path += c.waitQuery()
+		path += c.app.waitQuery()
 	}
-	r, err := c.send(request{method: fasthttp.MethodGet, addr: c.Entry, path: path})
+	r, err := c.app.send(request{method: fasthttp.MethodGet, addr: c.app.Entry, path: path})
 	if err != nil {
 		return err
 	}
-	return c.report(r)
+	return c.app.report(r)
 }
 
 type cancelCommand struct {
-	*app
+	app *app
 	Args jobID `positional-args:"yes"`
 }
 
@@ -221,14 +221,14 @@
 	if err != nil {
 		return err
 	}
-	r, err := c.send(request{method: fasthttp.MethodDelete, addr: c.Entry, path: "/v1/jobs/" + id.String()})
+	r, err := c.app.send(request{method: fasthttp.MethodDelete, addr: c.app.Entry, path: "/v1/jobs/" + id.String()})
 	if err != nil {
 		return err
 	}
 	var j jobAnswer
 	if json.Unmarshal(r.body, &j) == nil && j.State == wire.JobCanceled {
-		c.show(json.RawMessage(r.body), func() { c.printf("Job %d is cancelled.\n", id) })
+		c.app.show(json.RawMessage(r.body), func() { c.app.printf("Job %d is cancelled.\n", id) })
 		return nil
 	}
-	return c.report(r)
+	return c.app.report(r)
 }
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -25,24 +25,24 @@
 )
 
 type statusCommand struct {
-	*app
+	app *app
 	All bool `long:"all" description:"list ended members too"`
 }
 
 // Execute shows the state of the group.
 func (c *statusCommand) Execute([]string) error {
-	client, err := c.client()
+	client, err := c.app.client()
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	ctx, cancel := c.deadline()
+	ctx, cancel := c.app.deadline()
 	defer cancel()
 	st, err := client.Status(ctx, wire.Status{})
 	if err != nil {
 		return err
 	}
-	c.show(st, func() { c.print(st) })
+	c.app.show(st, func() { c.print(st) })
 	if st.Leader == "" {
 		return verdict.Refuse(verdict.NoQuorum, "the control group has no leader")
 	}
@@ -50,9 +50,9 @@
 }
 
 func (c *statusCommand) print(st wire.StatusReply) {
-	c.printf("Leader %s, term %d, configuration version %d, %d members, %d open jobs (seen by %s).\n",
+	c.app.printf("Leader %s, term %d, configuration version %d, %d members, %d open jobs (seen by %s).\n",
 		orNone(string(st.Leader)), st.Term, st.ConfigVer, st.Live, st.OpenJobs, st.Node)
-	w := tabwriter.NewWriter(c.Out, 0, 0, 2, ' ', 0)
+	w := tabwriter.NewWriter(c.app.Out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "CONTROL NODE\tADDRESS\tROLE\tINSTANCE\tRECORDS")
 	for _, n := range st.Nodes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Node, n.Addr, role(n, st.Leader), n.Instance, matched(n))
@@ -107,7 +107,7 @@
 }
 
 type dumpCommand struct {
-	*app
+	app *app
 	Args struct {
 		Address string `positional-arg-name:"ADDRESS" required:"yes"`
 	} `positional-args:"yes"`
@@ -115,7 +115,7 @@
 
 // Execute shows the dump of a process.
 func (c *dumpCommand) Execute([]string) error {
-	sec, err := c.security()
+	sec, err := c.app.security()
 	if err != nil {
 		return err
 	}
@@ -123,19 +123,19 @@
 	if sec.Token != "" {
 		req.headers = append(req.headers, wire.Header{Name: "Authorization", Value: "Bearer " + sec.Token})
 	}
-	r, err := c.send(req)
+	r, err := c.app.send(req)
 	if err != nil {
 		return err
 	}
 	if r.status != fasthttp.StatusOK {
 		return verdict.Refuse(verdict.BadRequest, "%s answered with status %d: %s", c.Args.Address, r.status, r.body)
 	}
-	c.printf("%s", r.body)
+	c.app.printf("%s", r.body)
 	return nil
 }
 
 type drainCommand struct {
-	*app
+	app *app
 	Undo bool `long:"undo" description:"send work again"`
 	Args struct {
 		Node ids.Node `positional-arg-name:"UPSTREAM" required:"yes" description:"node name of its agent, see baobabctl status"`
@@ -144,28 +144,28 @@
 
 // Execute sets or removes the mark.
 func (c *drainCommand) Execute([]string) error {
-	client, err := c.client()
+	client, err := c.app.client()
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	ctx, cancel := c.deadline()
+	ctx, cancel := c.app.deadline()
 	defer cancel()
 	if err := client.Drain(ctx, c.Args.Node, !c.Undo); err != nil {
 		return err
 	}
-	c.show(wire.DrainNode{Node: c.Args.Node, Drain: !c.Undo}, func() {
+	c.app.show(wire.DrainNode{Node: c.Args.Node, Drain: !c.Undo}, func() {
 		if c.Undo {
-			c.printf("%s gets work again.\n", c.Args.Node)
+			c.app.printf("%s gets work again.\n", c.Args.Node)
 			return
 		}
-		c.printf("%s gets no new work. To undo: baobabctl drain %s --undo\n", c.Args.Node, c.Args.Node)
+		c.app.printf("%s gets no new work. To undo: baobabctl drain %s --undo\n", c.Args.Node, c.Args.Node)
 	})
 	return nil
 }
 
 type replaceCommand struct {
-	*app
+	app *app
 	Args struct {
 		Old     ids.Node `positional-arg-name:"OLD" required:"yes" description:"node name of the lost control node"`
 		Address string   `positional-arg-name:"ADDRESS" required:"yes" description:"listener of the new control node, host:port"`
@@ -174,12 +174,12 @@
 
 // Execute replaces a control node.
 func (c *replaceCommand) Execute([]string) error {
-	client, err := c.client()
+	client, err := c.app.client()
 	if err != nil {
 		return err
 	}
 	defer client.Close()
-	ctx, cancel := c.deadline()
+	ctx, cancel := c.app.deadline()
 	defer cancel()
 	st, err := client.StatusAt(ctx, c.Args.Address, wire.Status{})
 	if err != nil {
@@ -190,7 +190,7 @@
 		return verdict.Refuse(verdict.BadRequest, "node %s does not list itself", st.Node)
 	}
 	fresh := st.Nodes[i]
-	p := c.progress()
+	p := c.app.progress()
 	p.show("Node %s (instance %s) takes the place of %s.", fresh.Node, fresh.Instance, c.Args.Old)
 	r := wire.Replace{Old: c.Args.Old, Node: fresh.Node, Addr: c.Args.Address, Instance: fresh.Instance}
 	err = client.Replace(ctx, r)
@@ -198,6 +198,6 @@
 	if err != nil {
 		return fmt.Errorf("%w\nLook at baobabctl status. The command can be sent again", verdict.From(err))
 	}
-	c.show(r, func() { c.printf("Node %s has taken the place of %s.\n", fresh.Node, c.Args.Old) })
+	c.app.show(r, func() { c.app.printf("Node %s has taken the place of %s.\n", fresh.Node, c.Args.Old) })
 	return nil
 }
--- a/devcluster/unit.go
+++ b/devcluster/unit.go
@@ -40,7 +40,10 @@
 		return nil
 	}
 	u.running = false
-	return errors.Wrap(u.part.Close(), u.name)
+	if err := u.part.Close(); err != nil {
+		return errors.Wrap(err, u.name)
+	}
+	return nil
 }
 
 // get returns the part and whether it runs.
