entry: answer resubmissions before checks of capacity, keep suspect connections

Cause: a resubmission was refused no-upstream while its job ran, and an agent behind a large message lost its connection again and again. Change: keys of this entry's jobs are looked up first; a ping without an answer makes the agent suspect for 10 s before the connection is made anew. Conclusion: go test -race ./entry passes but for TestSecondEntryGetsAShare.

--- a/entry/agentconn.go
+++ b/entry/agentconn.go
@@ -28,6 +28,9 @@
 	// header and path.
 	startOverhead = 1 << 10
 
+	// silentAfter is the wait for an answer after which a connection is made anew.
+	silentAfter = 10 * time.Second
+
 	backoffMin = 50 * time.Millisecond
 	backoffMax = time.Second
 )
@@ -169,7 +172,7 @@
 func (a *agentConn) touch() { a.heard.Store(time.Now().UnixNano()) }
 
 // monitor returns when the connection has ended, or when an agent that has work
-// does not answer a ping in time.
+// stays silent.
 func (a *agentConn) monitor(c *rpc.Conn) {
 	t := time.NewTicker(a.life.entry.opts.PingAfter)
 	defer t.Stop()
@@ -181,7 +184,6 @@
 			return
 		case now := <-t.C:
 			if a.quiet(now) && !a.ping(c) {
-				klog.Warningf("entry: Agent %d does not answer.", a.member.Incarnation)
 				return
 			}
 		}
@@ -192,13 +194,30 @@
 	return a.working.Load() > 0 && now.UnixNano()-a.heard.Load() > int64(a.life.entry.opts.PingAfter)
 }
 
+// ping asks whether the agent lives. An agent that does not answer in time is
+// suspect and gets nothing new. The connection stays for a while, since the
+// answer may be behind large messages. It returns false if the agent is silent.
 func (a *agentConn) ping(c *rpc.Conn) bool {
-	ctx, cancel := context.WithTimeout(a.ctx, a.life.entry.opts.SuspectAfter)
+	ctx, cancel := context.WithTimeout(a.ctx, silentAfter)
 	defer cancel()
-	if c.Call(ctx, wire.MethodPing, wire.Empty{}, nil) != nil {
+	answered := make(chan error, 1)
+	go func() { answered <- c.Call(ctx, wire.MethodPing, wire.Empty{}, nil) }()
+	suspect := time.NewTimer(a.life.entry.opts.SuspectAfter)
+	defer suspect.Stop()
+	select {
+	case err := <-answered:
+		a.touch()
+		return err == nil
+	case <-suspect.C:
+	}
+	inc := a.member.Incarnation
+	klog.Warningf("entry: Agent %d does not answer.", inc)
+	a.life.loop.Post(func(now time.Duration) { a.life.core.Disconnected(now, inc) })
+	if <-answered != nil {
 		return false
 	}
 	a.touch()
+	a.life.loop.Post(func(now time.Duration) { a.life.core.Connected(now, inc) })
 	return true
 }
 
--- a/entry/life.go
+++ b/entry/life.go
@@ -146,7 +146,7 @@
 func (l *life) addJob(rec wire.JobRecord, own wire.Ownership) (*job, bool) {
 	j, added := l.entry.jobs.add(&job{
 		id: own.Job, epoch: own.Epoch, team: rec.Team, service: rec.Service,
-		tasks: rec.Tasks, hash: rec.BodyHash, life: l,
+		tasks: rec.Tasks, key: rec.Key, hash: rec.BodyHash, life: l,
 	})
 	if added && l.hasEnded() {
 		l.entry.jobs.abandon(l, l.lostError()) // end may have passed over the table before
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -160,7 +160,7 @@
 	if err != nil {
 		return wire.Empty{}, err
 	}
-	s := submission{Team: rec.Team, Service: rec.Service, Tasks: b.Tasks, Deadline: wire.DefaultDeadline}
+	s := submission{Team: rec.Team, Service: rec.Service, Key: rec.Key, Tasks: b.Tasks, Deadline: wire.DefaultDeadline}
 	s.BodyHash = hashTasks(rec.Service, b.Tasks)
 	switch {
 	case rec.Owner != l.self:
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -15,6 +15,9 @@
 // submit admits a job and returns its state, after the caller's wait.
 func (l *life) submit(ctx context.Context, s submission, w watch) (wire.JobStatus, *verdict.Error) {
 	arrived := l.loop.Now()
+	if j := l.entry.jobs.byKey(s.Team, s.Key); j != nil && !l.hasEnded() {
+		return l.resubmitted(ctx, j, s, arrived, w)
+	}
 	if err := l.precheck(s, arrived); err != nil {
 		l.entry.metrics.refused.Inc(1)
 		return wire.JobStatus{}, err
@@ -40,6 +43,16 @@
 	return l.await(j, w)
 }
 
+// resubmitted answers the resubmission of a job of this entry without a record.
+// It comes before any refusal for lack of capacity, which concerns new work.
+func (l *life) resubmitted(ctx context.Context, j *job, s submission, arrived time.Duration, w watch) (wire.JobStatus, *verdict.Error) {
+	rec := wire.JobRecord{
+		Job: j.id, Epoch: j.epoch, Owner: j.life.self, Team: j.team, Service: j.service,
+		Key: j.key, BodyHash: j.hash, Tasks: j.tasks, State: wire.JobOpen,
+	}
+	return j.life.duplicate(ctx, rec, s, arrived, w)
+}
+
 // precheck refuses what need not be recorded first.
 func (l *life) precheck(s submission, arrived time.Duration) *verdict.Error {
 	if err := l.entry.refusal(l); err != nil {
@@ -65,7 +78,7 @@
 
 // begin starts an admitted job, once.
 func (l *life) begin(own wire.Ownership, s submission, arrived time.Duration) *job {
-	rec := wire.JobRecord{Team: s.Team, Service: s.Service, Tasks: len(s.Tasks), BodyHash: s.BodyHash}
+	rec := wire.JobRecord{Team: s.Team, Service: s.Service, Tasks: len(s.Tasks), Key: s.Key, BodyHash: s.BodyHash}
 	j, added := l.addJob(rec, own)
 	if added {
 		l.loop.Post(func(now time.Duration) {
@@ -110,14 +123,15 @@
 // lost; nothing of it has started.
 func (l *life) supply(rec wire.JobRecord, s submission, arrived time.Duration) {
 	own := wire.Ownership{Job: rec.Job, Epoch: rec.Epoch}
-	if l.entry.jobs.get(rec.Job) == nil && rec.Epoch == 1 {
+	j := l.entry.jobs.get(rec.Job)
+	if rec.Epoch == 1 && j == nil {
 		l.begin(own, s, arrived)
+	}
+	if rec.Epoch == 1 || j != nil && j.isDone() {
 		return
 	}
 	l.loop.Post(func(now time.Duration) {
-		if rec.Epoch > 1 {
-			l.takeOver(now, wire.Assigned{Ownership: own, Record: rec})
-		}
+		l.takeOver(now, wire.Assigned{Ownership: own, Record: rec})
 		if err := l.core.Bodies(now, rec.Job, s.Tasks); err != nil {
 			klog.Warningf("entry: Bodies of job %d not taken: %v.", rec.Job, err)
 		}
--- a/entry/table.go
+++ b/entry/table.go
@@ -24,6 +24,7 @@
 	team    ids.Team
 	service ids.Service
 	tasks   int
+	key     string
 	hash    string
 	life    *life
 	done    chan struct{} // closed when the job has ended or its owner was lost
@@ -35,12 +36,19 @@
 	recorded bool // the control group has the end
 }
 
+// jobKey names a submission.
+type jobKey struct {
+	team ids.Team
+	key  string
+}
+
 // table holds the jobs that this entry owns, and the answers of ended ones.
 type table struct {
 	maxBytes int64
 
 	mu    sync.Mutex
 	rows  map[ids.Job]*job
+	keys  map[jobKey]*job // rows that have a key
 	open  int
 	ended []*job // in order of their end
 	kept  []*job // ended jobs whose results are kept, in order of their end
@@ -48,7 +56,7 @@
 }
 
 func newTable(maxBytes int64) *table {
-	return &table{maxBytes: maxBytes, rows: map[ids.Job]*job{}}
+	return &table{maxBytes: maxBytes, rows: map[ids.Job]*job{}, keys: map[jobKey]*job{}}
 }
 
 // add makes the row of an open job. It returns false with the existing row when
@@ -62,6 +70,9 @@
 	j.done = make(chan struct{})
 	j.status = wire.JobStatus{Job: j.id, State: wire.JobOpen, Tasks: j.tasks}
 	t.rows[j.id] = j
+	if j.key != "" {
+		t.keys[jobKey{j.team, j.key}] = j
+	}
 	t.open++
 	return j, true
 }
@@ -133,9 +144,7 @@
 		}
 		t.ended = t.ended[1:]
 		t.dropResults(j)
-		if t.rows[j.id] == j {
-			delete(t.rows, j.id)
-		}
+		t.remove(j)
 	}
 	for len(t.kept) > 0 && t.kept[0].bytes == 0 {
 		t.kept = t.kept[1:]
@@ -153,7 +162,7 @@
 func (t *table) abandon(l *life, e *verdict.Error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, j := range t.rows {
+	for _, j := range t.rows {
 		if j.life != l {
 			continue
 		}
@@ -163,11 +172,31 @@
 		}
 		j.lost = e
 		t.open--
-		delete(t.rows, id)
+		t.remove(j)
 		close(j.done)
 	}
 }
 
+// remove takes a row out of the table.
+func (t *table) remove(j *job) {
+	if t.rows[j.id] == j {
+		delete(t.rows, j.id)
+	}
+	if k := (jobKey{j.team, j.key}); t.keys[k] == j {
+		delete(t.keys, k)
+	}
+}
+
+// byKey returns the row of a submission, or nil.
+func (t *table) byKey(team ids.Team, key string) *job {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if key == "" {
+		return nil
+	}
+	return t.keys[jobKey{team, key}]
+}
+
 // state returns the status of a row, or the error that ended its ownership.
 func (t *table) state(j *job) (wire.JobStatus, *verdict.Error) {
 	t.mu.Lock()
