--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -234,14 +234,14 @@
 // Cancel ends a job at the wish of its caller.
 func (c *Core) Cancel(now time.Duration, id ids.Job) {
 	if j := c.jobs[id]; j != nil {
-		c.fail(now, j, wire.JobCanceled, j.unfinished(verdict.Canceled, "canceled by the caller"))
+		c.fail(now, j, wire.JobCanceled, c.unfinished(j, verdict.Canceled, "canceled by the caller"))
 	}
 }
 
 // CancelRequest ends a single request whose caller has gone.
 func (c *Core) CancelRequest(now time.Duration, key ids.TaskKey) {
 	if j := c.requests[key]; j != nil {
-		c.fail(now, j, wire.JobCanceled, j.unfinished(verdict.Canceled, "canceled by the caller"))
+		c.fail(now, j, wire.JobCanceled, c.unfinished(j, verdict.Canceled, "canceled by the caller"))
 	}
 }
 
@@ -267,14 +267,15 @@
 
 // deadlinePassed fails a job that is not complete in time.
 func (c *Core) deadlinePassed(now time.Duration, j *job) {
-	c.fail(now, j, wire.JobFailed, j.unfinished(verdict.DeadlinePassed, "the deadline has passed"))
+	c.fail(now, j, wire.JobFailed, c.unfinished(j, verdict.DeadlinePassed, "the deadline has passed"))
 }
 
 // unfinished returns the error of a job that ends early. Its verdict is
-// not-run only if no task has started or may have.
-func (j *job) unfinished(reason verdict.Reason, detail string) *verdict.Error {
-	claiming := j.takeover != nil
-	if j.sent == 0 && j.done == 0 && !j.maybeRan && !claiming {
+// not-run only if no task has started or may have. An owner whose view is not
+// current may have been replaced by another that starts the tasks.
+func (c *Core) unfinished(j *job, reason verdict.Reason, detail string) *verdict.Error {
+	mine := j.single || c.current && j.takeover == nil
+	if j.sent == 0 && j.done == 0 && !j.maybeRan && mine {
 		return verdict.Refuse(reason, "%s", detail)
 	}
 	return verdict.Unknown(reason, "%s; %d of %d tasks have results", detail, j.done, len(j.tasks))
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -71,8 +71,7 @@
 		return
 	}
 	r.acked, r.ackedAt = true, now
-	s.removeUnacked(r)
-	s.answers = slices.DeleteFunc(s.answers, func(q *row) bool { return q == r })
+	r.withdraw()
 	if j := c.jobs[key.Job]; j != nil && j.ended {
 		c.dropBody(r)
 	} else if len(r.answer.Body) > 0 {
@@ -80,14 +79,12 @@
 	}
 }
 
-// removeUnacked takes r off the list of answers awaiting acknowledgement.
-func (s *session) removeUnacked(r *row) {
-	for i, q := range s.unacked {
-		if q == r {
-			s.unacked = slices.Delete(s.unacked, i, i+1)
-			return
-		}
-	}
+// withdraw takes the answer of r off the lists of what is to be sent or
+// acknowledged.
+func (r *row) withdraw() {
+	is := func(q *row) bool { return q == r }
+	r.owner.unacked = slices.DeleteFunc(r.owner.unacked, is)
+	r.owner.answers = slices.DeleteFunc(r.owner.answers, is)
 }
 
 // endJob starts the retention of a job's rows.
@@ -191,8 +188,7 @@
 
 // forget deletes a row.
 func (c *Core) forget(r *row) {
-	r.owner.removeUnacked(r)
-	r.owner.answers = slices.DeleteFunc(r.owner.answers, func(q *row) bool { return q == r })
+	r.withdraw()
 	if r.answer != nil {
 		c.answerBytes -= int64(len(r.answer.Body))
 	}
--- a/executor/cancel.go
+++ b/executor/cancel.go
@@ -1,7 +1,6 @@
 package executor
 
 import (
-	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
@@ -29,8 +28,7 @@
 	case r.state == wire.TaskRecalled && m.Try > r.try:
 		r.try = m.Try
 		r.acked = false
-		s.removeUnacked(r)
-		s.answers = slices.DeleteFunc(s.answers, func(q *row) bool { return q == r })
+		r.withdraw()
 		c.refuse(r, verdict.Recalled)
 	case r.state == wire.TaskRunning:
 		s.started = append(s.started, r.key)
@@ -103,8 +101,7 @@
 // handOver makes s the owner of r. The claim's reply reports the row.
 func (c *Core) handOver(s *session, r *row) {
 	old := r.owner
-	old.removeUnacked(r)
-	old.answers = slices.DeleteFunc(old.answers, func(q *row) bool { return q == r })
+	r.withdraw()
 	if r.state == wire.TaskQueued {
 		c.unqueue(r)
 		r.state = wire.TaskRecalled
--- a/executor/core.go
+++ b/executor/core.go
@@ -147,9 +147,7 @@
 	s := c.session(entry)
 	s.connected = true
 	s.due = true
-	for _, r := range s.unacked {
-		s.answers = append(s.answers, r)
-	}
+	s.answers = append(s.answers, s.unacked...)
 	s.unacked = nil
 }
 
--- a/executor/start.go
+++ b/executor/start.go
@@ -44,6 +44,8 @@
 	reason := c.refusal(now, s, st)
 	if r == nil {
 		r = c.addRow(now, st)
+	} else {
+		r.withdraw()
 	}
 	r.epoch, r.try, r.owner = st.Epoch, st.Try, s
 	r.acked, r.answer, r.resends = false, nil, 0
@@ -91,13 +93,8 @@
 
 // sendAgain puts the answer of r into the next report of s, once.
 func (c *Core) sendAgain(s *session, r *row) {
-	for _, q := range s.answers {
-		if q == r {
-			return
-		}
-	}
 	r.acked = false
-	s.removeUnacked(r)
+	r.withdraw()
 	s.answers = append(s.answers, r)
 }
 
