control: refuse a renewal before the registration is applied

Cause: a follower that had not applied the registration answered a renewal with its version and no rows. Change: such a renewal is refused, and the member asks the next node.

--- a/control/serve.go
+++ b/control/serve.go
@@ -166,8 +166,12 @@
 	if e != nil {
 		return wire.RenewReply{}, e
 	}
+	if !ok {
+		// A version without the rows up to it would make the member skip them.
+		return wire.RenewReply{}, verdict.Refuse(verdict.Stale, "node %s has not reached incarnation %d", c.opt.Node, p.Incarnation)
+	}
 	r := wire.RenewReply{Version: ids.Version(c.state.Index()), ConfirmedAge: ceilMS(age)}
-	if ok && r.Version > p.Have {
+	if r.Version > p.Have {
 		r.Changes, r.Whole = c.state.Changes(p.Have, p.Incarnation)
 	}
 	return r, nil
