--- a/devcluster/cluster.go
+++ b/devcluster/cluster.go
@@ -125,7 +125,39 @@
 	if err := startAll(ctx, c.entries); err != nil {
 		return err
 	}
-	return c.await(ctx, "every part ready", c.ready)
+	if err := c.await(ctx, "every part ready", c.ready); err != nil {
+		return err
+	}
+	return c.await(ctx, "work at every entry", c.working)
+}
+
+// working reports whether every member knows of all others and every entry gets
+// a request through.
+func (c *Cluster) working() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	st, err := c.client.Status(ctx, wire.Status{})
+	if err != nil {
+		return false
+	}
+	if st, err = c.client.Status(ctx, wire.Status{Index: st.Commit}); err != nil || st.Holding < st.Live {
+		return false
+	}
+	caller := newCaller(c.addrs.callers)
+	defer caller.client.CloseIdleConnections()
+	for i := range c.entries {
+		if o := caller.request(i, c.anyTeam(), evenWork("warm-up", classSingle, 1, 0)); !o.whole {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Cluster) anyTeam() string {
+	for t := range c.opts.Config.Teams {
+		return string(t)
+	}
+	return ""
 }
 
 // startAll starts parts at the same time.
--- a/devcluster/demo.go
+++ b/devcluster/demo.go
@@ -24,10 +24,10 @@
 	maxRunMS       = 100
 )
 
-// Parts that the demo disturbs.
+// Parts that the demo disturbs. The first upstreams are the fastest, so they are busy.
 const (
-	drainedAgent = 3
-	lostAgent    = 6
+	drainedAgent = 1
+	lostAgent    = 0
 )
 
 // leaveBound is design invariant 6: nothing new reaches a leaving upstream later.
@@ -225,7 +225,11 @@
 }
 
 // loseWorker ends an agent and its upstream, as the loss of their VM does.
-func (d *demo) loseWorker(context.Context) error {
+func (d *demo) loseWorker(ctx context.Context) error {
+	err := d.await(ctx, "work at the worker that is lost", func() bool { return d.Upstream(lostAgent).Running() > 0 })
+	if err != nil {
+		return err
+	}
 	d.step("The VM of %s is lost.", AgentNode(lostAgent))
 	if err := d.StopAgent(lostAgent); err != nil {
 		return err
