devcluster, ctl: test with separate processes and with scripts

Cause: the commands and the promises need tests through the real binaries. Test: go test ./devcluster ./ctl

--- a/ctl/app.go
+++ b/ctl/app.go
@@ -196,6 +196,7 @@
 func (a *app) printJSON(v any) {
 	enc := json.NewEncoder(a.Out)
 	enc.SetIndent("", "  ")
+	enc.SetEscapeHTML(false)
 	_ = enc.Encode(v) // a closed pipe ends the reader's interest
 }
 
--- a/ctl/config.go
+++ b/ctl/config.go
@@ -34,7 +34,7 @@
 }
 
 type checkCommand struct {
-	app *app
+	app   *app
 	As    string `long:"as" default:"cluster" choice:"cluster" choice:"control" choice:"entry" choice:"agent" description:"what the file holds: the cluster configuration, or the settings of a daemon"`
 	Print bool   `long:"print" description:"write the checked file with defaults and units as comments"`
 	Args  file   `positional-args:"yes"`
@@ -77,7 +77,7 @@
 }
 
 type applyCommand struct {
-	app *app
+	app       *app
 	Expect    string `long:"expect" value-name:"VERSION" description:"configuration version that the change was made from (default: the version read just before)"`
 	CommandID string `long:"command-id" value-name:"ID" description:"id of the command; the same id takes effect once (default: a random one)"`
 	Wait      bool   `long:"wait" description:"wait until all live members have the change, within --timeout"`
@@ -89,7 +89,7 @@
 	Version   uint64   `json:"version"`
 	CommandID string   `json:"command_id"`
 	Repeated  bool     `json:"repeated"`
-	Changes   []string `json:"changes"`
+	Changes   []string `json:"changes,omitempty"` // not of a repeated command
 	Holding   int      `json:"holding,omitempty"`
 	Live      int      `json:"live,omitempty"`
 }
@@ -138,7 +138,10 @@
 	if reply.Err != nil {
 		return c.conflict(cmd, reply)
 	}
-	report := applied{Version: reply.ConfigVer, CommandID: cmd.CommandID, Repeated: reply.Repeated, Changes: differences(before.Pairs, pairs)}
+	report := applied{Version: reply.ConfigVer, CommandID: cmd.CommandID, Repeated: reply.Repeated}
+	if !reply.Repeated {
+		report.Changes = differences(before.Pairs, pairs)
+	}
 	if c.Wait {
 		err = c.waitFor(ctx, client, reply, &report)
 	}
@@ -184,20 +187,24 @@
 }
 
 func (c *applyCommand) printApplied(r applied) {
-	state := "in force"
 	if r.Repeated {
-		state = "in force since an earlier sending of this command"
+		c.app.printf("Version %d was put in force by an earlier sending of this command.\n", r.Version)
+	} else {
+		c.printChanges(r)
 	}
-	c.app.printf("Version %d is %s.\n", r.Version, state)
+	if c.Wait {
+		c.app.printf("%d of %d members have it.\n", r.Holding, r.Live)
+	}
+}
+
+func (c *applyCommand) printChanges(r applied) {
+	c.app.printf("Version %d is in force.\n", r.Version)
 	for _, d := range r.Changes {
 		c.app.printf("  %s\n", d)
 	}
 	if len(r.Changes) == 0 {
 		c.app.printf("  No value differs from the version before.\n")
 	}
-	if c.Wait {
-		c.app.printf("%d of %d members have it.\n", r.Holding, r.Live)
-	}
 }
 
 // differences lists the values that differ, one a line.
@@ -238,7 +245,7 @@
 }
 
 type getCommand struct {
-	app *app
+	app  *app
 	YAML bool `long:"yaml" description:"write a file for check and apply"`
 }
 
--- a/ctl/dev.go
+++ b/ctl/dev.go
@@ -32,7 +32,7 @@
 const demoBound = 60 * time.Second
 
 type devCommand struct {
-	app *app
+	app  *app
 	Demo bool   `long:"demo" description:"submit work, disturb the system, check the promises, and end"`
 	Data string `long:"data" value-name:"DIR" description:"folder for the data, empty or absent (default: a temporary one, removed at the end)"`
 	Logs bool   `long:"logs" description:"write the log lines of all parts to standard error"`
@@ -129,7 +129,7 @@
 `
 
 type devUpstreamCommand struct {
-	app *app
+	app     *app
 	Listen  string   `long:"listen" default:"127.0.0.1:9000" value-name:"HOST:PORT" description:"address to listen on"`
 	Slots   int      `long:"slots" default:"8" description:"requests at once that it is built for; more run as well and are reported"`
 	Speed   float64  `long:"speed" default:"1" description:"divides each run time; 2 is twice as fast"`
--- a/ctl/jobs.go
+++ b/ctl/jobs.go
@@ -149,7 +149,7 @@
 }
 
 type submitCommand struct {
-	app *app
+	app  *app
 	Args file `positional-args:"yes"`
 }
 
@@ -188,7 +188,7 @@
 }
 
 type jobCommand struct {
-	app *app
+	app  *app
 	Wait bool  `long:"wait" description:"wait until the job has ended, within --timeout"`
 	Args jobID `positional-args:"yes"`
 }
@@ -211,7 +211,7 @@
 }
 
 type cancelCommand struct {
-	app *app
+	app  *app
 	Args jobID `positional-args:"yes"`
 }
 
--- /dev/null
+++ b/ctl/script_test.go
@@ -0,0 +1,65 @@
+package ctl
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/baobabshore/baobabshore/devcluster"
+)
+
+// Guards against a command that misreports: its text, JSON or exit code. The
+// scripts run the real command against a system on loopback.
+func TestScripts(t *testing.T) {
+	bin := t.TempDir()
+	out, err := exec.Command("go", "build", "-o", filepath.Join(bin, "baobabctl"), "../cmd/baobabctl").CombinedOutput()
+	if err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+	defer cancel()
+	c, err := devcluster.Start(ctx, devcluster.Defaults(t.TempDir()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("PATH", bin+string(filepath.ListSeparator)+os.Getenv("PATH"))
+			env.Setenv("BAOBAB_CONTROL", strings.Join(c.Control(), ","))
+			env.Setenv("BAOBAB_ENTRY", c.Callers()[0])
+			env.Setenv("ENTRY2", c.Callers()[1])
+			env.Setenv("OPS", c.OpsAddresses()["entry-1"])
+			return nil
+		},
+		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){"exits": exits},
+	})
+}
+
+// exits runs a command and compares its exit code: exits CODE COMMAND [ARG...].
+func exits(ts *testscript.TestScript, neg bool, args []string) {
+	if neg || len(args) < 2 {
+		ts.Fatalf("usage: exits CODE COMMAND [ARG...]")
+	}
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	got := 0
+	var failed *exec.ExitError
+	if err := ts.Exec(args[1], args[2:]...); errors.As(err, &failed) {
+		got = failed.ExitCode()
+	} else if err != nil {
+		ts.Fatalf("%v", err)
+	}
+	if got != want {
+		ts.Fatalf("exit code %d, want %d", got, want)
+	}
+}
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -107,7 +107,7 @@
 }
 
 type dumpCommand struct {
-	app *app
+	app  *app
 	Args struct {
 		Address string `positional-arg-name:"ADDRESS" required:"yes"`
 	} `positional-args:"yes"`
@@ -135,7 +135,7 @@
 }
 
 type drainCommand struct {
-	app *app
+	app  *app
 	Undo bool `long:"undo" description:"send work again"`
 	Args struct {
 		Node ids.Node `positional-arg-name:"UPSTREAM" required:"yes" description:"node name of its agent, see baobabctl status"`
@@ -165,7 +165,7 @@
 }
 
 type replaceCommand struct {
-	app *app
+	app  *app
 	Args struct {
 		Old     ids.Node `positional-arg-name:"OLD" required:"yes" description:"node name of the lost control node"`
 		Address string   `positional-arg-name:"ADDRESS" required:"yes" description:"listener of the new control node, host:port"`
