executor: give a recalled task without a row the epoch of the recall

The row was made with the highest epoch the agent knew, which is zero when no start of the job has arrived, so the delayed start had a newer epoch and ran a second time.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -55,7 +55,6 @@
 
 	work   estimate // normalized run time of tasks, in seconds
 	fair   fairQueue
-	sizes  sizeTable  // waiting jobs by number of waiting tasks
 	quar   int        // upstreams in quarantine
 	aheads []*attempt // attempts placed as look-ahead, not yet answered
 }
--- a/dispatch/property_test.go
+++ b/dispatch/property_test.go
@@ -31,9 +31,9 @@
 
 func runWorld(t *testing.T, seed uint64) {
 	w := newWorld(seed, 3, 5, 3)
-	w.link = link{delay: testMS, jitter: 30 * testMS, loss: 0.03, duplicate: 0.03}
+	w.link = link{delay: millis, jitter: 30 * millis, loss: 0.03, duplicate: 0.03}
 	w.runTime = func(*agentProc, wire.Start) time.Duration {
-		return time.Duration(10+w.rng.ExpFloat64()*100) * testMS
+		return time.Duration(10+w.rng.ExpFloat64()*100) * millis
 	}
 	w.status = func(*agentProc, wire.Start) int {
 		if w.rng.Float64() < 0.002 {
@@ -41,7 +41,7 @@
 		}
 		return 200
 	}
-	w.run(testMS)
+	w.run(millis)
 	w.planLoad()
 	w.planFaults()
 	w.run(worldLength + worldSettle)
@@ -58,7 +58,7 @@
 
 // planLoad submits jobs and single requests at random entries.
 func (w *world) planLoad() {
-	for at := time.Duration(0); at < worldLength; at += time.Duration(w.rng.ExpFloat64() * float64(60*testMS)) {
+	for at := time.Duration(0); at < worldLength; at += time.Duration(w.rng.ExpFloat64() * float64(22*millis)) {
 		w.at(at, func() {
 			e := w.entries[w.rng.IntN(len(w.entries))]
 			if !e.alive {
@@ -68,7 +68,7 @@
 			case 0:
 				id := w.submit(e, teamA, 1+w.rng.IntN(12), worldDeadline)
 				if id != 0 && w.rng.IntN(6) == 0 {
-					w.after(time.Duration(w.rng.IntN(300))*testMS, func() {
+					w.after(time.Duration(w.rng.IntN(300))*millis, func() {
 						e.core.Cancel(w.now, id)
 						w.tickEntry(e)
 					})
@@ -99,7 +99,7 @@
 			case 3:
 				w.drainAgent(a)
 			default:
-				w.cut(e, a, time.Duration(w.rng.IntN(4000))*testMS)
+				w.cut(e, a, time.Duration(w.rng.IntN(4000))*millis)
 			}
 		})
 	}
@@ -196,7 +196,7 @@
 		w.index++
 		r.owner = heir
 		r.spec.Epoch++
-		w.after(time.Duration(w.rng.IntN(1500))*testMS, func() { w.assign(heir, r) })
+		w.after(time.Duration(w.rng.IntN(1500))*millis, func() { w.assign(heir, r) })
 	}
 	w.spreadView(2 * time.Second)
 }
@@ -223,7 +223,7 @@
 	if w.rng.IntN(3) == 0 {
 		return
 	}
-	w.after(time.Duration(w.rng.IntN(3000))*testMS, func() {
+	w.after(time.Duration(w.rng.IntN(3000))*millis, func() {
 		if e.alive {
 			e.core.Bodies(w.now, job.ID, bodies(job.Tasks))
 			w.tickEntry(e)
@@ -231,16 +231,16 @@
 	})
 }
 
-// TestMoreUpstreamsSameDecision guards against output that depends on the order
+// TestSameSeedSameRun guards against output that depends on the order
 // of a map: two runs with the same seed must agree.
 func TestSameSeedSameRun(t *testing.T) {
 	trace := func() (sum uint64) {
 		w := newWorld(7, 2, 5, 3)
-		w.link.jitter = 20 * testMS
+		w.link.jitter = 20 * millis
 		w.onEnd = func(e *entryProc, o dispatch.Outcome) {
 			sum = sum*31 + uint64(w.now) + uint64(o.Job) + uint64(len(o.Results))
 		}
-		w.run(testMS)
+		w.run(millis)
 		w.planLoad()
 		w.planFaults()
 		w.run(worldLength)
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -58,12 +58,17 @@
 func (c *Core) recall(now time.Duration, a *attempt) {
 	a.recalled = true
 	key := a.job.keyOf(a.index)
-	a.up.mailbox.recalls = append(a.up.mailbox.recalls, wire.Recall{Key: key, Try: a.try})
+	a.up.mailbox.recalls = append(a.up.mailbox.recalls, a.recall())
 	c.mark(a.up)
 	c.msgs.Recalls++
 	c.decide(now, "recall", a.up.inc, key, "waits in look-ahead")
 }
 
+// recall is the message that takes an attempt back.
+func (a *attempt) recall() wire.Recall {
+	return wire.Recall{Key: a.job.keyOf(a.index), Epoch: a.job.epoch, Try: a.try}
+}
+
 // recallAhead takes back everything that waits in look-ahead at u.
 func (c *Core) recallAhead(now time.Duration, u *upstream) {
 	for _, a := range u.attempts {
@@ -109,7 +114,7 @@
 	key := a.job.keyOf(a.index)
 	switch {
 	case a.orphan:
-		m.recalls = append(m.recalls, wire.Recall{Key: key, Try: a.try})
+		m.recalls = append(m.recalls, a.recall())
 		if a.job.single {
 			m.aborts = append(m.aborts, key)
 		} else {
@@ -120,7 +125,7 @@
 	default:
 		m.starts = append(m.starts, a.message(now))
 		if a.recalled {
-			m.recalls = append(m.recalls, wire.Recall{Key: key, Try: a.try})
+			m.recalls = append(m.recalls, a.recall())
 		}
 	}
 	c.msgs.Resends++
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -97,7 +97,7 @@
 	svc    = ids.Service("svc")
 	teamA  = ids.Team("a")
 	teamB  = ids.Team("b")
-	testMS = time.Millisecond
+	millis = time.Millisecond
 )
 
 func testConfig() dispatch.Config {
@@ -113,9 +113,9 @@
 
 func newWorld(seed uint64, entries, agents, slots int) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 1)), link: link{delay: testMS}, slots: slots, cfg: testConfig(),
+		rng: rand.New(rand.NewPCG(seed, 1)), link: link{delay: millis}, slots: slots, cfg: testConfig(),
 		jobs: map[ids.Job]*jobRecord{}, runs: map[ids.TaskKey]int{}, outcomes: map[string]int{},
-		runTime: func(*agentProc, wire.Start) time.Duration { return 100 * testMS },
+		runTime: func(*agentProc, wire.Start) time.Duration { return 100 * millis },
 		status:  func(*agentProc, wire.Start) int { return 200 },
 	}
 	w.cfg.Services[svc] = dispatch.Service{Slots: slots, Connections: 64, Timeout: 30 * time.Second}
@@ -320,7 +320,7 @@
 		w.startTask(a, s)
 	}
 	for _, key := range out.Abort {
-		w.after(testMS, func() {
+		w.after(millis, func() {
 			w.endTask(a, wire.Answer{Key: key, Verdict: verdict.MayHaveRun, Reason: verdict.Canceled})
 		})
 	}
--- a/executor/cancel.go
+++ b/executor/cancel.go
@@ -15,10 +15,7 @@
 	switch {
 	case r == nil:
 		r = c.addRow(now, wire.Start{Key: m.Key})
-		r.try, r.owner = m.Try, s
-		if !m.Key.IsRequest() {
-			r.epoch = c.job(m.Key.Job).epoch
-		}
+		r.epoch, r.try, r.owner = m.Epoch, m.Try, s
 		c.refuse(r, verdict.Recalled)
 	case r.owner != s:
 		return
--- a/wire/task.go
+++ b/wire/task.go
@@ -60,8 +60,9 @@
 
 // Recall names one try of a task that the entry takes back.
 type Recall struct {
-	Key ids.TaskKey `json:"k"`
-	Try uint32      `json:"y,omitempty"`
+	Key   ids.TaskKey `json:"k"`
+	Epoch ids.Epoch   `json:"ep,omitempty"`
+	Try   uint32      `json:"y,omitempty"`
 }
 
 // Exchange is the message of an entry to an agent.
