--- /dev/null
+++ b/member/decide.go
@@ -0,0 +1,102 @@
+package member
+
+import (
+	"time"
+
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// tracker holds the decisions of a session without any I/O: which server to ask
+// next and when, which replies to accept, and whether the view is current.
+type tracker struct {
+	servers   int // number of servers
+	server    int // index of the server in use
+	moves     int // changes of the server since the last pause of a whole interval
+	moved     bool
+	view      *View
+	confirmed time.Time // when the view is known to have been current
+	gone      bool
+}
+
+func newTracker(servers int, first int) *tracker {
+	return &tracker{servers: servers, server: first % servers, view: &View{}}
+}
+
+// accept takes over the reply to a renewal that was sent at the given time, and
+// reports whether the content of the view has changed.
+func (t *tracker) accept(sent time.Time, r wire.RenewReply) (changed bool) {
+	if r.Gone {
+		t.gone = true
+		return false
+	}
+	if r.Version < t.view.Version {
+		t.move() // the server is behind; its view would be a step back
+		return false
+	}
+	changed = r.Whole || !r.Changes.IsZero()
+	if changed || r.Version > t.view.Version {
+		t.view = t.view.next(r)
+	}
+	age := time.Duration(max(r.ConfirmedAge, 0)) * time.Millisecond
+	if at := sent.Add(-age); at.After(t.confirmed) {
+		t.confirmed = at
+	}
+	if age > wire.SwitchAfter {
+		t.move()
+	}
+	return changed
+}
+
+// failed takes note of a renewal without a usable reply.
+func (t *tracker) failed() { t.move() }
+
+func (t *tracker) move() {
+	t.server = (t.server + 1) % t.servers
+	t.moved = true
+}
+
+// pause returns how long to wait before the next renewal. After a change of the
+// server the next one is asked almost at once, until all have been asked.
+func (t *tracker) pause() time.Duration {
+	moved := t.moved
+	t.moved = false
+	if moved && t.moves+1 < t.servers {
+		t.moves++
+		return retryPause
+	}
+	t.moves = 0
+	return wire.RenewInterval
+}
+
+// current reports whether the view has been confirmed recently enough for new work.
+func (t *tracker) current(now time.Time) bool {
+	return !t.gone && !t.confirmed.IsZero() && now.Sub(t.confirmed) <= wire.StaleAfter
+}
+
+// step is what a caller of the leader does after a failed attempt.
+type step uint8
+
+const (
+	stepReturn step = iota // the failure is the answer
+	stepHint               // ask the node that the refusal named
+	stepNext               // ask the next server
+)
+
+// afterFailure decides on the next attempt to reach the leader.
+func afterFailure(v *verdict.Error, hint wire.LeaderHint) step {
+	if v.Reason == verdict.NotLeader {
+		if hint.Addr != "" {
+			return stepHint
+		}
+		return stepNext
+	}
+	switch v.Reason {
+	case verdict.NoQuorum, verdict.ConnectionFailed, verdict.Stale, verdict.Draining:
+		return stepNext
+	}
+	if v.Verdict == verdict.MayHaveRun {
+		return stepNext
+	}
+	return stepReturn
+}
