dispatch: admit work for an upstream that other entries fill

Cause: capacity counted only free slots, so while one entry filled all slots a second entry refused everything with no-upstream, showed no demand to the agent and never got its share of the credit. Change: an upstream with credit counts as one slot at least. Conclusion: entry's TestSecondEntryGetsAShare failed with 503 no-upstream before and passes now (go test ./entry -run Second -count=3).

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -271,7 +271,9 @@
 	u.slow = math.Exp(log)
 }
 
-// addWeight adds u to the sums of its service.
+// addWeight adds u to the sums of its service. An upstream that other entries
+// fill still counts as one slot, since its agent shares credit by demand, and
+// demand shows only when work is admitted.
 func (c *Core) addWeight(u *upstream) {
 	s := u.svc
 	slots := u.slots()
@@ -279,7 +281,7 @@
 	w := indexed{in: true, bucket: u.bucket, busy: float64(busy), rate: float64(busy) / u.slow}
 	if u.usable() && u.health != Quarantined {
 		w.fails = u.failRate
-		w.slots = max(min(slots-u.others, u.credit), 0)
+		w.slots = max(min(slots-u.others, u.credit), min(u.credit, 1))
 		w.usable = float64(w.slots) / u.slow
 	}
 	s.busy.add(w.bucket, w.busy)
