entry: test the fence with a late start of a frozen owner

Cause: the test passed whenever the frozen entry had no credit. Change: it sends the starts past the core and looks for a run.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -337,22 +337,43 @@
 	s.checkOnce(t)
 }
 
-// Guards against a frozen owner that wakes after its expiry and starts tasks.
+// Guards against a start of a frozen owner that reaches the agent after the job
+// was given to another entry.
 func TestFrozenOwnerIsFenced(t *testing.T) {
 	s := newSystem(t, testCluster(), 2, Options{})
-	old, heir := s.entries[0], s.entries[1]
-	frozen := s.control.session(old.life.Load().self)
+	old, heir := s.entries[0].life.Load(), s.entries[1]
+	s.upstream.SetMode(upstreamsim.Hold)
+	j := jobOf(t, call(t, s.entries[0], "POST", "/v1/jobs", jobJSON("k", 8)))
+	eventually(t, "full slots", func() bool { return s.upstream.Running() == 4 })
+	frozen := s.control.session(old.self)
 	frozen.mu.Lock()
 	frozen.frozen = true
 	frozen.mu.Unlock()
-	s.control.expire(frozen.inc, heir.life.Load().self)
-	eventually(t, "the agent's view", func() bool {
-		return s.agent.Ready() == nil && s.control.session(1).View().Version == ids.Version(s.control.index)
+	s.control.expire(old.self, heir.life.Load().self)
+	eventually(t, "the takeover", func() bool {
+		return jobOf(t, call(t, heir, "GET", j.Location, "")).NeedBodies
 	})
-	r := call(t, old, "POST", "/v1/services/s/x", `{}`, headerTeam, "t", headerIdempotent, "false")
-	if r.status == 200 || len(s.upstream.Runs()) != 0 {
-		t.Errorf("fenced request: %v with %d runs", r, len(s.upstream.Runs()))
+	late := wire.Exchange{Entry: old.self, Starts: []wire.Start{
+		{Key: ids.TaskOf(j.ID, 7), Epoch: 1, Try: 9, Method: "POST", Path: "/late", BudgetMS: 60_000},
+		{Key: ids.RequestOf(old.self, 99), Try: 1, Method: "POST", Path: "/late", BudgetMS: 60_000},
+	}}
+	old.loop.Call(func(time.Duration) {
+		for _, a := range old.agents {
+			a.send(late)
+		}
+	})
+	s.upstream.SetMode(upstreamsim.Serve)
+	s.upstream.Release()
+	r := call(t, heir, "POST", "/v1/jobs?wait=30s", jobJSON("k", 8))
+	if r.status != 200 || len(jobOf(t, r).Results) != 8 {
+		t.Errorf("resubmission: %v", r)
 	}
+	for _, run := range s.upstream.Runs() {
+		if run.Path == "/late" {
+			t.Errorf("the frozen owner started %s", run.Task)
+		}
+	}
+	s.checkOnce(t)
 }
 
 // Guards against callers that wait for ever, and against a second run, when
