--- /dev/null
+++ b/bench/cluster.go
@@ -0,0 +1,342 @@
+package bench
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"time"
+
+	"github.com/baobabshore/baobabshore/dispatch"
+	"github.com/baobabshore/baobabshore/executor"
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/settings"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// Settings of the processes in a run.
+const (
+	connections = 64
+	answerBytes = 8 << 20
+	// pingTimeout is when an entry or agent notices that its peer is gone.
+	pingTimeout = time.Second
+	// settle is how long a run with faults goes on after the last outcome, so
+	// that leases run out and late messages arrive.
+	settle = 8 * time.Second
+	// maxRun bounds a run after the last arrival.
+	maxRun = 200 * time.Second
+)
+
+// Options describe one run of the real cores.
+type Options struct {
+	Deployment Deployment
+	Load       Load
+	Seed       uint64
+	Faults     []Fault
+	Quotas     []int     // of the teams, equal if nil
+	Trace      io.Writer // receives one line for each step, nil for none
+	// wrapAgent and wrapEntry replace a core by a broken one in negative tests.
+	wrapAgent func(agentCore) agentCore
+	wrapEntry func(entryCore) entryCore
+}
+
+// Result is what a run measured.
+type Result struct {
+	Records          []Record
+	Messages, Wasted int
+	Starts, Runs     int
+	SingleStarts     int
+	AgentRefusals    map[verdict.Reason]int
+	CallerRefusals   map[verdict.Reason]int
+	Violations       []Violation
+	spans            []*span
+}
+
+// Cluster is one run: entries and agents with the real cores, connected by fakes.
+type Cluster struct {
+	queue
+	opts     Options
+	rng      *rand.Rand
+	ctl      *control
+	check    *checker
+	acct     *accounts
+	ups      []*upstream
+	entries  map[ids.Incarnation]*process
+	agents   map[ids.Incarnation]*process
+	lives    []*process // all processes in order of their start
+	callers  []*caller
+	open     int // callers without an outcome
+	refusals map[verdict.Reason]int
+	spans    []*span
+	links    linkFaults
+	lastAt   map[[2]ids.Incarnation]time.Duration // last arrival on each connection
+}
+
+// linkFaults is the state of all links between entries and agents.
+type linkFaults struct {
+	loss, late, double float64         // probabilities for each message
+	down               map[[2]int]bool // pairs of entry and upstream without contact
+}
+
+// maxLate is the longest extra delay of a late message.
+const maxLate = 400 * time.Millisecond
+
+// Run drives the real cores through one workload.
+func Run(o Options) *Result {
+	c := &Cluster{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 3)), acct: newAccounts(),
+		entries: map[ids.Incarnation]*process{}, agents: map[ids.Incarnation]*process{},
+		refusals: map[verdict.Reason]int{}, lastAt: map[[2]ids.Incarnation]time.Duration{}}
+	c.links.down = map[[2]int]bool{}
+	c.check = newChecker(func() time.Duration { return c.now })
+	c.ctl = newControl(c, o.Seed)
+	for i, speed := range o.Deployment.Speeds {
+		c.ups = append(c.ups, &upstream{index: i, speed: speed, slow: 1, slots: o.Deployment.Slots})
+		c.startAgent(i)
+	}
+	for i := range o.Deployment.Weights {
+		c.startEntry(i)
+	}
+	for _, f := range o.Faults {
+		c.at(f.At, func() { c.apply(f) })
+	}
+	c.startCallers()
+	c.runToEnd()
+	return c.result()
+}
+
+// startCallers draws the workload. Arrivals begin when the system is connected.
+func (c *Cluster) startCallers() {
+	subs := Generate(c.opts.Deployment, c.opts.Load, c.opts.Seed)
+	c.open = len(subs)
+	for _, s := range subs {
+		cl := &caller{c: c, sub: s, prefer: s.Entry, record: Record{Sub: s}}
+		c.callers = append(c.callers, cl)
+		c.at(s.At, cl.submit)
+	}
+}
+
+// runToEnd runs until every caller has an outcome and late effects have shown.
+func (c *Cluster) runToEnd() {
+	end := c.opts.Load.Length + maxRun
+	c.runUntil(end, func() bool { return c.open == 0 && c.now >= c.opts.Load.Length })
+	if len(c.opts.Faults) > 0 {
+		c.runUntil(c.now+settle, func() bool { return false })
+	} else {
+		c.runUntil(c.now+time.Second, func() bool { return false })
+	}
+	c.check.finish(c.callers)
+}
+
+// result collects the measurements.
+func (c *Cluster) result() *Result {
+	r := &Result{Starts: c.acct.starts, Runs: c.acct.runs, SingleStarts: c.acct.singles,
+		AgentRefusals: c.acct.refusals, CallerRefusals: c.refusals, Violations: c.check.violations, spans: c.spans}
+	r.Messages, r.Wasted = c.acct.totals()
+	for _, cl := range c.callers {
+		r.Records = append(r.Records, cl.record)
+	}
+	return r
+}
+
+func (c *Cluster) tracef(format string, args ...any) {
+	if c.opts.Trace != nil {
+		fmt.Fprintf(c.opts.Trace, "%12v %s\n", c.now, fmt.Sprintf(format, args...))
+	}
+}
+
+// startEntry starts a new incarnation of an entry.
+func (c *Cluster) startEntry(index int) {
+	p := c.newProcess(wire.KindEntry, index)
+	core := entryCore(dispatch.New(c.config(p.inc), c.opts.Seed+uint64(p.inc)))
+	if c.opts.wrapEntry != nil {
+		core = c.opts.wrapEntry(core)
+	}
+	p.entry = core
+	c.entries[p.inc] = p
+	p.heartbeat()
+	c.ctl.reassign()
+}
+
+// startAgent starts a new incarnation of the agent beside an upstream.
+func (c *Cluster) startAgent(index int) {
+	p := c.newProcess(wire.KindAgent, index)
+	core := agentCore(executor.New(executor.Config{Self: p.inc, Slots: c.opts.Deployment.Slots,
+		Connections: connections, LookAhead: dispatch.DefaultLookAhead, AnswerBytes: answerBytes}))
+	if c.opts.wrapAgent != nil {
+		core = c.opts.wrapAgent(core)
+	}
+	p.agent = core
+	c.agents[p.inc] = p
+	p.heartbeat()
+}
+
+// newProcess registers a process with the control group.
+func (c *Cluster) newProcess(kind wire.Kind, index int) *process {
+	p := &process{c: c, kind: kind, index: index, confirmed: c.now, conns: map[ids.Incarnation]bool{},
+		requests: map[ids.TaskKey]*caller{}, sent: map[sentStart]bool{}, running: map[ids.TaskKey]*span{}}
+	c.ctl.register(p)
+	c.lives = append(c.lives, p)
+	return p
+}
+
+// config is the configuration in force.
+func (c *Cluster) config(self ids.Incarnation) dispatch.Config {
+	d := c.opts.Deployment
+	s := settings.Defaults()
+	s.Dispatch.Tradeoff = d.Tradeoff
+	service := settings.DefaultService()
+	service.Slots, service.Connections = d.Slots, connections
+	s.Services[ids.Service(d.Service)] = service
+	for i := range teams {
+		t := settings.DefaultTeam()
+		if c.opts.Quotas != nil {
+			t.Quota = c.opts.Quotas[i]
+		}
+		s.Teams[team(i)] = t
+	}
+	cfg := dispatch.FromCluster(s)
+	cfg.Self = self
+	return cfg
+}
+
+// team is the name of a team.
+func team(i int) ids.Team { return ids.Team(fmt.Sprintf("team-%d", i)) }
+
+// spec is what admission decides on for a submission.
+func (c *Cluster) spec(s *Submission) dispatch.JobSpec {
+	return dispatch.JobSpec{Team: team(s.Team), Service: ids.Service(c.opts.Deployment.Service),
+		Tasks: len(s.Work), RunTime: s.Declared, Deadline: s.Deadline}
+}
+
+// reachable returns the entry that a load balancer picks for a caller.
+func (c *Cluster) reachable(prefer int) *process {
+	n := len(c.opts.Deployment.Weights)
+	for i := range n {
+		if p := c.current(wire.KindEntry, (prefer+i)%n); p != nil && !p.frozen {
+			return p
+		}
+	}
+	return nil
+}
+
+// current returns the running process of the given kind and index, or nil.
+func (c *Cluster) current(kind wire.Kind, index int) *process {
+	for i := len(c.lives) - 1; i >= 0; i-- {
+		if p := c.lives[i]; p.kind == kind && p.index == index && !p.dead {
+			return p
+		}
+	}
+	return nil
+}
+
+// send delivers a message between an entry and an agent in order, unless a
+// fault drops, delays or repeats it.
+func (c *Cluster) send(from, to *process, deliver func()) {
+	entry, agent := from, to
+	if from.kind == wire.KindAgent {
+		entry, agent = to, from
+	}
+	if c.links.down[[2]int{entry.index, agent.index}] || c.rng.Float64() < c.links.loss {
+		return
+	}
+	latency := c.opts.Deployment.link(entry.index, agent.index)
+	arrive := func() { to.input(deliver) }
+	if c.rng.Float64() < c.links.late {
+		c.after(latency+time.Duration(c.rng.Int64N(int64(maxLate))), arrive)
+		return
+	}
+	pair := [2]ids.Incarnation{from.inc, to.inc}
+	at := max(c.now+latency, c.lastAt[pair])
+	c.lastAt[pair] = at
+	c.at(at, arrive)
+	if c.rng.Float64() < c.links.double {
+		c.acct.message()
+		c.at(at+time.Duration(c.rng.Int64N(int64(maxLate))), arrive)
+	}
+}
+
+// claim carries a claim and its reply.
+func (c *Cluster) claim(p *process, order dispatch.ClaimOrder) {
+	to := c.agents[order.To]
+	if to == nil || to.dead || c.links.down[[2]int{p.index, to.index}] {
+		return
+	}
+	c.acct.claims += 2
+	latency := c.opts.Deployment.link(p.index, to.index)
+	c.after(latency, func() {
+		to.input(func() {
+			reply := to.agent.Claim(c.now, order.Claim)
+			c.tracef("agent %d answers claim of job %d epoch %d: %d rows, %v", to.inc, order.Claim.Job, order.Claim.Epoch, len(reply.Rows), reply.Err)
+			c.after(latency, func() {
+				p.input(func() { p.entry.Claimed(c.now, to.inc, reply) })
+			})
+		})
+	})
+}
+
+// connect opens the missing connections of an entry to the agents it knows.
+func (c *Cluster) connect(p *process) {
+	for _, m := range c.ctl.members {
+		to := c.agents[m.Incarnation]
+		if to == nil || to.dead || p.conns[to.inc] || c.links.down[[2]int{p.index, to.index}] {
+			continue
+		}
+		p.conns[to.inc] = true
+		c.after(2*c.opts.Deployment.link(p.index, to.index), func() {
+			to.input(func() { to.agent.Connected(c.now, p.inc) })
+		})
+	}
+}
+
+// disconnect ends the connection of an entry and an agent at both ends.
+func (c *Cluster) disconnect(entry, agent *process) {
+	if !entry.conns[agent.inc] {
+		return
+	}
+	delete(entry.conns, agent.inc)
+	entry.input(func() { entry.entry.Disconnected(c.now, agent.inc) })
+	agent.input(func() { agent.agent.Disconnected(c.now, entry.inc) })
+}
+
+// kill ends a process at once. Runs on the upstream of an agent end with it.
+func (c *Cluster) kill(p *process) {
+	if p.dead {
+		return
+	}
+	c.tracef("%s %d dies", p.kind, p.inc)
+	p.dead = true
+	p.held = nil
+	for _, cl := range c.callers {
+		if cl.at == p && !cl.done {
+			cl.lost()
+		}
+	}
+	for _, r := range sortedRuns(p) {
+		p.end(r, wire.Answer{})
+	}
+	c.after(pingTimeout, func() {
+		for _, o := range c.lives {
+			switch {
+			case o.kind == p.kind:
+			case p.kind == wire.KindAgent:
+				c.disconnect(o, p)
+			default:
+				c.disconnect(p, o)
+			}
+		}
+	})
+}
+
+// restart starts the next incarnation of a process that has ended.
+func (c *Cluster) restart(p *process, after time.Duration) {
+	c.after(after, func() {
+		if c.current(p.kind, p.index) != nil {
+			return
+		}
+		if p.kind == wire.KindEntry {
+			c.startEntry(p.index)
+		} else {
+			c.startAgent(p.index)
+		}
+	})
+}
