--- a/bench/process.go
+++ b/bench/process.go
@@ -14,13 +14,15 @@
 type entryCore interface {
 	Admit(now time.Duration, s dispatch.JobSpec) *verdict.Error
 	Submit(now time.Duration, j dispatch.Job)
-	Bodies(now time.Duration, job ids.Job, specs []wire.TaskSpec)
+	Bodies(now time.Duration, job ids.Job, specs []wire.TaskSpec) *verdict.Error
 	Request(now time.Duration, r dispatch.Request) *verdict.Error
 	Cancel(now time.Duration, job ids.Job)
+	CancelRequest(now time.Duration, key ids.TaskKey)
 	SetUpstreams(now time.Duration, rows []wire.Member)
 	SetCurrent(current bool)
 	Report(now time.Duration, r wire.Report)
-	Claimed(now time.Duration, up ids.Incarnation, r wire.ClaimReply)
+	Claimed(now time.Duration, job ids.Job, r wire.ClaimReply)
+	Connected(now time.Duration, up ids.Incarnation)
 	Disconnected(now time.Duration, up ids.Incarnation)
 	Tick(now time.Duration) dispatch.Output
 }
@@ -130,7 +132,7 @@
 	for _, env := range out.Send {
 		if to := c.agents[env.To]; to != nil {
 			p.countStarts(to, env.Exchange)
-			m := c.acct.message()
+			m := c.acct.message(exchangeContent(env.Exchange))
 			c.send(p, to, func() {
 				c.acct.exchangeArrived(to.inc, env.Exchange, m)
 				to.agent.Receive(c.now, env.Exchange)
@@ -182,7 +184,7 @@
 		if to == nil {
 			continue
 		}
-		m := c.acct.message()
+		m := c.acct.message(reportContent(env.Report))
 		c.send(p, to, func() {
 			c.acct.reportArrived(env.Report, m)
 			to.entry.Report(c.now, env.Report)
--- a/bench/report.go
+++ b/bench/report.go
@@ -157,17 +157,21 @@
 // printReasons prints how often agents refused starts and callers got refusals,
 // and how submissions ended that are not complete.
 func printReasons(w io.Writer, title string, results []*Result) {
-	agents, callers, ends := map[string]int{}, map[string]int{}, map[string]int{}
+	agents, callers, ends, wasted := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
 	for _, r := range results {
 		addReasons(agents, r.AgentRefusals)
 		addReasons(callers, r.CallerRefusals)
+		for content, n := range r.WastedBy {
+			wasted[content] += n
+		}
 		for _, rec := range r.Records {
 			if !rec.Complete {
 				ends[fmt.Sprintf("%s/%s", rec.Verdict, rec.Reason)]++
 			}
 		}
 	}
-	fmt.Fprintf(w, "%s by agents: %s. To callers: %s. Failed submissions: %s.\n\n", title, list(agents), list(callers), list(ends))
+	fmt.Fprintf(w, "%s by agents: %s. To callers: %s. Failed submissions: %s. Wasted messages: %s.\n\n", title,
+		list(agents), list(callers), list(ends), list(wasted))
 }
 
 func addReasons(to map[string]int, from map[verdict.Reason]int) {
