--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -67,11 +67,10 @@
 // comes again.
 type forgetful struct {
 	agentCore
-	cfg   executor.Config
-	seen  map[ids.TaskKey]bool
-	at    ids.Version
-	rows  []wire.Member
-	entry ids.Incarnation
+	cfg  executor.Config
+	seen map[ids.TaskKey]bool
+	at   ids.Version
+	rows []wire.Member
 }
 
 func (f *forgetful) SetEntries(now time.Duration, at ids.Version, rows []wire.Member) {
