--- a/controlstate/jobs.go
+++ b/controlstate/jobs.go
@@ -177,7 +177,7 @@
 	}
 	r := &jobRow{JobRecord: wire.JobRecord{
 		Job: ids.Job(s.index), Epoch: 1, Owner: it.Owner, Team: it.Team, Service: it.Service,
-		Key: it.Key, BodyHash: it.BodyHash, Tasks: it.Tasks, State: wire.JobOpen, Admitted: s.now,
+		Key: it.Key, BodyHash: it.BodyHash, Tasks: it.Tasks, State: wire.JobOpen, Admitted: s.now, Deadline: it.Deadline,
 	}, KeyTime: it.KeyTime, Nonce: it.Nonce}
 	s.jobs.add(r)
 	o := r.Ownership()
--- a/wire/control.go
+++ b/wire/control.go
@@ -32,6 +32,7 @@
 	Verdict  verdict.Verdict `json:"verdict,omitempty"`
 	Reason   verdict.Reason  `json:"reason,omitempty"`
 	Admitted int64           `json:"at"`            // Unix milliseconds
+	Deadline int64           `json:"dl,omitempty"`  // Unix milliseconds, zero if the caller set none
 	Ended    int64           `json:"end,omitempty"` // Unix milliseconds, zero while open
 }
 
@@ -44,6 +45,7 @@
 	KeyTime  int64           `json:"kt,omitempty"` // Unix milliseconds, zero if the caller sent none
 	BodyHash string          `json:"hash,omitempty"`
 	Tasks    int             `json:"n"`
+	Deadline int64           `json:"dl,omitempty"` // Unix milliseconds
 	// Nonce names this attempt. A repeated attempt with the same nonce returns
 	// the first result, so a lost reply does not look like a duplicate.
 	Nonce string `json:"nonce"`
