control: don't answer a renewal before the registration is applied

Cause: a node that had not applied a member's registration answered with its version and no changes. The member took the version over with an empty view and got only later changes: no configuration and no agents. Change: such a renewal is refused as stale, and the member asks another node. Conclusion: entry's TestWithControlGroup hung before and passes now.

--- a/control/serve.go
+++ b/control/serve.go
@@ -166,8 +166,11 @@
 	if e != nil {
 		return wire.RenewReply{}, e
 	}
+	if !ok {
+		return wire.RenewReply{}, verdict.Refuse(verdict.Stale, "node %s has not applied the registration %d yet", c.opt.Node, p.Incarnation)
+	}
 	r := wire.RenewReply{Version: ids.Version(c.state.Index()), ConfirmedAge: ceilMS(age)}
-	if ok && r.Version > p.Have {
+	if r.Version > p.Have {
 		r.Changes, r.Whole = c.state.Changes(p.Have, p.Incarnation)
 	}
 	return r, nil
