--- a/control/serve.go
+++ b/control/serve.go
@@ -167,7 +167,8 @@
 		return wire.RenewReply{}, e
 	}
 	if !ok {
-		return wire.RenewReply{}, verdict.Refuse(verdict.Stale, "node %s has not applied the registration %d yet", c.opt.Node, p.Incarnation)
+		// A version without the rows up to it would make the member skip them.
+		return wire.RenewReply{}, verdict.Refuse(verdict.Stale, "node %s has not reached incarnation %d", c.opt.Node, p.Incarnation)
 	}
 	r := wire.RenewReply{Version: ids.Version(c.state.Index()), ConfirmedAge: ceilMS(age)}
 	if r.Version > p.Have {
