--- a/ctl/status.go
+++ b/ctl/status.go
@@ -54,10 +54,12 @@
 		orNone(string(st.Leader)), st.Term, st.ConfigVer, st.Live, st.OpenJobs, st.Node)
 	w := tabwriter.NewWriter(c.app.Out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "CONTROL NODE\tADDRESS\tROLE\tINSTANCE\tRECORDS")
+	slices.SortFunc(st.Nodes, func(a, b wire.ControlNode) int { return cmp.Compare(a.Node, b.Node) })
 	for _, n := range st.Nodes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Node, n.Addr, role(n, st.Leader), n.Instance, matched(n))
 	}
-	fmt.Fprintln(w, "\t\t\t\t")
+	w.Flush()
+	fmt.Fprintln(w)
 	fmt.Fprintln(w, "MEMBER\tKIND\tADDRESS\tDOMAIN\tINCARNATION\tSTATE\tRENEWED")
 	slices.SortFunc(st.Members, func(a, b wire.MemberStatus) int {
 		return cmp.Or(cmp.Compare(b.Kind, a.Kind), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
--- a/devcluster/process_test.go
+++ b/devcluster/process_test.go
@@ -76,6 +76,7 @@
 	t         *testing.T
 	dir       string
 	bin       map[string]string
+	token     string // file with the shared token
 	controls  []*process
 	entries   []*process
 	agents    []*process
@@ -94,13 +95,20 @@
 func startSystem(t *testing.T) *system {
 	t.Helper()
 	s := &system{t: t, dir: t.TempDir(), bin: map[string]string{}}
+	s.token = filepath.Join(s.dir, "token")
+	if err := os.WriteFile(s.token, []byte(member.NewNonce()+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	s.build("baobab-control", "baobab-entry", "baobab-agent", "baobabctl")
 	s.reserve()
 	for i := range testControls {
 		s.controls = append(s.controls, s.daemon("baobab-control", controlNode(i), settings.Print(s.control(i))))
 	}
-	var err error
-	if s.client, err = member.NewClient(member.ClientOptions{Servers: s.addrs.control}); err != nil {
+	sec, err := settings.Process{TokenFile: s.token}.Security()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.client, err = member.NewClient(member.ClientOptions{Servers: s.addrs.control, Security: sec}); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(s.client.Close)
@@ -184,7 +192,7 @@
 func (s *system) control(i int) settings.Control {
 	c := settings.DefaultControl()
 	c.Node, c.FailureDomain, c.Data = controlNode(i), domain(i), filepath.Join(s.dir, string(controlNode(i)))
-	c.Listen, c.Ops = s.addrs.control[i], anyPort
+	c.Listen, c.Ops, c.TokenFile = s.addrs.control[i], anyPort, s.token
 	for j, addr := range s.addrs.control {
 		c.Peers = append(c.Peers, settings.Peer{Node: controlNode(j), Address: addr})
 	}
@@ -195,6 +203,7 @@
 	e := settings.DefaultEntry()
 	e.Node, e.FailureDomain, e.Control = entryNode(i), domain(i), s.addrs.control
 	e.Listen, e.Ops, e.Callers, e.Weight = anyPort, anyPort, s.addrs.callers[i], 2-i
+	e.TokenFile = s.token
 	return e
 }
 
@@ -202,6 +211,7 @@
 	a := settings.DefaultAgent()
 	a.Node, a.FailureDomain, a.Control = AgentNode(i), domain(i), s.addrs.control
 	a.Listen, a.Ops, a.Service, a.Upstream, a.Slots = anyPort, anyPort, Service, s.addrs.upstream[i], 4
+	a.TokenFile = s.token
 	return a
 }
 
@@ -216,7 +226,7 @@
 	if err := os.WriteFile(file, settings.Print(conf), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
-	cmd := exec.Command(s.bin["baobabctl"], "apply", file, "--timeout", "60s")
+	cmd := exec.Command(s.bin["baobabctl"], "apply", file, "--timeout", "60s", "--token-file", s.token)
 	cmd.Env = append(os.Environ(), "BAOBAB_CONTROL="+strings.Join(s.addrs.control, ","))
 	if out, err := cmd.CombinedOutput(); err != nil {
 		s.t.Fatalf("apply: %v\n%s", err, out)
