control: look up a job's record by its key

Cause: an entry without capacity refused the resubmission of an admitted job, since only an admission could tell that the key was known. Change: control.job takes team and key; member.Session.JobByKey asks the leader.

--- a/control/serve.go
+++ b/control/serve.go
@@ -247,6 +247,13 @@
 		if e := c.readable(); e != nil {
 			return found{err: e}
 		}
+		if p.Job == 0 {
+			rec, ok := c.state.JobByKey(p.Team, p.Key)
+			if !ok {
+				return found{err: verdict.Refuse(verdict.UnknownJob, "no job of team %q has this key", p.Team)}
+			}
+			return found{rec: rec}
+		}
 		if c.state.Index() < uint64(p.Job) {
 			return found{err: verdict.Refuse(verdict.Stale, "node %s has not reached job %d", c.opt.Node, p.Job)}
 		}
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -132,6 +132,15 @@
 	return r.JobRecord, true
 }
 
+// JobByKey returns the record of a submission.
+func (s *State) JobByKey(team ids.Team, key string) (wire.JobRecord, bool) {
+	job, ok := s.jobs.byKey[jobKey{team, key}]
+	if !ok {
+		return wire.JobRecord{}, false
+	}
+	return s.Job(job)
+}
+
 // OpenJobs returns the number of open jobs.
 func (s *State) OpenJobs() int { return s.jobs.open }
 
--- a/member/session.go
+++ b/member/session.go
@@ -196,6 +196,13 @@
 	return rec, err
 }
 
+// JobByKey returns the record of a submission, from the leader if it is known.
+func (s *Session) JobByKey(ctx context.Context, team ids.Team, key string) (wire.JobRecord, error) {
+	var rec wire.JobRecord
+	err := s.servers.callLeader(ctx, wire.MethodJob, wire.JobQuery{Team: team, Key: key}, &rec)
+	return rec, err
+}
+
 // Leave ends the incarnation and closes the session.
 func (s *Session) Leave(ctx context.Context) error {
 	err := s.servers.callLeader(ctx, wire.MethodLeave, wire.Leave{Incarnation: s.inc}, nil)
--- a/wire/control.go
+++ b/wire/control.go
@@ -88,6 +88,9 @@
 // JobQuery asks any control node for the record of a job.
 type JobQuery struct {
 	Job ids.Job `json:"job"`
+	// Team and Key name the job when Job is zero.
+	Team ids.Team `json:"team,omitempty"`
+	Key  string   `json:"key,omitempty"`
 }
 
 // Leave ends an incarnation at its own wish.
