entry: ask the present owner instead of telling a former owner's outcome

Change: an outcome that is not-run, fenced or owner-lost is told only after the control group has taken it; otherwise the caller gets the state from the present owner, which also gets the bodies. Records carry the deadline. Conclusion: go test -race ./entry passes, with TestFormerOwnerNeverTellsNotRun.

--- /dev/null
+++ b/entry/ends.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// completeTimeout bounds one attempt to record the end of a job.
+	completeTimeout = 30 * time.Second
+	// completePause is the pause between attempts.
+	completePause = 500 * time.Millisecond
+	// readBackPause is the pause between readings of a record that does not show
+	// its end yet.
+	readBackPause = 50 * time.Millisecond
+)
+
+// doubtful reports whether an outcome may only be told once the control group
+// has it from this owner. A former owner that does not know of its successor
+// sees a job that never started, or starts that were refused, while the
+// successor runs it.
+func doubtful(st wire.JobStatus) bool {
+	if st.State == wire.JobComplete {
+		return false
+	}
+	return st.Verdict == verdict.NotRun || st.Reason == verdict.Fenced || st.Reason == verdict.OwnerLost
+}
+
+func completion(j *job, st wire.JobStatus) wire.CompleteItem {
+	return wire.CompleteItem{
+		Ownership: wire.Ownership{Job: j.id, Epoch: j.epoch},
+		State:     st.State, Verdict: st.Verdict, Reason: st.Reason,
+	}
+}
+
+// record brings the end of a job to the control group, however long that takes.
+func (l *life) record(j *job, st wire.JobStatus) {
+	for {
+		ctx, cancel := context.WithTimeout(l.ctx, completeTimeout)
+		err := l.session.Complete(ctx, completion(j, st))
+		cancel()
+		if err == nil {
+			l.entry.jobs.setRecorded(j)
+			return
+		}
+		if !pause(l.ctx, completePause) {
+			return
+		}
+	}
+}
+
+// confirm ends a job whose outcome is doubtful: with this outcome if the control
+// group has taken it, by leaving it to the present owner if there is another
+// one, and as may-have-run if the control group does not answer.
+func (l *life) confirm(j *job, st wire.JobStatus) {
+	ctx, cancel := context.WithTimeout(l.ctx, l.entry.opts.AdmitTimeout)
+	defer cancel()
+	rec, err := l.recordAndRead(ctx, j, st)
+	switch {
+	case err != nil:
+		klog.Warningf("entry: End of job %d is not confirmed: %v.", j.id, err)
+		st.Verdict, st.Reason = verdict.MayHaveRun, verdict.OwnerLost
+		st.Detail = "it is not known whether this entry still owns the job"
+		l.endJob(j, st)
+		l.record(j, st)
+	case rec.Epoch != j.epoch:
+		klog.Infof("entry: Job %d belongs to incarnation %d at epoch %d.", j.id, rec.Owner, rec.Epoch)
+		l.entry.jobs.lose(j, verdict.Unknown(verdict.OwnerLost, "job %d has another owner; ask again", j.id).After(defaultRetryAfter))
+	default:
+		st.State, st.Verdict, st.Reason = rec.State, rec.Verdict, rec.Reason
+		l.endJob(j, st)
+		l.entry.jobs.setRecorded(j)
+	}
+}
+
+// recordAndRead records an end and returns the record that shows it, or the
+// record of a later epoch.
+func (l *life) recordAndRead(ctx context.Context, j *job, st wire.JobStatus) (wire.JobRecord, error) {
+	if err := l.session.Complete(ctx, completion(j, st)); err != nil {
+		return wire.JobRecord{}, err
+	}
+	for {
+		rec, err := l.session.Job(ctx, j.id)
+		if err != nil || rec.Epoch > j.epoch || rec.Epoch == j.epoch && rec.State != wire.JobOpen {
+			return rec, err
+		}
+		if !pause(ctx, readBackPause) {
+			return rec, ctx.Err()
+		}
+	}
+}
+
+// pause waits and returns false when ctx ends before.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -120,10 +120,8 @@
 		l.end()
 		nonce := member.NewNonce()
 		for e.register(e.ctx, nonce) != nil {
-			select {
-			case <-e.ctx.Done():
+			if !pause(e.ctx, registerPause) {
 				return
-			case <-time.After(registerPause):
 			}
 		}
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -376,32 +376,88 @@
 	s.checkOnce(t)
 }
 
-// Guards against callers that wait for ever, and against a second run, when
-// the entry that owns their job loses its registration.
+// Guards against callers that lose their job, and against a second run, when the
+// entry that owns it loses its registration.
 func TestTakeoverAfterLostRegistration(t *testing.T) {
 	s := newSystem(t, testCluster(), 2, Options{})
 	old, heir := s.entries[0], s.entries[1]
 	s.upstream.SetMode(upstreamsim.Hold)
-	answer := make(chan reply, 1)
-	go func() { answer <- call(t, old, "POST", "/v1/jobs?wait=30s", jobJSON("k", 8)) }()
+	job, single := make(chan reply, 1), make(chan reply, 1)
+	go func() { single <- call(t, old, "POST", "/v1/services/s/x", "{}", headerTeam, "t") }()
+	eventually(t, "a run", func() bool { return s.upstream.Running() == 1 })
+	go func() { job <- call(t, old, "POST", "/v1/jobs?wait=30s", jobJSON("k", 8)) }()
 	eventually(t, "full slots", func() bool { return s.upstream.Running() == 4 })
 	s.control.expire(old.life.Load().self, heir.life.Load().self)
-	if r := <-answer; r.status != 502 || r.header.Get(headerReason) != "owner-lost" {
-		t.Errorf("caller of the former owner: %v", r)
+	if r := <-single; r.status != 502 || r.header.Get(headerReason) != "owner-lost" || r.header.Get(headerVerdict) != "may-have-run" {
+		t.Errorf("single request at the former owner: %v", r)
 	}
 	s.upstream.SetMode(upstreamsim.Serve)
 	s.upstream.Release()
-	var r reply
-	eventually(t, "the answer of the new owner", func() bool {
-		r = call(t, heir, "POST", "/v1/jobs?wait=100ms", jobJSON("k", 8))
-		return r.status != 202
-	})
-	if r.status != 200 || len(jobOf(t, r).Results) != 8 {
+	if r := <-job; r.status != 200 || len(jobOf(t, r).Results) != 8 {
+		t.Errorf("caller of the former owner: %v", r)
+	}
+	if r := call(t, heir, "POST", "/v1/jobs?wait=30s", jobJSON("k", 8)); r.status != 200 || len(jobOf(t, r).Results) != 8 {
 		t.Errorf("resubmission: %v", r)
 	}
 	s.checkOnce(t)
 }
 
+// Guards against a former owner that tells not-run, because it started nothing,
+// of a job that the present owner runs.
+func TestFormerOwnerNeverTellsNotRun(t *testing.T) {
+	s := newSystem(t, testCluster(), 2, Options{})
+	old, heir := s.entries[0].life.Load(), s.entries[1]
+	s.upstream.SetMode(upstreamsim.Hold)
+	first := jobOf(t, call(t, heir, "POST", "/v1/jobs", jobJSON("first", 4)))
+	eventually(t, "full slots", func() bool { return s.upstream.Running() == 4 })
+	// The credit of the former owner is used up, so that the next job has not
+	// been sent to the agent.
+	call(t, s.entries[0], "POST", "/v1/jobs", jobJSON("filler", 4))
+	eventually(t, "no credit", func() bool {
+		held := 0
+		old.loop.Call(func(time.Duration) { held = old.core.Dump().Upstreams[0].Held })
+		return held > 0
+	})
+	answer := make(chan reply, 1)
+	go func() { answer <- call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("k", 1)) }()
+	var job *job
+	eventually(t, "the job", func() bool {
+		job = s.entries[0].jobs.byKey("t", "k")
+		return job != nil
+	})
+	frozen := s.control.session(old.self)
+	frozen.mu.Lock()
+	frozen.frozen = true
+	frozen.mu.Unlock()
+	s.control.expire(old.self, heir.life.Load().self)
+	old.loop.Call(func(now time.Duration) { old.core.Cancel(now, job.id) })
+	s.upstream.SetMode(upstreamsim.Serve)
+	s.upstream.Release()
+	if r := <-answer; r.status != 200 {
+		t.Errorf("caller of the former owner: %v", r)
+	}
+	if r := call(t, heir, "GET", first.Location+"?wait=30s", ""); r.status != 200 {
+		t.Errorf("other job: %v", r)
+	}
+	s.checkOnce(t)
+}
+
+// Guards against a resubmission that is refused for lack of capacity although
+// its job has been admitted.
+func TestResubmissionWithoutCapacity(t *testing.T) {
+	s := newSystem(t, testCluster(), 2, Options{})
+	first := jobOf(t, call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("k", 2)))
+	s.agent.Close()
+	r := call(t, s.entries[1], "POST", "/v1/jobs?wait=30s", jobJSON("new", 2))
+	for r.status != 503 { // the entry has not noticed yet
+		r = call(t, s.entries[1], "POST", "/v1/jobs", jobJSON("", 2))
+	}
+	r = call(t, s.entries[1], "POST", "/v1/jobs?wait=30s", jobJSON("k", 2))
+	if j := jobOf(t, r); r.status != 200 || j.ID != first.ID || len(j.Results) != 2 {
+		t.Errorf("resubmission: %v", r)
+	}
+}
+
 // Guards against new work while the view is not confirmed.
 func TestStaleEntryRefuses(t *testing.T) {
 	s := newSystem(t, testCluster(), 1, Options{})
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -181,7 +181,7 @@
 	rec := &wire.JobRecord{
 		Job: ids.Job(c.index), Epoch: 1, Owner: s.inc, Team: item.Team, Service: item.Service,
 		Key: item.Key, BodyHash: item.BodyHash, Tasks: item.Tasks, State: wire.JobOpen,
-		Admitted: time.Now().UnixMilli(),
+		Admitted: time.Now().UnixMilli(), Deadline: item.Deadline,
 	}
 	c.jobs[rec.Job] = rec
 	if item.Key != "" {
@@ -214,6 +214,16 @@
 	return wire.JobRecord{}, verdict.Refuse(verdict.UnknownJob, "no job %d", id)
 }
 
+func (s *fakeSession) JobByKey(_ context.Context, team ids.Team, key string) (wire.JobRecord, error) {
+	c := s.control
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if id, ok := c.keys[string(team)+"/"+key]; ok {
+		return *c.jobs[id], nil
+	}
+	return wire.JobRecord{}, verdict.Refuse(verdict.UnknownJob, "no job with key %q", key)
+}
+
 func (c *fakeControl) startEntry(t *testing.T, node ids.Node, o Options) *Entry {
 	t.Helper()
 	o.Node = node
--- a/entry/life.go
+++ b/entry/life.go
@@ -16,13 +16,6 @@
 	"github.com/baobabshore/baobabshore/wire"
 )
 
-const (
-	// completeTimeout bounds one attempt to record the end of a job.
-	completeTimeout = 30 * time.Second
-	// completePause is the pause between attempts.
-	completePause = 500 * time.Millisecond
-)
-
 // life is one incarnation of the entry. Its loop owns core, agents and requests.
 type life struct {
 	entry   *Entry
@@ -133,16 +126,24 @@
 		return
 	}
 	klog.Infof("entry: Job %d taken over at epoch %d.", j.id, j.epoch)
-	left := time.Until(time.UnixMilli(a.Record.Admitted).Add(maxDeadline))
 	l.core.Submit(now, dispatch.Job{
 		JobSpec: dispatch.JobSpec{
-			Team: j.team, Service: j.service, Tasks: j.tasks,
-			Deadline: now + min(max(left, 0), maxDeadline),
+			Team: j.team, Service: j.service, Tasks: j.tasks, Deadline: now + timeLeft(a.Record),
 		},
 		ID: j.id, Epoch: j.epoch, Takeover: true,
 	})
 }
 
+// timeLeft returns the time until a job's deadline. A record without a deadline
+// has the longest one that a caller may ask for.
+func timeLeft(rec wire.JobRecord) time.Duration {
+	at := time.UnixMilli(rec.Deadline)
+	if rec.Deadline == 0 {
+		at = time.UnixMilli(rec.Admitted).Add(maxDeadline)
+	}
+	return min(max(time.Until(at), 0), maxDeadline)
+}
+
 func (l *life) addJob(rec wire.JobRecord, own wire.Ownership) (*job, bool) {
 	j, added := l.entry.jobs.add(&job{
 		id: own.Job, epoch: own.Epoch, team: rec.Team, service: rec.Service,
@@ -191,9 +192,17 @@
 		return
 	}
 	st := statusFrom(j, o)
+	if doubtful(st) {
+		l.work.Go(func() { l.confirm(j, st) })
+		return
+	}
+	l.endJob(j, st)
+	l.work.Go(func() { l.record(j, st) })
+}
+
+func (l *life) endJob(j *job, st wire.JobStatus) {
 	l.entry.jobs.end(j, st, time.Now())
 	l.entry.metrics.jobEnded(st)
-	l.work.Go(func() { l.record(j, st) })
 }
 
 func statusFrom(j *job, o dispatch.Outcome) wire.JobStatus {
@@ -207,28 +216,6 @@
 	return st
 }
 
-// record brings the end of a job to the control group, however long that takes.
-func (l *life) record(j *job, st wire.JobStatus) {
-	item := wire.CompleteItem{
-		Ownership: wire.Ownership{Job: j.id, Epoch: j.epoch},
-		State:     st.State, Verdict: st.Verdict, Reason: st.Reason,
-	}
-	for {
-		ctx, cancel := context.WithTimeout(l.ctx, completeTimeout)
-		err := l.session.Complete(ctx, item)
-		cancel()
-		if err == nil {
-			l.entry.jobs.setRecorded(j)
-			return
-		}
-		select {
-		case <-l.ctx.Done():
-			return
-		case <-time.After(completePause):
-		}
-	}
-}
-
 // waitIdle waits until all jobs and requests of the life have ended and their
 // ends are recorded. Jobs that wait for bodies stay open for their next owner.
 func (l *life) waitIdle(ctx context.Context) error {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -123,7 +123,7 @@
 		return wire.JobStatus{}, err
 	}
 	wait := min(max(time.Duration(q.WaitMS)*time.Millisecond, 0), maxWait)
-	return e.statusFor(j, watch{limit: wait})
+	return e.statusFor(j, watch{until: time.Now().Add(wait)})
 }
 
 func (e *Entry) serveCancel(ctx context.Context, _ *rpc.Conn, q wire.JobQuery) (wire.JobStatus, error) {
@@ -132,12 +132,12 @@
 		return wire.JobStatus{}, err
 	}
 	j.life.loop.Post(func(now time.Duration) { j.life.core.Cancel(now, q.Job) })
-	return e.statusFor(j, watch{limit: cancelWait})
+	return e.statusFor(j, watch{until: time.Now().Add(cancelWait)})
 }
 
 // statusFor returns a job's state for another entry.
 func (e *Entry) statusFor(j *job, w watch) (wire.JobStatus, error) {
-	st, lost := j.life.await(j, w)
+	st, lost := e.await(j, w)
 	if lost != nil {
 		return wire.JobStatus{}, lost
 	}
@@ -160,7 +160,7 @@
 	if err != nil {
 		return wire.Empty{}, err
 	}
-	s := submission{Team: rec.Team, Service: rec.Service, Key: rec.Key, Tasks: b.Tasks, Deadline: wire.DefaultDeadline}
+	s := submission{Team: rec.Team, Service: rec.Service, Key: rec.Key, Tasks: b.Tasks, Deadline: timeLeft(rec)}
 	s.BodyHash = hashTasks(rec.Service, b.Tasks)
 	switch {
 	case rec.Owner != l.self:
--- a/entry/session.go
+++ b/entry/session.go
@@ -27,6 +27,8 @@
 	Complete(ctx context.Context, item wire.CompleteItem) error
 	// Job returns the record of a job.
 	Job(ctx context.Context, job ids.Job) (wire.JobRecord, error)
+	// JobByKey returns the record of a submission.
+	JobByKey(ctx context.Context, team ids.Team, key string) (wire.JobRecord, error)
 	Leave(ctx context.Context) error
 	Close()
 }
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -15,10 +15,10 @@
 // submit admits a job and returns its state, after the caller's wait.
 func (l *life) submit(ctx context.Context, s submission, w watch) (wire.JobStatus, *verdict.Error) {
 	arrived := l.loop.Now()
-	if j := l.entry.jobs.byKey(s.Team, s.Key); j != nil && !l.hasEnded() {
-		return l.resubmitted(ctx, j, s, arrived, w)
-	}
 	if err := l.precheck(s, arrived); err != nil {
+		if rec, ok := l.known(ctx, s, err); ok {
+			return l.duplicate(ctx, rec, s, arrived, w)
+		}
 		l.entry.metrics.refused.Inc(1)
 		return wire.JobStatus{}, err
 	}
@@ -26,7 +26,7 @@
 	defer cancel()
 	r, err := l.session.Admit(actx, wire.AdmitItem{
 		Team: s.Team, Service: s.Service, Key: s.Key, KeyTime: s.KeyTime,
-		BodyHash: s.BodyHash, Tasks: len(s.Tasks),
+		BodyHash: s.BodyHash, Tasks: len(s.Tasks), Deadline: time.Now().Add(s.Deadline).UnixMilli(),
 	})
 	switch {
 	case err != nil:
@@ -40,17 +40,28 @@
 		return wire.JobStatus{}, verdict.Refuse(verdict.Internal, "the control group gave no result")
 	}
 	j := l.begin(*r.Admitted, s, arrived)
-	return l.await(j, w)
+	st, lost := l.entry.await(j, w)
+	if lost != nil {
+		return l.entry.follow(ctx, j, &s, w, lost)
+	}
+	return st, nil
 }
 
-// resubmitted answers the resubmission of a job of this entry without a record.
-// It comes before any refusal for lack of capacity, which concerns new work.
-func (l *life) resubmitted(ctx context.Context, j *job, s submission, arrived time.Duration, w watch) (wire.JobStatus, *verdict.Error) {
-	rec := wire.JobRecord{
-		Job: j.id, Epoch: j.epoch, Owner: j.life.self, Team: j.team, Service: j.service,
-		Key: j.key, BodyHash: j.hash, Tasks: j.tasks, State: wire.JobOpen,
-	}
-	return j.life.duplicate(ctx, rec, s, arrived, w)
+// known returns the record of a submission that is refused for lack of capacity
+// although it was admitted before: the refusal concerns new work only.
+func (l *life) known(ctx context.Context, s submission, refused *verdict.Error) (wire.JobRecord, bool) {
+	if s.Key == "" {
+		return wire.JobRecord{}, false
+	}
+	switch refused.Reason {
+	case verdict.NoUpstream, verdict.OverQuota, verdict.Overloaded:
+	default:
+		return wire.JobRecord{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, l.entry.opts.AdmitTimeout)
+	defer cancel()
+	rec, err := l.session.JobByKey(ctx, s.Team, s.Key)
+	return rec, err == nil
 }
 
 // precheck refuses what need not be recorded first.
@@ -105,12 +116,16 @@
 	if !ok || !owner.Live() {
 		return openState(rec), nil
 	}
-	st, err := l.entry.peers.state(ctx, owner.Addr, rec.Job, 0)
-	if err == nil && !st.NeedBodies {
-		return l.stateOf(ctx, rec, w)
-	}
-	if err != nil && err.Reason != verdict.UnknownJob {
-		return openState(rec), nil // the owner can't be asked now
+	// After a takeover the bodies are sent in any case: the new owner may not
+	// know yet whether it needs them.
+	if rec.Epoch == 1 {
+		_, err := l.entry.peers.state(ctx, owner.Addr, rec.Job, 0)
+		if err == nil {
+			return l.stateOf(ctx, rec, w)
+		}
+		if err.Reason != verdict.UnknownJob {
+			return openState(rec), nil // the owner can't be asked now
+		}
 	}
 	if err := l.entry.peers.bodies(ctx, owner.Addr, wire.Bodies{Job: rec.Job, Tasks: s.Tasks}); err != nil {
 		return openState(rec), nil // the caller may submit again
@@ -141,7 +156,7 @@
 // state returns the state of any job, after the caller's wait.
 func (l *life) state(ctx context.Context, id ids.Job, w watch) (wire.JobStatus, *verdict.Error) {
 	if j := l.entry.jobs.get(id); j != nil {
-		return l.await(j, w)
+		return l.watchJob(ctx, j, w)
 	}
 	rec, err := l.lookUp(ctx, id)
 	if err != nil {
@@ -150,6 +165,48 @@
 	return l.stateOf(ctx, rec, w)
 }
 
+// watchJob waits for a job of this entry, and then for its next owner if the
+// entry loses it.
+func (l *life) watchJob(ctx context.Context, j *job, w watch) (wire.JobStatus, *verdict.Error) {
+	st, lost := l.entry.await(j, w)
+	if lost != nil {
+		return l.entry.follow(ctx, j, nil, w, lost)
+	}
+	return st, nil
+}
+
+// follow asks the present owner of a job that this entry has lost. s is the
+// submission if the caller has just sent it. It returns lost if there is no
+// other owner to ask.
+func (e *Entry) follow(ctx context.Context, j *job, s *submission, w watch, lost *verdict.Error) (wire.JobStatus, *verdict.Error) {
+	l := e.liveLife(ctx)
+	if l == nil {
+		return wire.JobStatus{}, lost
+	}
+	rec, err := l.lookUp(ctx, j.id)
+	if err != nil || rec.Epoch <= j.epoch {
+		return wire.JobStatus{}, lost
+	}
+	if s != nil {
+		return l.duplicate(ctx, rec, *s, l.loop.Now(), w)
+	}
+	return l.stateOf(ctx, rec, w)
+}
+
+// liveLife returns the present life, and waits for a new one if it has ended.
+func (e *Entry) liveLife(ctx context.Context) *life {
+	ctx, cancel := context.WithTimeout(ctx, e.opts.AdmitTimeout)
+	defer cancel()
+	for {
+		if l := e.life.Load(); !l.hasEnded() {
+			return l
+		}
+		if !pause(ctx, quiescePoll) {
+			return nil
+		}
+	}
+}
+
 // lookUp reads the record of a job from the control group.
 func (l *life) lookUp(ctx context.Context, id ids.Job) (wire.JobRecord, *verdict.Error) {
 	ctx, cancel := context.WithTimeout(ctx, l.entry.opts.AdmitTimeout)
@@ -164,13 +221,13 @@
 // stateOf returns the state of a recorded job from its owner.
 func (l *life) stateOf(ctx context.Context, rec wire.JobRecord, w watch) (wire.JobStatus, *verdict.Error) {
 	if j := l.entry.jobs.get(rec.Job); j != nil {
-		return l.await(j, w)
+		return l.watchJob(ctx, j, w)
 	}
 	owner, ok := l.session.View().Member(rec.Owner)
 	if rec.Owner == l.self || !ok || !owner.Live() {
 		return withoutOwner(rec), nil
 	}
-	st, err := l.entry.peers.state(ctx, owner.Addr, rec.Job, w.limit)
+	st, err := l.entry.peers.state(ctx, owner.Addr, rec.Job, w.left())
 	if err != nil {
 		return withoutOwner(rec), nil
 	}
@@ -195,10 +252,16 @@
 	return wire.JobStatus{Job: rec.Job, State: rec.State, Tasks: rec.Tasks}
 }
 
-// await waits for a job of this entry. A caller that leaves does not end it.
-func (l *life) await(j *job, w watch) (wire.JobStatus, *verdict.Error) {
-	how := w.wait(j.done, l.entry.ctx.Done())
-	st, lost := l.entry.jobs.state(j)
+// await waits for a job of this entry. A caller that leaves does not end it. It
+// returns at once when the job needs bodies, which only a caller can supply.
+func (e *Entry) await(j *job, w watch) (wire.JobStatus, *verdict.Error) {
+	if st, _ := e.jobs.state(j); j.epoch > 1 && !j.isDone() {
+		if j.progress(&st); st.NeedBodies {
+			return st, nil
+		}
+	}
+	how := w.wait(j.done, e.ctx.Done())
+	st, lost := e.jobs.state(j)
 	if lost != nil {
 		return st, lost
 	}
@@ -208,12 +271,17 @@
 	if how == waitStop {
 		return st, verdict.Unknown(verdict.Draining, "the entry is stopping; ask for job %d again", j.id)
 	}
+	j.progress(&st)
+	return st, nil
+}
+
+// progress fills in how far an open job is.
+func (j *job) progress(st *wire.JobStatus) {
 	j.life.loop.Call(func(time.Duration) {
 		if p, ok := j.life.core.Progress(j.id); ok {
 			st.Done, st.NeedBodies = p.Done, p.NeedBodies
 		}
 	})
-	return st, nil
 }
 
 // cancelWait bounds the wait for the outcome of a cancellation.
@@ -223,7 +291,13 @@
 func (l *life) cancelJob(ctx context.Context, id ids.Job, w watch) (wire.JobStatus, *verdict.Error) {
 	if j := l.entry.jobs.get(id); j != nil {
 		j.life.loop.Post(func(now time.Duration) { j.life.core.Cancel(now, id) })
-		return l.await(j, w)
+		st, lost := l.entry.await(j, w)
+		if lost == nil {
+			return st, nil
+		}
+		if l = l.entry.liveLife(ctx); l == nil {
+			return st, lost
+		}
 	}
 	rec, err := l.lookUp(ctx, id)
 	if err != nil {
@@ -288,7 +362,7 @@
 		return wire.Answer{}, err
 	}
 	// The core ends the request at its deadline, so this wait only bounds a fault.
-	w.limit += l.entry.opts.SuspectAfter
+	w.until = w.until.Add(l.entry.opts.SuspectAfter)
 	switch w.wait(r.done, l.entry.ctx.Done()) {
 	case waitDone:
 	case waitLimit:
--- a/entry/table.go
+++ b/entry/table.go
@@ -177,6 +177,19 @@
 	}
 }
 
+// lose removes an open job that belongs to another entry.
+func (t *table) lose(j *job, e *verdict.Error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if j.isDone() {
+		return
+	}
+	j.lost = e
+	t.open--
+	t.remove(j)
+	close(j.done)
+}
+
 // remove takes a row out of the table.
 func (t *table) remove(j *job) {
 	if t.rows[j.id] == j {
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -13,14 +13,17 @@
 
 // watch bounds the wait of a caller.
 type watch struct {
-	limit time.Duration
+	until time.Time
 	conn  net.Conn // nil when the caller is another entry
 }
 
 func (e *Entry) watch(ctx *fasthttp.RequestCtx, limit time.Duration) watch {
-	return watch{limit: limit, conn: ctx.Conn()}
+	return watch{until: time.Now().Add(limit), conn: ctx.Conn()}
 }
 
+// left returns the rest of the wait, zero when it is over.
+func (w watch) left() time.Duration { return max(time.Until(w.until), 0) }
+
 // ended is how a wait ended.
 type ended uint8
 
@@ -39,10 +42,11 @@
 		return waitDone
 	default:
 	}
-	if w.limit <= 0 {
+	left := w.left()
+	if left == 0 {
 		return waitLimit
 	}
-	limit := time.NewTimer(w.limit)
+	limit := time.NewTimer(left)
 	defer limit.Stop()
 	poll := time.NewTicker(gonePoll)
 	defer poll.Stop()
