--- a/devcluster/caller.go
+++ b/devcluster/caller.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -44,7 +45,8 @@
 	declared time.Duration
 }
 
-func (w work) path(i int) string { return fmt.Sprintf("/demo/%s/%d", w.marker, i) }
+func (w work) prefix() string    { return "/demo/" + w.marker + "/" }
+func (w work) path(i int) string { return w.prefix() + strconv.Itoa(i) }
 func (w work) echo(i int) string { return fmt.Sprintf("%s-%d", w.marker, i) }
 
 func (w work) body(i int) json.RawMessage {
--- a/devcluster/demo.go
+++ b/devcluster/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -252,7 +253,12 @@
 
 // loseWorker ends an agent and its upstream, as the loss of their VM does.
 func (d *demo) loseWorker(ctx context.Context) error {
-	err := d.await(ctx, "work at the worker that is lost", func() bool { return d.Upstream(lostAgent).Running() > 0 })
+	// Tasks that outlast the time between the look and the loss.
+	w := evenWork("long", classJob, 8*len(d.opts.Speeds), time.Second)
+	d.calls.Go(func() { d.record(d.caller.submit(0, "centro", w)) })
+	err := d.await(ctx, "work at the worker that is lost", func() bool {
+		return runningOf(d.Upstream(lostAgent).Runs(), w) > 0
+	})
 	if err != nil {
 		return err
 	}
@@ -269,6 +275,17 @@
 	return nil
 }
 
+// runningOf returns how many tasks of w run.
+func runningOf(runs []upstreamsim.Run, w work) int {
+	n := 0
+	for _, r := range runs {
+		if r.Ended.IsZero() && strings.HasPrefix(r.Path, w.prefix()) {
+			n++
+		}
+	}
+	return n
+}
+
 // changeConfig applies a configuration and measures how long it takes to reach
 // every member that is alive.
 func (d *demo) changeConfig(ctx context.Context) error {
