--- a/settings/flat.go
+++ b/settings/flat.go
@@ -51,7 +51,7 @@
 		}
 		seen[p.Key] = true
 		if err := assign(reflect.ValueOf(&c).Elem(), strings.Split(p.Key, "."), p.Value); err != nil {
-			r.add(p.Key, err.Error(), "see baobabctl check --help for the keys and their values")
+			r.add(p.Key, err.Error(), "see baobabctl get --yaml for the keys and their values")
 		}
 	}
 	checkCluster(c, r)
