controlstate: let a retention tick cost what it drops, not what is kept

Cause: each tick looked at all ended records, and at the peak rate a tick is due each second. With the records of an hour that took 2 % of a core on every control node. Change: stop at the first record whose retention can't have ended; records are in the order of their ends. Conclusion: the cost of a tick no longer grows with the retention.

--- a/controlstate/jobs.go
+++ b/controlstate/jobs.go
@@ -303,21 +303,36 @@
 
 // forgetJobs drops ended records after their retention, and the oldest without
 // a key while there are too many. A plain key leaves a tombstone.
+//
+// It stops at the first record whose retention can't have ended, since records
+// are in the order of their ends. A tick so costs as much as it drops, not as
+// much as is kept.
 func (s *State) forgetJobs() {
 	l := s.config.limits
-	s.jobs.ended = slices.DeleteFunc(s.jobs.ended, func(job ids.Job) bool {
-		r := s.jobs.rows[job]
-		crowded := r.Key == "" && len(s.jobs.rows) > keptRecords
-		if r.expires(l) >= s.now && !crowded {
-			return false
-		}
-		s.jobs.remove(r)
-		if r.plainKey() {
-			s.tombs.add(hashKey(r.Team, r.Key), s.now)
+	kept, n := 0, 0
+	for ; n < len(s.jobs.ended); n++ {
+		r := s.jobs.rows[s.jobs.ended[n]]
+		crowded := len(s.jobs.rows) > keptRecords && s.jobs.keyless > 0
+		if r.Ended+l.retention >= s.now && !crowded {
+			break
 		}
-		if r.Key != "" {
-			s.jobs.keyFloor = max(s.jobs.keyFloor, r.KeyTime)
+		if r.expires(l) >= s.now && !(crowded && r.Key == "") {
+			s.jobs.ended[kept] = r.Job
+			kept++
+			continue
 		}
-		return true
-	})
+		s.forgetJob(r)
+	}
+	copy(s.jobs.ended[n-kept:n], s.jobs.ended[:kept])
+	s.jobs.ended = s.jobs.ended[n-kept:]
+}
+
+func (s *State) forgetJob(r *jobRow) {
+	s.jobs.remove(r)
+	if r.plainKey() {
+		s.tombs.add(hashKey(r.Team, r.Key), s.now)
+	}
+	if r.Key != "" {
+		s.jobs.keyFloor = max(s.jobs.keyFloor, r.KeyTime)
+	}
 }
