wire: send forwarded renewals in columns

Cause: a region's leader hears of each member's renewal once a second from the followers. At 1,248 members the rows took 35 KB/s, above the 29 KB/s for all control traffic. Change: one column for each field, with differences instead of the numbers.

--- a/control/core.go
+++ b/control/core.go
@@ -304,7 +304,7 @@
 		return
 	}
 	c.forwarded = now
-	if r := c.leases.unsent(now); len(r.Items) > 0 {
+	if r := c.leases.unsent(now); r.Len() > 0 {
 		c.links.renewals(p.Addr, r)
 	}
 }
--- a/control/leases.go
+++ b/control/leases.go
@@ -2,7 +2,6 @@
 
 import (
 	"iter"
-	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
@@ -78,17 +77,16 @@
 // unsent returns the renewals that the leader has not been told, and counts
 // them as told.
 func (l *leases) unsent(now time.Time) wire.Renewals {
-	var out wire.Renewals
+	var out []wire.Renewal
 	for inc, row := range l.rows {
 		if !row.unsent {
 			continue
 		}
 		row.unsent = false
-		out.Items = append(out.Items, wire.Renewal{
+		out = append(out, wire.Renewal{
 			Incarnation: inc, Have: row.have, Draining: row.draining,
 			AgeMS: now.Sub(row.seen).Milliseconds(),
 		})
 	}
-	slices.SortFunc(out.Items, func(a, b wire.Renewal) int { return int(a.Incarnation) - int(b.Incarnation) })
-	return out
+	return wire.PackRenewals(out)
 }
--- a/control/serve.go
+++ b/control/serve.go
@@ -330,8 +330,12 @@
 
 func (n *Node) serveRenewals(ctx context.Context, _ *rpc.Conn, p wire.Renewals) (wire.Empty, error) {
 	arrived := time.Now()
-	err := n.post(ctx, func(c *core) {
-		for _, r := range p.Items {
+	items, err := p.Unpack()
+	if err != nil {
+		return wire.Empty{}, err
+	}
+	err = n.post(ctx, func(c *core) {
+		for _, r := range items {
 			seen := arrived.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
 			c.leases.renew(wire.Renew{Incarnation: r.Incarnation, Have: r.Have, Draining: r.Draining}, seen)
 		}
--- a/wire/control.go
+++ b/wire/control.go
@@ -193,19 +193,6 @@
 	Addr string   `json:"addr"`
 }
 
-// Renewals carries the lease renewals that a follower has seen to the leader.
-type Renewals struct {
-	Items []Renewal `json:"r"`
-}
-
-// Renewal is one member's latest renewal at a follower.
-type Renewal struct {
-	Incarnation ids.Incarnation `json:"i"`
-	Have        ids.Version     `json:"v"`
-	AgeMS       int64           `json:"a"`
-	Draining    bool            `json:"d,omitempty"`
-}
-
 // Limits of requests, shared by all parts.
 const (
 	MaxTasksPerJob = 10_000
