--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -34,7 +34,12 @@
 		}
 	}
 	u.credit = r.Credit
-	u.reported = r.Held
+	if r.Held >= u.held {
+		u.confirmed = now
+	}
+	if r.Draining && !u.draining {
+		c.mark(u) // a leaving agent waits for its acknowledgements
+	}
 	u.others = max(r.Running+r.Queued-r.Held, 0)
 	u.queued = r.Queued
 	u.draining = r.Draining || u.member.Draining
@@ -47,16 +52,17 @@
 func (c *Core) answer(now time.Duration, u *upstream, ans *wire.Answer) {
 	c.msgs.Answers++
 	u.mailbox.acks = append(u.mailbox.acks, ans.Key)
-	c.flushLater(now, u)
+	if u.draining {
+		c.mark(u)
+	} else {
+		c.flushLater(now, u)
+	}
 	a := c.attempts[attemptKey{ans.Key, u.inc}]
 	if a == nil || a.try != ans.Try && !a.anyTry {
 		c.msgs.WastedUnmatched++
 		return
 	}
 	c.drop(a)
-	if !notRun(ans) && a.charged > 0 && ans.RunUS > 0 {
-		a.job.svc.fair.settle(a.job, float64(ans.RunUS)/1e6-a.charged)
-	}
 	switch {
 	case a.orphan:
 		c.orphanAnswered(now, u, a, ans)
@@ -86,7 +92,6 @@
 // refused places a task again that has not run.
 func (c *Core) refused(now time.Duration, u *upstream, a *attempt, ans *wire.Answer) {
 	j := a.job
-	j.svc.fair.settle(j, -a.charged)
 	c.countRefusal(ans.Reason)
 	c.decide(now, "refused", u.inc, ans.Key, string(ans.Reason))
 	switch ans.Reason {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -53,6 +53,7 @@
 	busy        fenwick     // busy slots by cost bucket
 	rate        fenwick     // completions per unit of work by cost bucket
 
+	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
 	fair   fairQueue
 	quar   int        // upstreams in quarantine
@@ -76,12 +77,11 @@
 	sent     int // attempts without an answer
 	maybeRan bool
 
-	work     estimate // run time of this job's tasks, normalized
-	declared float64  // seconds, zero if unknown
+	offset   offset  // run time of this job's tasks
+	declared float64 // seconds, zero if unknown
 
 	// Fair sharing.
 	arrived uint64
-	pass    float64
 	pos     int // position in the heap of the team, -1 if nothing waits
 	next    int // first task that has never been placed
 	again   []int
@@ -119,7 +119,6 @@
 	running    bool // the agent has said that it runs
 	hedgeTimer *timer
 	isHedge    bool
-	charged    float64 // slot seconds charged to team and job
 	sentAt     time.Duration
 	resentAt   time.Duration
 	resends    int
@@ -179,7 +178,7 @@
 	if s != nil {
 		return s
 	}
-	s = &service{name: name, cfg: c.cfg.Services[name]}
+	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1}
 	s.fair.init()
 	c.services[name] = s
 	at, _ := slices.BinarySearchFunc(c.svcOrder, name, func(o *service, n ids.Service) int {
@@ -254,11 +253,15 @@
 	return ids.TaskOf(j.id, index)
 }
 
-// addJob files the bodies and the deadline of a job.
+// addJob files the bodies, the team and the deadline of a job.
 func (c *Core) addJob(j *job, specs []wire.TaskSpec) {
 	for i := range specs {
 		j.tasks[i].spec = specs[i]
 	}
+	q := &j.svc.fair
+	q.arrived++
+	j.arrived = q.arrived
+	j.queue = q.team(j.team, c.cfg.Teams[j.team].Quota)
 	j.pos = -1
 	j.deadlineTimer = c.timers.add(j.deadline, &timer{kind: deadlineTimer, job: j})
 }
--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -7,24 +7,23 @@
 	"github.com/baobabshore/baobabshore/ids"
 )
 
-// fairQueue orders the waiting jobs of a service. Teams share by quota, and the
-// jobs of a team share equally, both by expected run time rather than by count,
-// so that a job of many long tasks doesn't hold up small ones. A team or job
-// that wants less than its share leaves the rest to the others.
+// fairQueue orders the waiting jobs of a service. The team with the fewest tasks
+// under way relative to its quota goes first, and within it the job with the
+// fewest tasks under way, so that a job of many long tasks doesn't hold up small
+// ones. A team or job that wants less than its share leaves the rest to the
+// others. Past use is not held against a team: it may have used what was idle.
 type fairQueue struct {
 	teams   map[ids.Team]*teamQueue
 	heap    teamHeap
 	waiting int
-	clock   float64 // virtual time of the service
-	quotas  int     // sum over teams with waiting jobs
+	quotas  int // sum over teams with waiting jobs
 	arrived uint64
 }
 
 // teamQueue holds the waiting jobs of a team.
 type teamQueue struct {
 	quota   int
-	pass    float64 // virtual time consumed by the team
-	clock   float64 // virtual time between the team's jobs
+	sent    int // attempts without an answer
 	jobs    jobHeap
 	waiting int
 	pos     int
@@ -33,8 +32,14 @@
 
 type teamHeap []*teamQueue
 
-func (h teamHeap) Len() int           { return len(h) }
-func (h teamHeap) Less(i, k int) bool { return h[i].pass < h[k].pass }
+func (h teamHeap) Len() int { return len(h) }
+func (h teamHeap) Less(i, k int) bool {
+	a, b := h[i].sent*h[k].quota, h[k].sent*h[i].quota
+	if a != b {
+		return a < b
+	}
+	return h[i].jobs[0].arrived < h[k].jobs[0].arrived
+}
 func (h teamHeap) Swap(i, k int) {
 	h[i], h[k] = h[k], h[i]
 	h[i].pos, h[k].pos = i, k
@@ -53,12 +58,13 @@
 	return t
 }
 
+// jobHeap has the job with the fewest tasks under way on top.
 type jobHeap []*job
 
 func (h jobHeap) Len() int { return len(h) }
 func (h jobHeap) Less(i, k int) bool {
-	if h[i].pass != h[k].pass {
-		return h[i].pass < h[k].pass
+	if h[i].sent != h[k].sent {
+		return h[i].sent < h[k].sent
 	}
 	return h[i].arrived < h[k].arrived
 }
@@ -110,22 +116,30 @@
 		return
 	}
 	q := &j.svc.fair
-	if j.queue == nil {
-		q.arrived++
-		j.arrived = q.arrived
-		j.queue = q.team(j.team, c.cfg.Teams[j.team].Quota)
-	}
 	t := j.queue
+	heap.Push(&t.jobs, j)
 	if t.pos < 0 {
-		t.pass = max(t.pass, q.clock)
 		heap.Push(&q.heap, t)
 		q.quotas += t.quota
+	} else {
+		heap.Fix(&q.heap, t.pos)
 	}
-	j.pass = max(j.pass, t.clock)
-	heap.Push(&t.jobs, j)
 	q.count(j, 0, j.waiting)
 }
 
+// underWay records a change of the number of attempts of j without an answer
+// and restores the order.
+func (q *fairQueue) underWay(j *job, change int) {
+	j.sent += change
+	if j.pos >= 0 {
+		heap.Fix(&j.queue.jobs, j.pos)
+	}
+	j.queue.sent += change
+	if j.queue.pos >= 0 {
+		heap.Fix(&q.heap, j.queue.pos)
+	}
+}
+
 // count records a change of the number of waiting tasks of a filed job.
 func (q *fairQueue) count(j *job, before, after int) {
 	q.waiting += after - before
@@ -152,6 +166,31 @@
 	return q.heap[0].jobs[0]
 }
 
+// maxWalk bounds the jobs that are considered for one upstream.
+const maxWalk = 24
+
+// find returns the first job in the order, at most maxWalk jobs in, that accepts
+// the position of its last waiting task in the queue of the service. The order
+// is that of the heaps' arrays, which is close to the order of service.
+func (q *fairQueue) find(accept func(j *job, position float64) bool) *job {
+	walked := 0
+	for _, t := range q.heap {
+		ahead := 0
+		for _, j := range t.jobs {
+			ahead += j.waiting
+			position := min(float64(q.waiting), float64(ahead*q.quotas)/float64(t.quota))
+			if accept(j, position) {
+				return j
+			}
+			walked++
+			if walked >= maxWalk {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
 // peek returns the index of the next waiting task of j.
 func (j *job) peek() int {
 	if n := len(j.again); n > 0 {
@@ -160,9 +199,8 @@
 	return j.next
 }
 
-// take removes the next waiting task from its job and charges its expected
-// cost, in seconds of slot time, to job and team.
-func (q *fairQueue) take(j *job, cost float64) {
+// take removes the next waiting task from its job.
+func (q *fairQueue) take(j *job) {
 	if n := len(j.again); n > 0 {
 		j.again = j.again[:n-1]
 	} else {
@@ -170,32 +208,8 @@
 	}
 	j.waiting--
 	q.count(j, j.waiting+1, j.waiting)
-	t := j.queue
-	t.clock = max(t.clock+cost/float64(len(t.jobs)), j.pass)
-	q.clock = max(q.clock+cost/float64(max(q.quotas, 1)), t.pass)
-	j.pass += cost
-	t.pass += cost / float64(t.quota)
 	if j.waiting == 0 {
 		q.remove(j)
-		return
-	}
-	heap.Fix(&t.jobs, j.pos)
-	heap.Fix(&q.heap, t.pos)
-}
-
-// settle corrects a charge once the true cost is known.
-func (q *fairQueue) settle(j *job, diff float64) {
-	t := j.queue
-	if t == nil {
-		return
-	}
-	j.pass += diff
-	t.pass += diff / float64(t.quota)
-	if j.pos >= 0 {
-		heap.Fix(&t.jobs, j.pos)
-	}
-	if t.pos >= 0 {
-		heap.Fix(&q.heap, t.pos)
 	}
 }
 
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -33,11 +33,12 @@
 	blocked   time.Duration // no new work until then
 	backoff   time.Duration // last block, doubled by the next
 
-	credit   int
-	held     int // attempts without an answer
-	others   int // tasks of other entries there
-	queued   int // tasks queued there for all entries
-	reported int // tasks of this entry there, by the last report
+	credit int
+	held   int // attempts without an answer
+	others int // tasks of other entries there
+	queued int // tasks queued there for all entries
+	// confirmed is when a report last accounted for all attempts here.
+	confirmed time.Duration
 
 	attempts []*attempt
 	mailbox  mailbox
@@ -241,10 +242,38 @@
 	e.mean += w * (sample - e.mean)
 }
 
+// scale multiplies all samples by e^log.
+func (e *estimate) scale(log float64) {
+	e.log += log
+	e.mean *= math.Exp(log)
+}
+
+// offset is the logarithm of the run time of a job's tasks relative to the
+// service's average.
+type offset struct {
+	n   int
+	sum float64
+}
+
+// offsetPrior is the number of samples that the prior of an offset counts for.
+// Run times within a job vary as much as those between jobs.
+const offsetPrior = 20
+
+// value returns the offset shrunk towards a prior.
+func (o offset) value(prior float64) float64 {
+	return (o.sum + offsetPrior*prior) / float64(o.n+offsetPrior)
+}
+
 const (
 	// speedFloor is the least weight of a sample in an upstream's speed. Speeds
 	// differ by 4, run times of tasks by more, so single samples say little.
-	speedFloor = 0.02
+	speedFloor = 0.01
+	// optimism is how many standard errors an upstream's run time is taken to
+	// be below its estimate. Placement avoids upstreams that seem slow, so an
+	// estimate that is too high by chance would never be corrected.
+	optimism = 0.5
+	// spreadWeight is the weight of a sample in the variance of residuals.
+	spreadWeight = 0.01
 	// speedPrior delays the first samples, which would carry the task's own
 	// run time into the speed.
 	speedPrior = 3
@@ -253,7 +282,7 @@
 	// shiftLimit is the recent residual (a factor of 2.7) that shows a change of speed.
 	shiftLimit = 1.0
 	// recentWeight is the weight of a sample in the recent residual.
-	recentWeight = 0.15
+	recentWeight = 0.05
 	minRun       = 50e-6 // seconds; shorter run times are not resolved
 )
 
@@ -269,10 +298,11 @@
 	if s.work.n == 0 {
 		ref = x
 	}
-	if j != nil && j.work.n >= 5 {
-		ref = j.work.log
+	if j != nil {
+		ref += j.offset.value(0)
 	}
 	e := x - ref - u.speed.log
+	s.spread += spreadWeight * (e*e - s.spread)
 	u.recent += recentWeight * (e - u.recent)
 	if math.Abs(u.recent) > shiftLimit && u.speed.n > 8 {
 		u.speed.n = 4
@@ -281,7 +311,8 @@
 	u.speed.n++
 	work := run * math.Exp(-u.speed.log)
 	s.work.add(work, workFloor)
-	if j != nil && !j.single {
-		j.work.add(work, workFloor)
+	if j != nil {
+		j.offset.sum += x - s.work.log - u.speed.log
+		j.offset.n++
 	}
 }
--- a/dispatch/mail.go
+++ b/dispatch/mail.go
@@ -8,8 +8,8 @@
 )
 
 // ackDelay is how long acknowledgements wait for a message that goes to the
-// agent anyway. Agents retransmit after 2 s.
-const ackDelay = 250 * time.Millisecond
+// agent anyway. Agents retransmit after 8 s.
+const ackDelay = 5 * time.Second
 
 // mailbox collects what goes to one agent in the next message.
 type mailbox struct {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -160,7 +160,7 @@
 		return
 	}
 	u.connected = true
-	u.reported = 0
+	u.confirmed = 0
 	for _, a := range u.attempts {
 		c.resend(now, a)
 	}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -11,6 +11,9 @@
 const (
 	// roundTrip is the time a freed slot stays empty without look-ahead, in seconds.
 	roundTrip = 2e-3
+	// aheadGain is the least share of the run time that look-ahead must save. A
+	// task in look-ahead delays urgent ones that arrive after it.
+	aheadGain = 0.02
 	// ratioLimit bounds how far a job's tasks are taken to differ from the
 	// service's average, since declared run times are often wrong by this factor.
 	ratioLimit = 10
@@ -24,11 +27,7 @@
 		}
 		c.probe(now, s)
 		for {
-			j := s.fair.head()
-			if j == nil {
-				break
-			}
-			u, ahead := c.choose(s, j)
+			j, u, ahead := c.choose(s)
 			if u == nil {
 				break
 			}
@@ -40,79 +39,104 @@
 // placeNext takes the next task of j out of the queue and starts it on u.
 func (c *Core) placeNext(now time.Duration, j *job, u *upstream, ahead bool) {
 	index := j.peek()
-	cost := j.svc.work.mean * j.ratio() * u.slow
-	j.svc.fair.take(j, max(cost, minRun))
-	a := c.start(now, j, index, u, ahead)
-	a.charged = max(cost, minRun)
+	j.svc.fair.take(j)
+	c.start(now, j, index, u, ahead)
 }
 
-// choose returns the upstream expected to finish the next task of j first. It
-// returns nil when nothing has credit, or when waiting for a faster upstream is
-// expected to take less time than the best one that is open.
-func (c *Core) choose(s *service, j *job) (*upstream, bool) {
-	avoid := j.tasks[j.peek()].avoid
-	salt := c.random()
-	f := s.free.pick(avoid, salt)
-	a := s.ahead.pick(avoid, salt)
-	if f == nil && a == nil {
-		return nil, false
+// choose returns the next task to start and its upstream, the fastest one that is
+// open. A task waits instead if a slot of a faster upstream is expected to serve
+// it sooner, given its position in the queue; the upstream then goes to the first
+// job further back that is better off with it. It returns nil when all should wait.
+func (c *Core) choose(s *service) (*job, *upstream, bool) {
+	head := s.fair.head()
+	if head == nil {
+		return nil, nil, false
+	}
+	u, ahead := c.bestOpen(s, head)
+	if u == nil {
+		return nil, nil, false
 	}
-	ratio := j.ratio()
-	costF, costA := math.Inf(1), math.Inf(1)
-	if f != nil {
-		costF = ratio * f.slow
+	wait, latency := u.bucket, 0.0
+	if ahead {
+		wait, latency = bucketCount, s.roundTrip()
 	}
-	if a != nil {
-		costA = ratio*a.slow + a.slow*float64(a.backlog()+1)/float64(max(a.slots(), 1))
+	rate, busy := s.rate.below(wait), s.busy.below(wait)
+	if rate < minRate {
+		return head, u, ahead
 	}
-	queue := float64(s.fair.waiting)
-	if costF <= costA {
-		if s.waitCost(f.bucket, queue, ratio) < costF {
-			return nil, false
+	queued := u.queueCost(ahead)
+	j := s.fair.find(func(j *job, position float64) bool {
+		ratio := j.ratio()
+		if u == j.tasks[j.peek()].avoid {
+			return false
 		}
-		return f, false
+		return ratio*u.slow+queued <= (position+ratio*busy)/rate+latency
+	})
+	if j == nil {
+		return nil, nil, false
 	}
-	rtt := 0.0
-	if s.work.mean > 0 {
-		rtt = roundTrip / s.work.mean
+	return j, u, ahead
+}
+
+// minRate is the least rate of completions that is worth waiting for, in units
+// of the service's work. It lies above the rounding error of the sums.
+const minRate = 1e-6
+
+// bestOpen returns the open upstream of least cost for the head of the queue.
+func (c *Core) bestOpen(s *service, head *job) (*upstream, bool) {
+	avoid := head.tasks[head.peek()].avoid
+	salt := c.random()
+	f := s.free.pick(avoid, salt)
+	a := s.ahead.pick(avoid, salt)
+	if a != nil && !s.gainsAhead() && a.held >= a.others {
+		a = nil
 	}
-	if s.waitCost(bucketCount, queue, ratio)+rtt < costA {
-		if f != nil && s.waitCost(f.bucket, queue, ratio) >= costF {
-			return f, false
-		}
-		return nil, false
+	if a == nil || f != nil && f.slow <= a.slow+a.queueCost(true) {
+		return f, false
 	}
 	return a, true
 }
 
-// waitCost is the expected time until the last of queue waiting tasks ends if
-// it waits for a slot of an upstream below the given bucket, in units of the
-// service's work. It is infinite if nothing runs there.
-func (s *service) waitCost(bucket int, queue, ratio float64) float64 {
-	rate := s.rate.below(bucket)
-	if rate < 1e-9 {
-		return math.Inf(1)
+// queueCost is the expected wait of a task in look-ahead at u, in units of the
+// service's work.
+func (u *upstream) queueCost(ahead bool) float64 {
+	if !ahead {
+		return 0
 	}
-	return (queue + ratio*s.busy.below(bucket)) / rate
+	return u.slow * float64(u.backlog()+1) / float64(max(u.slots(), 1))
+}
+
+// roundTrip is the time a slot stays empty without look-ahead, in units of the
+// service's work.
+func (s *service) roundTrip() float64 {
+	if s.work.mean <= 0 {
+		return 0
+	}
+	return roundTrip / s.work.mean
+}
+
+// gainsAhead reports whether look-ahead saves a notable part of the run time.
+// Without a gain it is used only where other entries hold more tasks, since the
+// agent grants an entry its share only once it shows its need.
+func (s *service) gainsAhead() bool {
+	return s.work.mean == 0 || roundTrip > aheadGain*s.work.mean
 }
 
 // backlog is the number of tasks beyond the slots of u.
 func (u *upstream) backlog() int { return max(u.others+u.held-u.slots(), 0) }
 
 // ratio is the run time of this job's tasks relative to the service's average.
+// Declared run times are often wrong, so half of their logarithm is believed.
 func (j *job) ratio() float64 {
 	s := j.svc
 	if s.work.mean <= 0 {
 		return 1
 	}
-	r := 1.0
-	switch {
-	case j.work.n >= 3:
-		r = j.work.mean / s.work.mean
-	case j.declared > 0:
-		r = math.Sqrt(j.declared / s.work.mean)
+	prior := 0.0
+	if j.declared > 0 {
+		prior = math.Log(j.declared/s.work.mean) / 2
 	}
-	return min(max(r, 1.0/ratioLimit), ratioLimit)
+	return min(max(math.Exp(j.offset.value(prior)), 1.0/ratioLimit), ratioLimit)
 }
 
 // start places a task on u and puts the start into the next message.
@@ -144,7 +168,7 @@
 	a.pos = len(u.attempts)
 	u.attempts = append(u.attempts, a)
 	u.held++
-	j.sent++
+	j.svc.fair.underWay(j, 1)
 	if !j.single {
 		j.visit(u)
 	}
@@ -189,7 +213,7 @@
 	u.attempts = u.attempts[:len(u.attempts)-1]
 	a.pos = -1
 	u.held--
-	a.job.sent--
+	u.svc.fair.underWay(a.job, -1)
 	c.dropAhead(a)
 	c.timers.cancel(a.hedgeTimer)
 	delete(c.attempts, attemptKey{a.job.keyOf(a.index), u.inc})
@@ -263,7 +287,8 @@
 
 // price sets the expected slowness of u with its penalties.
 func (u *upstream) price() {
-	log := u.speed.log + u.stall + math.Log1p(failPenalty*u.failRate*u.failRate)
+	samples := min(float64(u.speed.n+speedPrior), 1/speedFloor)
+	log := u.speed.log - optimism*math.Sqrt(u.svc.spread/samples) + u.stall + math.Log1p(failPenalty*u.failRate*u.failRate)
 	if u.health == Recovering {
 		log += math.Log(recoveringPenalty)
 	}
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/baobabshore/baobabshore/wire"
@@ -84,6 +85,9 @@
 		return
 	}
 	c.sweepAt = now + sweepInterval
+	for _, s := range c.svcOrder {
+		c.recenter(s)
+	}
 	for _, u := range c.upOrder {
 		if u.gone || len(u.attempts) == 0 {
 			continue
@@ -95,11 +99,11 @@
 
 // resendLost repeats starts that the agent has not confirmed for a long time.
 func (c *Core) resendLost(now time.Duration, u *upstream) {
-	if !u.connected || u.reported >= u.held {
+	if !u.connected {
 		return
 	}
 	for _, a := range u.attempts {
-		if a.running || now-a.resentAt < resendAfter<<min(a.resends, 4) {
+		if a.running || a.sentAt < u.confirmed || now-a.resentAt < resendAfter<<min(a.resends, 4) {
 			continue
 		}
 		c.resend(now, a)
@@ -154,3 +158,30 @@
 		c.reindex(u)
 	}
 }
+
+// recenterLimit is the drift of the mean speed (in logarithm) that is corrected.
+const recenterLimit = 0.1
+
+// recenter keeps the mean logarithm of the speeds near zero. Only differences of
+// speeds can be learnt, and placement prefers upstreams whose run time is
+// underestimated, so their mean drifts.
+func (c *Core) recenter(s *service) {
+	sum, n := 0.0, 0
+	for _, u := range s.ups {
+		if u.speed.n > 0 {
+			sum += u.speed.log
+			n++
+		}
+	}
+	if n == 0 || math.Abs(sum/float64(n)) < recenterLimit {
+		return
+	}
+	shift := sum / float64(n)
+	s.work.scale(shift)
+	for _, u := range s.ups {
+		if u.speed.n > 0 {
+			u.speed.log -= shift
+			c.reindex(u)
+		}
+	}
+}
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -18,8 +18,8 @@
 	// sweepInterval is the time between two passes over the rows.
 	sweepInterval = 10 * time.Second
 	// resendFirst is the wait for an acknowledgement before the first
-	// retransmission. Entries acknowledge within a few hundred milliseconds.
-	resendFirst = 2 * time.Second
+	// retransmission. Entries acknowledge within 5 s.
+	resendFirst = 8 * time.Second
 	// resendMax bounds the doubling of the wait.
 	resendMax = 32 * time.Second
 )
--- a/executor/core.go
+++ b/executor/core.go
@@ -70,7 +70,8 @@
 	demand    int
 	holding   int // rows queued or running
 	credit    int
-	granted   int // credit last sent
+	wasOpen   bool          // openTo in the last report
+	changedAt time.Duration // when openTo began to differ from wasOpen, zero if equal
 	reportedD bool
 	reportedX bool
 	reportAt  time.Duration
--- a/executor/credit.go
+++ b/executor/credit.go
@@ -63,8 +63,13 @@
 	return list
 }
 
-// worthReporting tells whether a report must go out. A change of credit alone
-// is reported when it opens or closes the upstream to the entry.
+// creditInterval is the least time between two messages that carry only credit
+// to an entry that shows no demand.
+const creditInterval = 100 * time.Millisecond
+
+// worthReporting tells whether a report must go out now. A change of credit
+// alone is reported when it opens or closes the upstream to the entry: at once
+// if tasks wait for it, otherwise when it has lasted.
 func (c *Core) worthReporting(now time.Duration, s *session) bool {
 	if s.due || len(s.answers)+len(s.extra)+len(s.started) > 0 {
 		return true
@@ -72,10 +77,32 @@
 	if s.reportedD != c.draining || s.reportedX != c.down {
 		return true
 	}
-	if s.credit == s.granted {
+	isOpen := c.openTo(s)
+	if s.wasOpen == isOpen {
+		s.changedAt = 0
 		return false
 	}
-	wasOpen := s.granted > s.holding+c.cfg.LookAhead
-	isOpen := s.credit > s.holding+c.cfg.LookAhead
-	return wasOpen != isOpen
+	if isOpen && s.demand > 0 {
+		return true
+	}
+	if s.changedAt == 0 {
+		s.changedAt = now
+	}
+	return now-s.changedAt >= creditInterval
+}
+
+// openTo reports whether a task of the entry would start at once.
+func (c *Core) openTo(s *session) bool {
+	return s.credit > s.holding && c.running+c.queued < c.limit()
+}
+
+// creditDue returns when a change of credit is to be reported.
+func (c *Core) creditDue() time.Duration {
+	var next time.Duration
+	for _, s := range c.order {
+		if s.connected && s.changedAt != 0 {
+			next = earliest(next, s.changedAt+creditInterval)
+		}
+	}
+	return next
 }
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -19,7 +19,7 @@
 	out.Send = c.report(now)
 	c.limitAnswers()
 	c.sweep(now)
-	out.NextTick = earliest(deadline, resend)
+	out.NextTick = earliest(earliest(deadline, resend), c.creditDue())
 	if len(c.rows) > 0 {
 		out.NextTick = earliest(out.NextTick, c.lastSweep+sweepInterval)
 	}
@@ -96,7 +96,8 @@
 		s.unacked = append(s.unacked, r)
 	}
 	s.answers, s.extra, s.started = nil, nil, nil
-	s.granted, s.reportedD, s.reportedX = s.credit, c.draining, c.down
+	s.reportedD, s.reportedX = c.draining, c.down
+	s.wasOpen, s.changedAt = c.openTo(s), 0
 	s.reportAt, s.due = now, false
 	return m
 }
