--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -257,7 +257,7 @@
 
 // offsetPrior is the number of samples that the prior of an offset counts for.
 // Run times within a job vary as much as those between jobs.
-const offsetPrior = 20
+const offsetPrior = 100
 
 // value returns the offset shrunk towards a prior.
 func (o offset) value(prior float64) float64 {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -300,7 +300,7 @@
 func (c *Core) addWeight(u *upstream) {
 	s := u.svc
 	slots := u.slots()
-	busy := min(slots, u.others+u.held)
+	busy := min(slots, u.held)
 	w := indexed{in: true, bucket: u.bucket, busy: float64(busy), rate: float64(busy) / u.slow}
 	if u.usable() && u.health != Quarantined {
 		w.fails = u.failRate
--- a/executor/core.go
+++ b/executor/core.go
@@ -65,21 +65,22 @@
 
 // session is what the agent keeps for each entry that has talked to it.
 type session struct {
-	entry     ids.Incarnation
-	connected bool
-	demand    int
-	holding   int // rows queued or running
-	credit    int
-	wasOpen   bool          // openTo in the last report
-	changedAt time.Duration // when openTo began to differ from wasOpen, zero if equal
-	reportedD bool
-	reportedX bool
-	reportAt  time.Duration
-	answers   []*row        // answers to send
-	extra     []wire.Answer // answers that belong to no row of this entry
-	started   []ids.TaskKey
-	unacked   []*row // answers sent, in order of transmission
-	due       bool   // a report is to be sent even without answers
+	entry      ids.Incarnation
+	connected  bool
+	demand     int
+	holding    int // rows queued or running
+	credit     int
+	sentCredit int           // credit in the last report
+	sentOthers int           // tasks of other entries in the last report
+	changedAt  time.Duration // when the entry's view became wrong, zero while it is right
+	reportedD  bool
+	reportedX  bool
+	reportAt   time.Duration
+	answers    []*row        // answers to send
+	extra      []wire.Answer // answers that belong to no row of this entry
+	started    []ids.TaskKey
+	unacked    []*row // answers sent, in order of transmission
+	due        bool   // a report is to be sent even without answers
 }
 
 // New returns the core of an agent that has seen no view yet. It refuses all
--- a/executor/credit.go
+++ b/executor/credit.go
@@ -65,11 +65,12 @@
 
 // creditInterval is the least time between two messages that carry only credit
 // to an entry that shows no demand.
-const creditInterval = 100 * time.Millisecond
+const creditInterval = 200 * time.Millisecond
 
 // worthReporting tells whether a report must go out now. A change of credit
-// alone is reported when it opens or closes the upstream to the entry: at once
-// if tasks wait for it, otherwise when it has lasted.
+// alone is reported when the entry takes the upstream to be open or closed in
+// error: at once
+// if tasks wait for the slot, otherwise when it has lasted.
 func (c *Core) worthReporting(now time.Duration, s *session) bool {
 	if s.due || len(s.answers)+len(s.extra)+len(s.started) > 0 {
 		return true
@@ -78,11 +79,11 @@
 		return true
 	}
 	isOpen := c.openTo(s)
-	if s.wasOpen == isOpen {
+	if c.believedOpen(s) == isOpen {
 		s.changedAt = 0
 		return false
 	}
-	if isOpen && s.demand > 0 {
+	if isOpen && s.demand > 0 && !c.offered() {
 		return true
 	}
 	if s.changedAt == 0 {
@@ -91,11 +92,28 @@
 	return now-s.changedAt >= creditInterval
 }
 
+// offered reports whether an entry with waiting tasks gets a report with answers
+// now, from which it learns of the free slots.
+func (c *Core) offered() bool {
+	for _, s := range c.order {
+		if s.connected && s.demand > 0 && len(s.answers) > 0 && c.openTo(s) {
+			return true
+		}
+	}
+	return false
+}
+
 // openTo reports whether a task of the entry would start at once.
 func (c *Core) openTo(s *session) bool {
 	return s.credit > s.holding && c.running+c.queued < c.limit()
 }
 
+// believedOpen reports what the entry concludes from the last report and its own
+// tasks.
+func (c *Core) believedOpen(s *session) bool {
+	return s.sentCredit > s.holding && s.sentOthers+s.holding < c.limit()
+}
+
 // creditDue returns when a change of credit is to be reported.
 func (c *Core) creditDue() time.Duration {
 	var next time.Duration
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -67,11 +67,14 @@
 
 // report builds one message for each entry that has something to learn.
 func (c *Core) report(now time.Duration) []Envelope {
-	var send []Envelope
+	var due []*session
 	for _, s := range c.order {
-		if !s.connected || !c.worthReporting(now, s) {
-			continue
+		if s.connected && c.worthReporting(now, s) {
+			due = append(due, s)
 		}
+	}
+	var send []Envelope
+	for _, s := range due {
 		send = append(send, Envelope{To: s.entry, Report: c.reportTo(now, s)})
 	}
 	return send
@@ -97,7 +100,8 @@
 	}
 	s.answers, s.extra, s.started = nil, nil, nil
 	s.reportedD, s.reportedX = c.draining, c.down
-	s.wasOpen, s.changedAt = c.openTo(s), 0
+	s.sentCredit, s.sentOthers = s.credit, c.running+c.queued-s.holding
+	s.changedAt = 0
 	s.reportAt, s.due = now, false
 	return m
 }
