--- a/dispatch/admission.go
+++ b/dispatch/admission.go
@@ -16,6 +16,8 @@
 	// learntAfter is the number of answers after which a service's learnt run
 	// time is preferred to a declared one.
 	learntAfter = 20
+	// admitShare is the part of the capacity that admission plans with.
+	admitShare = 0.9
 	// declaredError is the factor by which declared run times may be wrong.
 	declaredError = 10
 )
@@ -81,29 +83,47 @@
 		After(clampRetry(wait))
 }
 
-// meetsDeadline estimates when the job would be served under fair sharing.
+// meetsDeadline checks that the job and the jobs before it can end in time if
+// those with the earliest deadline go first, and bounds the wait.
 func (c *Core) meetsDeadline(now time.Duration, svc *service, s JobSpec) *verdict.Error {
 	work := svc.taskWork(s.RunTime)
 	if work <= 0 {
 		return nil
 	}
-	own := seconds(float64(s.Tasks) * work / svc.capacity())
-	wait := seconds(svc.expectedAhead(c.cfg, s) * work / svc.capacity())
-	single := seconds(work * svc.meanSlowness())
-	late := now + wait + max(own, single) - s.Deadline
-	if late > 0 {
+	t := svc.fair.teams[s.Team]
+	if t == nil {
+		t = &teamQueue{pos: -1, quota: max(c.cfg.Teams[s.Team].Quota, 1)}
+	}
+	due, own := svc.plan(now, s.Deadline, t, s.Tasks, work)
+	if late := now + own + svc.lastTask(s.Tasks, work) - s.Deadline; late > 0 {
 		return verdict.Refuse(verdict.Overloaded, "the answer is expected %v after the deadline", late).
 			After(clampRetry(late))
 	}
+	wait := seconds(svc.expectedAhead(c.cfg, s) * work / svc.capacity())
+	if !t.due.fits(now, due, s.Tasks, svc.planned(now, t, work)) {
+		return verdict.Refuse(verdict.Overloaded, "the queue leaves no room before the deadline in %v", s.Deadline-now).
+			After(clampRetry(wait / 2))
+	}
 	// A job that is long by itself may wait in proportion.
-	limit := max(c.cfg.MaxWait, own)
-	if wait > limit {
+	if limit := max(c.cfg.MaxWait, own); wait > limit {
 		return verdict.Refuse(verdict.Overloaded, "the expected wait of %v exceeds %v", wait, limit).
 			After(clampRetry(wait - limit))
 	}
 	return nil
 }
 
+// planned returns how many tasks of a team can be served by a given time: what its quota guarantees, or what the others leave.
+func (s *service) planned(now time.Duration, t *teamQueue, work float64) func(time.Duration) float64 {
+	share := s.share(t)
+	others := float64(s.fair.waiting - t.waiting)
+	perSecond := s.capacity() / work
+	running := float64(s.held) / 2
+	return func(by time.Duration) float64 {
+		all := perSecond*(by-now).Seconds()*admitShare - running
+		return max(all*share, all-others)
+	}
+}
+
 // expectedAhead returns how many tasks are served before the last task of a new
 // job: what fair sharing among all jobs gives, or what the team's quota
 // guarantees, whichever is less.
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -82,10 +82,13 @@
 	} else {
 		c.msgs.WastedCanceled++
 	}
-	if ans.Verdict == verdict.Ran && ans.Status > 0 && ans.Status < 500 {
+	switch {
+	case ans.Verdict == verdict.Ran && ans.Status > 0 && ans.Status < 500:
 		c.learn(u, nil, ans)
 		c.succeeded(now, u)
 		c.reindex(u)
+	case ans.Reason == verdict.Canceled && ans.RunUS > 0:
+		u.svc.learnAborted(u, float64(ans.RunUS)/1e6)
 	}
 }
 
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -55,6 +55,7 @@
 
 	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
+	held   int      // attempts without an answer
 	fair   fairQueue
 	quar   int        // upstreams in quarantine
 	aheads []*attempt // attempts placed as look-ahead, not yet answered
@@ -68,6 +69,7 @@
 	team     ids.Team
 	svc      *service
 	deadline time.Duration
+	due      time.Duration // when the last task should have started
 	single   bool
 	idem     bool
 	ended    bool
@@ -81,12 +83,14 @@
 	declared float64 // seconds, zero if unknown
 
 	// Fair sharing.
-	arrived uint64
-	pos     int // position in the heap of the team, -1 if nothing waits
-	next    int // first task that has never been placed
-	again   []int
-	waiting int
-	queue   *teamQueue
+	arrived   uint64
+	pos       int           // position in the heap of the team, -1 if nothing waits
+	latest    time.Duration // when the job becomes urgent
+	urgentPos int
+	next      int // first task that has never been placed
+	again     []int
+	waiting   int
+	queue     *teamQueue
 
 	touched       map[*upstream]struct{}
 	visited       []*upstream // upstreams that may hold rows, in order of first use
@@ -254,7 +258,7 @@
 }
 
 // addJob files the bodies, the team and the deadline of a job.
-func (c *Core) addJob(j *job, specs []wire.TaskSpec) {
+func (c *Core) addJob(now time.Duration, j *job, specs []wire.TaskSpec) {
 	for i := range specs {
 		j.tasks[i].spec = specs[i]
 	}
@@ -263,6 +267,7 @@
 	j.arrived = q.arrived
 	j.queue = q.team(j.team, c.cfg.Teams[j.team].Quota)
 	j.pos = -1
+	j.due, _ = j.svc.plan(now, j.deadline, j.queue, len(j.tasks), j.svc.taskWork(seconds(j.declared)))
 	j.deadlineTimer = c.timers.add(j.deadline, &timer{kind: deadlineTimer, job: j})
 }
 
@@ -285,7 +290,7 @@
 		declared: s.RunTime.Seconds(),
 	}
 	c.jobs[s.ID] = j
-	c.addJob(j, s.Specs)
+	c.addJob(now, j, s.Specs)
 	if s.Takeover {
 		c.startTakeover(now, j, len(s.Specs) > 0)
 		return
@@ -317,7 +322,7 @@
 		waiting:  1,
 	}
 	c.requests[r.Key] = j
-	c.addJob(j, []wire.TaskSpec{r.Spec})
+	c.addJob(now, j, []wire.TaskSpec{r.Spec})
 	c.enqueue(j)
 	return nil
 }
--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -2,7 +2,7 @@
 
 import (
 	"container/heap"
-	"math/bits"
+	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
 )
@@ -25,9 +25,11 @@
 	quota   int
 	sent    int // attempts without an answer
 	jobs    jobHeap
+	urgent  urgentHeap
 	waiting int
 	pos     int
 	sizes   sizeTable
+	due     dueTable
 }
 
 type teamHeap []*teamQueue
@@ -118,6 +120,8 @@
 	q := &j.svc.fair
 	t := j.queue
 	heap.Push(&t.jobs, j)
+	j.latest = j.latestStart()
+	heap.Push(&t.urgent, j)
 	if t.pos < 0 {
 		heap.Push(&q.heap, t)
 		q.quotas += t.quota
@@ -145,6 +149,7 @@
 	q.waiting += after - before
 	j.queue.waiting += after - before
 	j.queue.sizes.change(before, after)
+	j.queue.due.add(j.due, after-before)
 }
 
 // requeue puts a task that has not run back to the front of its job.
@@ -158,12 +163,17 @@
 	j.svc.fair.count(j, j.waiting-1, j.waiting)
 }
 
-// head returns the job whose task is next, or nil.
-func (q *fairQueue) head() *job {
+// head returns the job whose task is next, or nil. In the team that is next, a
+// job that would otherwise miss its deadline goes first.
+func (q *fairQueue) head(now time.Duration) (j *job, urgent bool) {
 	if len(q.heap) == 0 {
-		return nil
+		return nil, false
 	}
-	return q.heap[0].jobs[0]
+	t := q.heap[0]
+	if t.urgent[0].latest <= now {
+		return t.urgent[0], true
+	}
+	return t.jobs[0], false
 }
 
 // maxWalk bounds the jobs that are considered for one upstream.
@@ -210,7 +220,10 @@
 	q.count(j, j.waiting+1, j.waiting)
 	if j.waiting == 0 {
 		q.remove(j)
+		return
 	}
+	j.latest = j.latestStart()
+	heap.Fix(&j.queue.urgent, j.urgentPos)
 }
 
 // remove takes a job out of the queue. Its waiting tasks are no longer counted.
@@ -220,6 +233,7 @@
 	}
 	t := j.queue
 	heap.Remove(&t.jobs, j.pos)
+	heap.Remove(&t.urgent, j.urgentPos)
 	q.count(j, j.waiting, 0)
 	if len(t.jobs) == 0 {
 		heap.Remove(&q.heap, t.pos)
@@ -228,41 +242,3 @@
 	}
 	heap.Fix(&q.heap, t.pos)
 }
-
-// sizeTable counts waiting jobs and their tasks by the magnitude of the number
-// of waiting tasks.
-type sizeTable struct {
-	jobs  [maxMagnitude]int
-	tasks [maxMagnitude]int
-}
-
-// maxMagnitude covers jobs of up to wire.MaxTasksPerJob tasks.
-const maxMagnitude = 16
-
-// change moves a job from one number of waiting tasks to another.
-func (s *sizeTable) change(before, after int) {
-	if before > 0 {
-		m := bits.Len(uint(before)) - 1
-		s.jobs[m]--
-		s.tasks[m] -= before
-	}
-	if after > 0 {
-		m := bits.Len(uint(after)) - 1
-		s.jobs[m]++
-		s.tasks[m] += after
-	}
-}
-
-// ahead returns how many waiting tasks are served before a new job of n tasks
-// has been served, when all jobs share equally.
-func (s *sizeTable) ahead(n int) int {
-	sum := 0
-	for m := range s.jobs {
-		if 1<<m <= n {
-			sum += s.tasks[m]
-		} else {
-			sum += s.jobs[m] * n
-		}
-	}
-	return sum
-}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -316,3 +316,14 @@
 		j.offset.n++
 	}
 }
+
+// learnAborted takes in a task that was aborted while it ran. Without these the
+// mean would only cover tasks short enough to end, and admission would plan with
+// too little work. The rest of the task is taken to be an average one.
+func (s *service) learnAborted(u *upstream, run float64) {
+	if s.work.n == 0 {
+		return
+	}
+	sample := run*math.Exp(-u.speed.log) + s.work.mean
+	s.work.mean += workFloor * (sample - s.work.mean)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -27,7 +27,7 @@
 		}
 		c.probe(now, s)
 		for {
-			j, u, ahead := c.choose(s)
+			j, u, ahead := c.choose(now, s)
 			if u == nil {
 				break
 			}
@@ -47,8 +47,8 @@
 // open. A task waits instead if a slot of a faster upstream is expected to serve
 // it sooner, given its position in the queue; the upstream then goes to the first
 // job further back that is better off with it. It returns nil when all should wait.
-func (c *Core) choose(s *service) (*job, *upstream, bool) {
-	head := s.fair.head()
+func (c *Core) choose(now time.Duration, s *service) (*job, *upstream, bool) {
+	head, urgent := s.fair.head(now)
 	if head == nil {
 		return nil, nil, false
 	}
@@ -61,7 +61,7 @@
 		wait, latency = bucketCount, s.roundTrip()
 	}
 	rate, busy := s.rate.below(wait), s.busy.below(wait)
-	if rate < minRate {
+	if rate < minRate || urgent {
 		return head, u, ahead
 	}
 	queued := u.queueCost(ahead)
@@ -168,6 +168,7 @@
 	a.pos = len(u.attempts)
 	u.attempts = append(u.attempts, a)
 	u.held++
+	u.svc.held++
 	j.svc.fair.underWay(j, 1)
 	if !j.single {
 		j.visit(u)
@@ -213,6 +214,7 @@
 	u.attempts = u.attempts[:len(u.attempts)-1]
 	a.pos = -1
 	u.held--
+	u.svc.held--
 	u.svc.fair.underWay(a.job, -1)
 	c.dropAhead(a)
 	c.timers.cancel(a.hedgeTimer)
@@ -319,7 +321,7 @@
 // prefers idempotent requests, which can be retried if the probe fails.
 func (c *Core) probe(now time.Duration, s *service) {
 	for _, u := range s.quarantined {
-		j := s.fair.head()
+		j, _ := s.fair.head(now)
 		if j == nil {
 			return
 		}
