--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -7,11 +7,12 @@
 	"github.com/baobabshore/baobabshore/ids"
 )
 
-// fairQueue orders the waiting jobs of a service. The team with the fewest tasks
-// under way relative to its quota goes first, and within it the job with the
-// fewest tasks under way, so that a job of many long tasks doesn't hold up small
-// ones. A team or job that wants less than its share leaves the rest to the
-// others. Past use is not held against a team: it may have used what was idle.
+// fairQueue orders the waiting jobs of a service. Teams within the slots that
+// their quota guarantees come first, then those that exceed them least. Between
+// equal teams, and within a team, the job with the fewest tasks under way goes
+// first, so that a job of many long tasks doesn't hold up small ones. A team or
+// job that wants less than its share leaves the rest to the others. Past use is
+// not held against a team: it may have used what was idle.
 type fairQueue struct {
 	teams   map[ids.Team]*teamQueue
 	heap    teamHeap
@@ -24,6 +25,7 @@
 type teamQueue struct {
 	quota   int
 	sent    int // attempts without an answer
+	part    int // slots that the quota guarantees, set by each sweep
 	jobs    jobHeap
 	urgent  urgentHeap
 	waiting int
@@ -36,11 +38,11 @@
 
 func (h teamHeap) Len() int { return len(h) }
 func (h teamHeap) Less(i, k int) bool {
-	a, b := h[i].sent*h[k].quota, h[k].sent*h[i].quota
+	a, b := h[i].excess()*h[k].quota, h[k].excess()*h[i].quota
 	if a != b {
 		return a < b
 	}
-	return h[i].jobs[0].arrived < h[k].jobs[0].arrived
+	return h[i].jobs.less(h[i].jobs[0], h[k].jobs[0])
 }
 func (h teamHeap) Swap(i, k int) {
 	h[i], h[k] = h[k], h[i]
@@ -63,12 +65,13 @@
 // jobHeap has the job with the fewest tasks under way on top.
 type jobHeap []*job
 
-func (h jobHeap) Len() int { return len(h) }
-func (h jobHeap) Less(i, k int) bool {
-	if h[i].sent != h[k].sent {
-		return h[i].sent < h[k].sent
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, k int) bool { return h.less(h[i], h[k]) }
+func (jobHeap) less(a, b *job) bool {
+	if a.sent != b.sent {
+		return a.sent < b.sent
 	}
-	return h[i].arrived < h[k].arrived
+	return a.arrived < b.arrived
 }
 func (h jobHeap) Swap(i, k int) {
 	h[i], h[k] = h[k], h[i]
@@ -90,6 +93,23 @@
 
 func (q *fairQueue) init() { q.teams = map[ids.Team]*teamQueue{} }
 
+// excess is how many tasks of the team are under way beyond its guaranteed part.
+func (t *teamQueue) excess() int { return max(t.sent-t.part, 0) }
+
+// divide sets the parts of the teams that have tasks, of the given slots.
+func (q *fairQueue) divide(slots int) {
+	quotas := 0
+	for _, t := range q.teams {
+		if t.sent+t.waiting > 0 {
+			quotas += t.quota
+		}
+	}
+	for _, t := range q.teams {
+		t.part = slots * t.quota / max(quotas, 1)
+	}
+	heap.Init(&q.heap)
+}
+
 // team returns the queue of a team and creates it if needed.
 func (q *fairQueue) team(name ids.Team, quota int) *teamQueue {
 	t := q.teams[name]
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -267,7 +267,7 @@
 const (
 	// speedFloor is the least weight of a sample in an upstream's speed. Speeds
 	// differ by 4, run times of tasks by more, so single samples say little.
-	speedFloor = 0.01
+	speedFloor = 0.005
 	// optimism is how many standard errors an upstream's run time is taken to
 	// be below its estimate. Placement avoids upstreams that seem slow, so an
 	// estimate that is too high by chance would never be corrected.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -14,6 +14,10 @@
 	// aheadGain is the least share of the run time that look-ahead must save. A
 	// task in look-ahead delays urgent ones that arrive after it.
 	aheadGain = 0.02
+	// impatience scales the expected wait for a faster upstream. Later arrivals
+	// may go first, so a task waits longer than its position says; at 70 % load
+	// 1.5 gives a mean response time 2 % below that of 1.
+	impatience = 1.5
 	// ratioLimit bounds how far a job's tasks are taken to differ from the
 	// service's average, since declared run times are often wrong by this factor.
 	ratioLimit = 10
@@ -70,7 +74,7 @@
 		if u == j.tasks[j.peek()].avoid {
 			return false
 		}
-		return ratio*u.slow+queued <= (position+ratio*busy)/rate+latency
+		return ratio*u.slow+queued <= (impatience*position+ratio*busy)/rate+latency
 	})
 	if j == nil {
 		return nil, nil, false
--- a/executor/credit.go
+++ b/executor/credit.go
@@ -63,14 +63,15 @@
 	return list
 }
 
-// creditInterval is the least time between two messages that carry only credit
-// to an entry that shows no demand.
+// creditInterval is how long an entry's view of an upstream may be wrong before
+// a message corrects it. Most views are corrected earlier by a report that goes
+// to the entry anyway. Correcting them at once cost 4 % of all messages and
+// improved the mean response time by 1 %.
 const creditInterval = 200 * time.Millisecond
 
 // worthReporting tells whether a report must go out now. A change of credit
-// alone is reported when the entry takes the upstream to be open or closed in
-// error: at once
-// if tasks wait for the slot, otherwise when it has lasted.
+// alone is reported when the entry has taken the upstream to be open or closed
+// in error for a while.
 func (c *Core) worthReporting(now time.Duration, s *session) bool {
 	if s.due || len(s.answers)+len(s.extra)+len(s.started) > 0 {
 		return true
@@ -83,26 +84,12 @@
 		s.changedAt = 0
 		return false
 	}
-	if isOpen && s.demand > 0 && !c.offered() {
-		return true
-	}
 	if s.changedAt == 0 {
 		s.changedAt = now
 	}
 	return now-s.changedAt >= creditInterval
 }
 
-// offered reports whether an entry with waiting tasks gets a report with answers
-// now, from which it learns of the free slots.
-func (c *Core) offered() bool {
-	for _, s := range c.order {
-		if s.connected && s.demand > 0 && len(s.answers) > 0 && c.openTo(s) {
-			return true
-		}
-	}
-	return false
-}
-
 // openTo reports whether a task of the entry would start at once.
 func (c *Core) openTo(s *session) bool {
 	return s.credit > s.holding && c.running+c.queued < c.limit()
