--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -122,6 +122,7 @@
 	recalled   bool
 	running    bool // the agent has said that it runs
 	hedgeTimer *timer
+	rate       int // speed of the upstream when it was placed, in units of rateUnit
 	isHedge    bool
 	sentAt     time.Duration
 	resentAt   time.Duration
--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -7,8 +7,9 @@
 	"github.com/baobabshore/baobabshore/ids"
 )
 
-// fairQueue orders the waiting jobs of a service. Teams within the slots that
-// their quota guarantees come first, then those that exceed them least. Between
+// fairQueue orders the waiting jobs of a service. Teams within the part of
+// the speed that their quota guarantees come first, then those that exceed it
+// least. Speed counts rather than slots, since slots differ in speed. Between
 // equal teams, and within a team, the job with the fewest tasks under way goes
 // first, so that a job of many long tasks doesn't hold up small ones. A team or
 // job that wants less than its share leaves the rest to the others. Past use is
@@ -24,8 +25,8 @@
 // teamQueue holds the waiting jobs of a team.
 type teamQueue struct {
 	quota   int
-	sent    int // attempts without an answer
-	part    int // slots that the quota guarantees, set by each sweep
+	rate    int // work done for it each second, in thousandths of an average slot
+	part    int // rate that the quota guarantees, set by each sweep
 	jobs    jobHeap
 	urgent  urgentHeap
 	waiting int
@@ -93,19 +94,19 @@
 
 func (q *fairQueue) init() { q.teams = map[ids.Team]*teamQueue{} }
 
-// excess is how many tasks of the team are under way beyond its guaranteed part.
-func (t *teamQueue) excess() int { return max(t.sent-t.part, 0) }
+// excess is the rate of the team beyond its guaranteed part.
+func (t *teamQueue) excess() int { return max(t.rate-t.part, 0) }
 
-// divide sets the parts of the teams that have tasks, of the given slots.
-func (q *fairQueue) divide(slots int) {
+// divide sets the parts of the teams that have tasks, of the given rate.
+func (q *fairQueue) divide(rate int) {
 	quotas := 0
 	for _, t := range q.teams {
-		if t.sent+t.waiting > 0 {
+		if t.rate+t.waiting > 0 {
 			quotas += t.quota
 		}
 	}
 	for _, t := range q.teams {
-		t.part = slots * t.quota / max(quotas, 1)
+		t.part = rate * t.quota / max(quotas, 1)
 	}
 	heap.Init(&q.heap)
 }
@@ -152,13 +153,13 @@
 }
 
 // underWay records a change of the number of attempts of j without an answer
-// and restores the order.
-func (q *fairQueue) underWay(j *job, change int) {
+// and of their rate, and restores the order.
+func (q *fairQueue) underWay(j *job, change, rate int) {
 	j.sent += change
 	if j.pos >= 0 {
 		heap.Fix(&j.queue.jobs, j.pos)
 	}
-	j.queue.sent += change
+	j.queue.rate += rate
 	if j.queue.pos >= 0 {
 		heap.Fix(&q.heap, j.queue.pos)
 	}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -173,7 +173,8 @@
 	u.attempts = append(u.attempts, a)
 	u.held++
 	u.svc.held++
-	j.svc.fair.underWay(j, 1)
+	a.rate = int(rateUnit / u.slow)
+	j.svc.fair.underWay(j, 1, a.rate)
 	if !j.single {
 		j.visit(u)
 	}
@@ -181,6 +182,9 @@
 	c.reindex(u)
 }
 
+// rateUnit is the rate of a slot of average speed.
+const rateUnit = 1000
+
 // visit records that u may hold rows of j.
 func (j *job) visit(u *upstream) {
 	if _, ok := j.touched[u]; ok {
@@ -219,7 +223,7 @@
 	a.pos = -1
 	u.held--
 	u.svc.held--
-	u.svc.fair.underWay(a.job, -1)
+	u.svc.fair.underWay(a.job, -1, -a.rate)
 	c.dropAhead(a)
 	c.timers.cancel(a.hedgeTimer)
 	delete(c.attempts, attemptKey{a.job.keyOf(a.index), u.inc})
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -87,7 +87,7 @@
 	c.sweepAt = now + sweepInterval
 	for _, s := range c.svcOrder {
 		c.recenter(s)
-		s.fair.divide(s.slots)
+		s.fair.divide(int(s.capacity() * rateUnit))
 	}
 	for _, u := range c.upOrder {
 		if u.gone || len(u.attempts) == 0 {
