--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -8,79 +8,159 @@
 	"time"
 )
 
-// Order is the order in which the omniscient dispatcher takes tasks.
-type Order string
+// viewInterval is how old the shared view of least-outstanding and
+// two-choices gets before it is refreshed.
+const viewInterval = 100 * time.Millisecond
 
-// The orders of the omniscient dispatcher. Each is a possible meaning of
-// "ideal order"; a comparison uses the one with the lowest mean in the run.
-const (
-	OrderArrival Order = "arrival"     // jobs in the order of arrival
-	OrderFair    Order = "fair"        // the job with the fewest running tasks first
-	OrderShort   Order = "fewest-left" // the job with the fewest unstarted tasks first
-)
+// Baseline is a way to place tasks that the cores are compared with. It has
+// either a rank or a choice. With a rank it is omniscient: one queue for the
+// whole system and no delay to the upstreams; it knows the speeds and sees
+// every slot, but not how long a task will run. With a choice it binds each
+// task to an upstream on arrival at an entry.
+type Baseline struct {
+	Name   string
+	rank   func(j *openJob) int // smaller for jobs that go first
+	choose func(b *baselineRun, entry int) int
+}
+
+// Baselines lists all baselines in the order of the report. Each order of the
+// omniscient dispatcher is a possible meaning of "ideal order"; a comparison
+// uses the one with the lowest mean in the run.
+var Baselines = []Baseline{
+	{Name: "omniscient, arrival", rank: func(j *openJob) int { return j.sub.ID }},
+	{Name: "omniscient, fair", rank: func(j *openJob) int { return j.running }},
+	{Name: "omniscient, fewest-left", rank: (*openJob).waiting},
+	{Name: rowRandom, choose: func(b *baselineRun, _ int) int { return b.rng.IntN(len(b.ups)) }},
+	{Name: "round-robin", choose: func(b *baselineRun, entry int) int {
+		b.turn[entry]++
+		return b.turn[entry] % len(b.ups)
+	}},
+	{Name: "least-outstanding", choose: func(b *baselineRun, entry int) int {
+		first := b.rng.IntN(len(b.ups))
+		best := first
+		for i := range b.ups {
+			best = b.lessLoaded(entry, best, (first+i)%len(b.ups))
+		}
+		return best
+	}},
+	{Name: "two-choices", choose: func(b *baselineRun, entry int) int {
+		first := b.rng.IntN(len(b.ups))
+		return b.lessLoaded(entry, first, b.rng.IntN(len(b.ups)))
+	}},
+}
 
 // openJob is a submission in a baseline.
 type openJob struct {
 	sub     *Submission
-	next    int // first task that has not started
+	next    int // number of tasks that have started
 	running int
 	left    int // tasks without an answer
 }
 
-// omniscient is one queue for the whole system with no delay to the upstreams.
-// It knows the speeds and sees every slot, but not how long a task will run.
-type omniscient struct {
+// waiting is the number of tasks that have not started.
+func (j *openJob) waiting() int { return len(j.sub.Work) - j.next }
+
+// baselineUpstream is an upstream with an unbounded queue in order of arrival.
+type baselineUpstream struct {
+	free   int
+	queued []func()
+	load   int // tasks bound to it now
+	seen   int // load as of the last refresh of the view
+}
+
+// baselineRun is one run of a baseline.
+type baselineRun struct {
 	queue
+	Baseline
 	dep     Deployment
-	order   Order
-	free    []int // free slots of each upstream
-	bySpeed []int // upstreams, fastest first
-	open    []*openJob
+	rng     *rand.Rand
+	ups     []baselineUpstream
+	bySpeed []int      // upstreams, fastest first
+	open    []*openJob // with waiting tasks, of an omniscient dispatcher
+	own     [][]int    // change of load by an entry since the refresh, by entry and upstream
+	turn    []int      // of each entry
 	records []Record
+	left    int // submissions without an answer
 }
 
-// RunOmniscient places the submissions with full knowledge and no delay.
-func RunOmniscient(d Deployment, subs []*Submission, order Order) []Record {
-	o := &omniscient{dep: d, order: order, records: make([]Record, len(subs))}
+// Run places the submissions and returns a record of each.
+func (way Baseline) Run(d Deployment, subs []*Submission, seed uint64) []Record {
+	b := &baselineRun{Baseline: way, dep: d, rng: newRand(seed, 2), turn: make([]int, len(d.Weights)),
+		records: make([]Record, len(subs)), left: len(subs)}
 	for u := range d.Speeds {
-		o.free = append(o.free, d.Slots)
-		o.bySpeed = append(o.bySpeed, u)
+		b.ups = append(b.ups, baselineUpstream{free: d.Slots})
+		b.bySpeed = append(b.bySpeed, u)
+	}
+	slices.SortFunc(b.bySpeed, func(x, y int) int { return cmp.Compare(d.Speeds[y], d.Speeds[x]) })
+	for range d.Weights {
+		b.own = append(b.own, make([]int, len(d.Speeds)))
 	}
-	slices.SortFunc(o.bySpeed, func(a, b int) int { return cmp.Compare(d.Speeds[b], d.Speeds[a]) })
 	for i, s := range subs {
-		o.records[i] = Record{Sub: s}
-		o.at(s.At+d.ClientLatency, func() {
-			o.open = append(o.open, &openJob{sub: s, left: len(s.Work)})
-			o.place()
-		})
+		b.records[i] = Record{Sub: s}
+		b.at(s.At+d.ClientLatency, func() { b.arrive(&openJob{sub: s, left: len(s.Work)}) })
+	}
+	b.refresh()
+	b.runUntil(math.MaxInt64, func() bool { return b.left == 0 })
+	return b.records
+}
+
+// arrive takes in a submission at its entry.
+func (b *baselineRun) arrive(j *openJob) {
+	if b.rank != nil {
+		b.open = append(b.open, j)
+		b.place()
+		return
+	}
+	for task := range j.sub.Work {
+		b.bind(j, task, b.choose(b, j.sub.Entry))
 	}
-	o.runUntil(math.MaxInt64, func() bool { return false })
-	return o.records
+}
+
+// refresh updates the shared view.
+func (b *baselineRun) refresh() {
+	for u := range b.ups {
+		b.ups[u].seen = b.ups[u].load
+	}
+	for _, own := range b.own {
+		clear(own)
+	}
+	b.after(viewInterval, b.refresh)
+}
+
+// lessLoaded returns u if an entry sees less load there than at best.
+func (b *baselineRun) lessLoaded(entry, best, u int) int {
+	if b.ups[u].seen+b.own[entry][u] < b.ups[best].seen+b.own[entry][best] {
+		return u
+	}
+	return best
 }
 
 // place starts tasks on the fastest free slot. A task is kept back when it is
 // expected to end sooner by waiting for a slot of the faster upstreams.
-func (o *omniscient) place() {
+func (b *baselineRun) place() {
 	for {
-		up, patience := o.fastestFree()
+		up, patience := b.fastestFree()
 		if up < 0 {
 			return
 		}
-		j := o.taskAt(patience)
+		j := b.jobOfTask(patience)
 		if j == nil {
 			return
 		}
-		o.start(j, up)
+		b.start(j, j.next, up, func() { b.answered(j) })
+		if j.waiting() == 0 {
+			b.open = slices.DeleteFunc(b.open, func(x *openJob) bool { return x == j })
+		}
 	}
 }
 
 // fastestFree returns the fastest upstream with a free slot, and how many
 // waiting tasks are better served by the busy upstreams that are faster.
-func (o *omniscient) fastestFree() (up, patience int) {
+func (b *baselineRun) fastestFree() (up, patience int) {
 	rate, slots := 0.0, 0.0
-	for _, u := range o.bySpeed {
-		speed := o.dep.Speeds[u]
-		if o.free[u] > 0 {
+	for _, u := range b.bySpeed {
+		speed := b.dep.Speeds[u]
+		if b.ups[u].free > 0 {
 			if slots == 0 {
 				return u, 0
 			}
@@ -88,191 +168,78 @@
 			wait := rate * (1/speed - slots/rate)
 			return u, max(0, int(math.Ceil(wait))-1)
 		}
-		rate += speed * float64(o.dep.Slots)
-		slots += float64(o.dep.Slots)
+		rate += speed * float64(b.dep.Slots)
+		slots += float64(b.dep.Slots)
 	}
 	return -1, 0
 }
 
-// taskAt returns the job of the n-th waiting task in the order, nil if there are fewer.
-func (o *omniscient) taskAt(n int) *openJob {
-	slices.SortStableFunc(o.open, func(a, b *openJob) int { return cmp.Compare(o.rank(a), o.rank(b)) })
-	for _, j := range o.open {
-		waiting := len(j.sub.Work) - j.next
-		if n < waiting {
+// jobOfTask returns the job of the n-th waiting task in order of rank, nil if
+// there are fewer.
+func (b *baselineRun) jobOfTask(n int) *openJob {
+	slices.SortStableFunc(b.open, func(x, y *openJob) int { return cmp.Compare(b.rank(x), b.rank(y)) })
+	for _, j := range b.open {
+		if n < j.waiting() {
 			return j
 		}
-		n -= waiting
+		n -= j.waiting()
 	}
 	return nil
 }
 
-// rank is smaller for jobs that go first.
-func (o *omniscient) rank(j *openJob) int {
-	switch o.order {
-	case OrderFair:
-		return j.running
-	case OrderShort:
-		return len(j.sub.Work) - j.next
-	}
-	return j.sub.ID
-}
-
-// start runs the next task of j on upstream up.
-func (o *omniscient) start(j *openJob, up int) {
-	work := j.sub.Work[j.next]
+// start runs a task of j on a free slot of an upstream.
+func (b *baselineRun) start(j *openJob, task, up int, done func()) {
 	j.next++
 	j.running++
-	o.free[up]--
-	if j.next == len(j.sub.Work) {
-		o.open = slices.DeleteFunc(o.open, func(x *openJob) bool { return x == j })
-	}
-	o.after(time.Duration(float64(work)/o.dep.Speeds[up]), func() {
-		o.free[up]++
+	u := &b.ups[up]
+	u.free--
+	b.after(time.Duration(float64(j.sub.Work[task])/b.dep.Speeds[up]), func() {
+		u.free++
 		j.running--
-		if j.left--; j.left == 0 {
-			o.records[j.sub.ID].Ended = o.now + o.dep.ClientLatency
-			o.records[j.sub.ID].Complete = true
+		if len(u.queued) > 0 {
+			next := u.queued[0]
+			u.queued = u.queued[1:]
+			next()
+		}
+		done()
+		if b.rank != nil {
+			b.place()
 		}
-		o.place()
 	})
 }
 
-// Pick is a way to choose an upstream when a task arrives at an entry.
-type Pick string
-
-// The ways that bind a task to an upstream at once.
-const (
-	PickRandom Pick = "random"
-	PickRound  Pick = "round-robin"
-	PickLeast  Pick = "least-outstanding"
-	PickTwo    Pick = "two-choices"
-)
-
-// viewInterval is how old the shared view of least-outstanding and
-// two-choices gets before it is refreshed.
-const viewInterval = 100 * time.Millisecond
-
-// pushUpstream is an upstream with an unbounded queue in order of arrival.
-type pushUpstream struct {
-	running int
-	waiting []func()
-}
-
-// push sends each task on arrival.
-type push struct {
-	queue
-	dep     Deployment
-	pick    Pick
-	rng     *rand.Rand
-	ups     []pushUpstream
-	load    []int   // tasks bound to each upstream now
-	seen    []int   // load as of the last refresh
-	own     [][]int // change by this entry since the refresh, by entry and upstream
-	turn    []int
-	records []Record
-}
-
-// RunPush places the submissions by a way that binds each task at once.
-func RunPush(d Deployment, subs []*Submission, pick Pick, seed uint64) []Record {
-	n := len(d.Speeds)
-	p := &push{dep: d, pick: pick, rng: rand.New(rand.NewPCG(seed, 2)), ups: make([]pushUpstream, n),
-		load: make([]int, n), seen: make([]int, n), turn: make([]int, len(d.Weights)), records: make([]Record, len(subs))}
-	for range d.Weights {
-		p.own = append(p.own, make([]int, n))
-	}
-	left := len(subs)
-	for i, s := range subs {
-		p.records[i] = Record{Sub: s}
-		p.at(s.At+d.ClientLatency, func() {
-			j := &openJob{sub: s, left: len(s.Work)}
-			for _, w := range s.Work {
-				p.send(j, w, &left)
-			}
-		})
-	}
-	p.refresh(&left)
-	p.runUntil(math.MaxInt64, func() bool { return left == 0 })
-	return p.records
-}
-
-// refresh updates the shared view.
-func (p *push) refresh(left *int) {
-	copy(p.seen, p.load)
-	for _, own := range p.own {
-		clear(own)
+// bind sends a task of j to an upstream, which runs it when a slot is free and
+// returns its answer to the entry.
+func (b *baselineRun) bind(j *openJob, task, up int) {
+	entry, u := j.sub.Entry, &b.ups[up]
+	count := func(n int) {
+		u.load += n
+		b.own[entry][up] += n
 	}
-	if *left > 0 {
-		p.after(viewInterval, func() { p.refresh(left) })
-	}
-}
-
-// send binds one task to an upstream and returns its answer to the entry.
-func (p *push) send(j *openJob, work time.Duration, left *int) {
-	entry := j.sub.Entry
-	up := p.choose(entry)
-	p.load[up]++
-	p.own[entry][up]++
-	p.after(p.dep.link(entry, up), func() {
-		p.run(up, time.Duration(float64(work)/p.dep.Speeds[up]), func() {
-			p.after(p.dep.link(entry, up), func() {
-				p.load[up]--
-				p.own[entry][up]--
-				if j.left--; j.left == 0 {
-					p.records[j.sub.ID].Ended = p.now + p.dep.ClientLatency
-					p.records[j.sub.ID].Complete = true
-					*left--
-				}
-			})
-		})
-	})
-}
-
-// run occupies a slot of the upstream, or waits for one.
-func (p *push) run(up int, d time.Duration, done func()) {
-	u := &p.ups[up]
+	link := b.dep.link(entry, up)
+	count(1)
 	start := func() {
-		u.running++
-		p.after(d, func() {
-			u.running--
-			if len(u.waiting) > 0 {
-				next := u.waiting[0]
-				u.waiting = u.waiting[1:]
-				next()
-			}
-			done()
+		b.start(j, task, up, func() {
+			b.after(link, func() {
+				count(-1)
+				b.answered(j)
+			})
 		})
 	}
-	if u.running < p.dep.Slots {
-		start()
-		return
-	}
-	u.waiting = append(u.waiting, start)
+	b.after(link, func() {
+		if u.free > 0 {
+			start()
+			return
+		}
+		u.queued = append(u.queued, start)
+	})
 }
 
-// choose picks the upstream of a task.
-func (p *push) choose(entry int) int {
-	n := len(p.ups)
-	view := func(u int) int { return p.seen[u] + p.own[entry][u] }
-	switch p.pick {
-	case PickRound:
-		p.turn[entry]++
-		return p.turn[entry] % n
-	case PickTwo:
-		a, b := p.rng.IntN(n), p.rng.IntN(n)
-		if view(b) < view(a) {
-			return b
-		}
-		return a
-	case PickLeast:
-		first := p.rng.IntN(n)
-		best := first
-		for i := range n {
-			if u := (first + i) % n; view(u) < view(best) {
-				best = u
-			}
-		}
-		return best
+// answered counts an answer of j and records the last one.
+func (b *baselineRun) answered(j *openJob) {
+	if j.left--; j.left == 0 {
+		b.records[j.sub.ID].Ended = b.now + b.dep.ClientLatency
+		b.records[j.sub.ID].Complete = true
+		b.left--
 	}
-	return p.rng.IntN(n)
 }
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -5,6 +5,7 @@
 	"io"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strings"
 	"time"
 
@@ -65,8 +66,7 @@
 	check    *checker
 	acct     *accounts
 	ups      []*upstream
-	entries  map[ids.Incarnation]*process
-	agents   map[ids.Incarnation]*process
+	byInc    map[ids.Incarnation]*process
 	lives    []*process // all processes in order of their start
 	callers  []*caller
 	open     int // callers without an outcome
@@ -79,7 +79,7 @@
 // linkFaults is the state of all links between entries and agents.
 type linkFaults struct {
 	loss, late, double float64         // probabilities for each message
-	down               map[[2]int]bool // pairs of entry and upstream without contact
+	down               map[target]bool // pairs of entry and upstream without contact
 }
 
 // maxLate is the longest extra delay of a late message.
@@ -87,18 +87,17 @@
 
 // Run drives the real cores through one workload.
 func Run(o Options) *Result {
-	c := &Cluster{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 3)), acct: newAccounts(),
-		entries: map[ids.Incarnation]*process{}, agents: map[ids.Incarnation]*process{},
-		refusals: map[verdict.Reason]int{}, lastAt: map[[2]ids.Incarnation]time.Duration{}}
-	c.links.down = map[[2]int]bool{}
+	c := &Cluster{opts: o, rng: newRand(o.Seed, 3), acct: newAccounts(),
+		byInc: map[ids.Incarnation]*process{}, refusals: map[verdict.Reason]int{}, lastAt: map[[2]ids.Incarnation]time.Duration{}}
+	c.links.down = map[target]bool{}
 	c.check = newChecker(func() time.Duration { return c.now })
 	c.ctl = newControl(c, o.Seed)
 	for i, speed := range o.Deployment.Speeds {
 		c.ups = append(c.ups, &upstream{index: i, speed: speed, slow: 1, slots: o.Deployment.Slots})
-		c.startAgent(i)
+		c.start(wire.KindAgent, i)
 	}
 	for i := range o.Deployment.Weights {
-		c.startEntry(i)
+		c.start(wire.KindEntry, i)
 	}
 	for _, f := range o.Faults {
 		c.at(f.At, func() { c.apply(f) })
@@ -126,25 +125,20 @@
 			c.check.broken(CorePanicked, "%v at %s", r, panicSite())
 		}
 	}()
-	end := c.opts.Load.Length + maxRun
-	c.runUntil(end, func() bool { return c.open == 0 && c.now >= c.opts.Load.Length })
+	length := c.opts.Load.Length
+	never := func() bool { return false }
+	c.runUntil(length+maxRun, func() bool { return c.open == 0 && c.now >= length })
+	end := c.now + time.Second
 	if len(c.opts.Faults) > 0 {
-		c.runUntil(max(c.now, c.lastDeadline())+settle, func() bool { return false })
-	} else {
-		c.runUntil(c.now+time.Second, func() bool { return false })
+		end = c.now + settle
+		for _, cl := range c.callers {
+			end = max(end, cl.sub.Deadline+settle)
+		}
 	}
+	c.runUntil(end, never)
 	c.check.finish(c.callers)
 }
 
-// lastDeadline is the latest deadline of all submissions.
-func (c *Cluster) lastDeadline() time.Duration {
-	last := time.Duration(0)
-	for _, cl := range c.callers {
-		last = max(last, cl.sub.Deadline)
-	}
-	return last
-}
-
 // panicSite returns the function of the cores in which a panic began.
 func panicSite() string {
 	var pcs [32]uintptr
@@ -180,39 +174,31 @@
 	}
 }
 
-// startEntry starts a new incarnation of an entry.
-func (c *Cluster) startEntry(index int) {
-	p := c.newProcess(wire.KindEntry, index)
-	core := entryCore(dispatch.New(c.config(p.inc), c.opts.Seed+uint64(p.inc)))
-	if c.opts.wrapEntry != nil {
-		core = c.opts.wrapEntry(core)
-	}
-	p.entry = core
-	c.entries[p.inc] = p
-	p.heartbeat()
-	c.ctl.reassign()
-}
-
-// startAgent starts a new incarnation of the agent beside an upstream.
-func (c *Cluster) startAgent(index int) {
-	p := c.newProcess(wire.KindAgent, index)
-	core := agentCore(executor.New(executor.Config{Self: p.inc, Slots: c.opts.Deployment.Slots,
-		Connections: connections, LookAhead: dispatch.DefaultLookAhead, AnswerBytes: answerBytes}))
-	if c.opts.wrapAgent != nil {
-		core = c.opts.wrapAgent(core)
-	}
-	p.agent = core
-	c.agents[p.inc] = p
-	p.heartbeat()
-}
-
-// newProcess registers a process with the control group.
-func (c *Cluster) newProcess(kind wire.Kind, index int) *process {
+// start starts a new incarnation of an entry, or of the agent beside an upstream.
+func (c *Cluster) start(kind wire.Kind, index int) {
 	p := &process{c: c, kind: kind, index: index, confirmed: c.now, conns: map[ids.Incarnation]bool{},
 		requests: map[ids.TaskKey]*caller{}, sent: map[sentStart]bool{}, running: map[ids.TaskKey]*span{}}
 	c.ctl.register(p)
 	c.lives = append(c.lives, p)
-	return p
+	c.byInc[p.inc] = p
+	if kind == wire.KindEntry {
+		p.entry = dispatch.New(c.config(p.inc), c.opts.Seed+uint64(p.inc))
+		if c.opts.wrapEntry != nil {
+			p.entry = c.opts.wrapEntry(p.entry)
+		}
+		p.core = p.entry
+	} else {
+		p.agent = executor.New(executor.Config{Self: p.inc, Slots: c.opts.Deployment.Slots,
+			Connections: connections, LookAhead: dispatch.DefaultLookAhead, AnswerBytes: answerBytes})
+		if c.opts.wrapAgent != nil {
+			p.agent = c.opts.wrapAgent(p.agent)
+		}
+		p.core = p.agent
+	}
+	p.heartbeat()
+	if kind == wire.KindEntry {
+		c.ctl.reassign()
+	}
 }
 
 // config is the configuration in force.
@@ -248,17 +234,23 @@
 func (c *Cluster) reachable(prefer int) *process {
 	n := len(c.opts.Deployment.Weights)
 	for i := range n {
-		if p := c.current(wire.KindEntry, (prefer+i)%n); p != nil && !p.frozen {
+		if p := c.entryAt((prefer + i) % n); p != nil && !p.frozen {
 			return p
 		}
 	}
 	return nil
 }
 
+// entryAt returns the running entry of the given index, or nil.
+func (c *Cluster) entryAt(index int) *process { return c.current(wire.KindEntry, index) }
+
+// agentAt returns the running agent beside an upstream, or nil.
+func (c *Cluster) agentAt(index int) *process { return c.current(wire.KindAgent, index) }
+
 // current returns the running process of the given kind and index, or nil.
 func (c *Cluster) current(kind wire.Kind, index int) *process {
-	for i := len(c.lives) - 1; i >= 0; i-- {
-		if p := c.lives[i]; p.kind == kind && p.index == index && !p.dead {
+	for _, p := range slices.Backward(c.lives) {
+		if p.kind == kind && p.index == index && !p.dead {
 			return p
 		}
 	}
@@ -268,22 +260,22 @@
 // send delivers a message between an entry and an agent in order, unless a
 // fault drops, delays or repeats it.
 func (c *Cluster) send(from, to *process, deliver func()) {
-	entry, agent := from, to
+	pair := target{from.index, to.index}
 	if from.kind == wire.KindAgent {
-		entry, agent = to, from
+		pair = target{to.index, from.index}
 	}
-	if c.links.down[[2]int{entry.index, agent.index}] || c.rng.Float64() < c.links.loss {
+	if c.links.down[pair] || c.rng.Float64() < c.links.loss {
 		return
 	}
-	latency := c.opts.Deployment.link(entry.index, agent.index)
+	latency := c.opts.Deployment.link(pair.entry, pair.up)
 	arrive := func() { to.input(deliver) }
 	if c.rng.Float64() < c.links.late {
 		c.after(latency+time.Duration(c.rng.Int64N(int64(maxLate))), arrive)
 		return
 	}
-	pair := [2]ids.Incarnation{from.inc, to.inc}
-	at := max(c.now+latency, c.lastAt[pair])
-	c.lastAt[pair] = at
+	conn := [2]ids.Incarnation{from.inc, to.inc}
+	at := max(c.now+latency, c.lastAt[conn])
+	c.lastAt[conn] = at
 	c.at(at, arrive)
 	if c.rng.Float64() < c.links.double {
 		c.acct.message("copies")
@@ -293,8 +285,8 @@
 
 // claim carries a claim and its reply.
 func (c *Cluster) claim(p *process, order dispatch.ClaimOrder) {
-	to := c.agents[order.To]
-	if to == nil || to.dead || c.links.down[[2]int{p.index, to.index}] {
+	to := c.byInc[order.To]
+	if to == nil || to.dead || c.links.down[target{p.index, to.index}] {
 		return
 	}
 	c.acct.claims += 2
@@ -313,8 +305,8 @@
 // connect opens the missing connections of an entry to the agents it knows.
 func (c *Cluster) connect(p *process) {
 	for _, m := range c.ctl.members {
-		to := c.agents[m.Incarnation]
-		if to == nil || to.dead || p.conns[to.inc] || c.links.down[[2]int{p.index, to.index}] {
+		to := c.byInc[m.Incarnation]
+		if to.kind != wire.KindAgent || to.dead || p.conns[to.inc] || c.links.down[target{p.index, to.index}] {
 			continue
 		}
 		p.conns[to.inc] = true
@@ -323,8 +315,8 @@
 				delete(p.conns, to.inc)
 				return
 			}
-			to.input(func() { to.agent.Connected(c.now, p.inc) })
-			p.input(func() { p.entry.Connected(c.now, to.inc) })
+			to.input(func() { to.core.Connected(c.now, p.inc) })
+			p.input(func() { p.core.Connected(c.now, to.inc) })
 		})
 	}
 }
@@ -335,8 +327,8 @@
 		return
 	}
 	delete(entry.conns, agent.inc)
-	entry.input(func() { entry.entry.Disconnected(c.now, agent.inc) })
-	agent.input(func() { agent.agent.Disconnected(c.now, entry.inc) })
+	entry.input(func() { entry.core.Disconnected(c.now, agent.inc) })
+	agent.input(func() { agent.core.Disconnected(c.now, entry.inc) })
 }
 
 // kill ends a process at once. Runs on the upstream of an agent end with it.
@@ -347,11 +339,7 @@
 	c.tracef("%s %d dies", p.kind, p.inc)
 	p.dead = true
 	p.held = nil
-	for _, cl := range c.callers {
-		if cl.at == p && !cl.done {
-			cl.lost()
-		}
-	}
+	c.abandon(p)
 	for _, r := range sortedRuns(p) {
 		p.end(r, wire.Answer{})
 	}
@@ -369,15 +357,17 @@
 }
 
 // restart starts the next incarnation of a process that has ended.
-func (c *Cluster) restart(p *process, after time.Duration) {
-	c.after(after, func() {
-		if c.current(p.kind, p.index) != nil {
-			return
-		}
-		if p.kind == wire.KindEntry {
-			c.startEntry(p.index)
-		} else {
-			c.startAgent(p.index)
+func (c *Cluster) restart(p *process) {
+	if c.current(p.kind, p.index) == nil {
+		c.start(p.kind, p.index)
+	}
+}
+
+// abandon makes the callers of an entry leave it.
+func (c *Cluster) abandon(p *process) {
+	for _, cl := range c.callers {
+		if cl.at == p && !cl.done {
+			cl.lost()
 		}
-	})
+	}
 }
--- a/bench/control.go
+++ b/bench/control.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/dispatch"
@@ -37,7 +38,7 @@
 }
 
 func newControl(c *Cluster, seed uint64) *control {
-	return &control{c: c, rng: rand.New(rand.NewPCG(seed, 4)), leases: map[ids.Incarnation]time.Duration{},
+	return &control{c: c, rng: newRand(seed, 4), leases: map[ids.Incarnation]time.Duration{},
 		byID: map[ids.Job]*jobRecord{}, byKey: map[string]*jobRecord{}}
 }
 
@@ -127,7 +128,7 @@
 	var weights []int
 	for _, m := range k.members {
 		if m.Kind == wire.KindEntry && m.Live() {
-			live = append(live, k.c.entries[m.Incarnation])
+			live = append(live, k.c.byInc[m.Incarnation])
 			weights = append(weights, m.Weight)
 		}
 	}
@@ -177,7 +178,7 @@
 		}
 		if !c.ctl.member(p.inc).Live() {
 			c.kill(p)
-			c.restart(p, time.Second)
+			c.after(time.Second, func() { c.restart(p) })
 			return
 		}
 		c.ctl.renewed(p)
@@ -189,27 +190,20 @@
 // checkCurrent tells the core when the last confirmation is too old.
 func (p *process) checkCurrent() {
 	if p.c.now-p.confirmed > wire.StaleAfter {
-		p.setCurrent(false)
-	}
-}
-
-func (p *process) setCurrent(current bool) {
-	if p.entry != nil {
-		p.entry.SetCurrent(current)
-	} else {
-		p.agent.SetCurrent(current)
+		p.core.SetCurrent(false)
 	}
 }
 
 // update applies the control group's state to the core of a process.
 func (p *process) update() {
 	c := p.c
-	p.setCurrent(true)
+	p.core.SetCurrent(true)
 	if at := ids.Version(c.ctl.version); at != p.view {
 		p.view = at
-		rows := append([]wire.Member(nil), c.ctl.members...)
+		rows := slices.Clone(c.ctl.members)
 		if p.entry != nil {
-			p.entry.SetUpstreams(c.now, agentsOf(rows))
+			isEntry := func(m wire.Member) bool { return m.Kind == wire.KindEntry }
+			p.entry.SetUpstreams(c.now, slices.DeleteFunc(rows, isEntry))
 		} else {
 			p.agent.SetEntries(c.now, at, rows)
 		}
@@ -228,14 +222,3 @@
 	}
 	p.assigned = nil
 }
-
-// agentsOf returns the rows of agents.
-func agentsOf(rows []wire.Member) []wire.Member {
-	var list []wire.Member
-	for _, m := range rows {
-		if m.Kind == wire.KindAgent {
-			list = append(list, m)
-		}
-	}
-	return list
-}
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -15,34 +17,77 @@
 
 // The faults that runs inject.
 const (
-	UpstreamDies    FaultKind = "upstream dies"       // the VM, with its agent
-	BackendDown     FaultKind = "backend down"        // the upstream, its agent lives
-	UpstreamSlow    FaultKind = "upstream 10x slower" //
-	UpstreamFails   FaultKind = "upstream fails all"  // answers status 500 at once
-	EntryDies       FaultKind = "entry dies"          //
-	EntryFreezes    FaultKind = "entry freezes"       // past its lease, then wakes
-	EntryCut        FaultKind = "entry partitioned"   // from the control group, past its lease
-	AgentCut        FaultKind = "agent partitioned"   // from the control group, past its lease
-	LinkDown        FaultKind = "link down"           // between one entry and one agent
-	LostMessages    FaultKind = "lost messages"       // 5 % of all
-	LateMessages    FaultKind = "late messages"       // 10 % of all, 5 % twice
-	CancelWave      FaultKind = "cancellation wave"   // half of the open jobs
-	WrongRunTimes   FaultKind = "wrong run times"     // declared wrong by up to 10 times
-	RollingDrain    FaultKind = "rolling drain"       // all upstreams one after the other
-	lossShare                 = 0.05
-	lateShare                 = 0.10
-	doubleShare               = 0.05
-	cancelShare               = 0.5
-	slowFactor                = 10
-	drainStep                 = 1500 * time.Millisecond
-	drainPoll                 = 100 * time.Millisecond
-	runTimeError              = 10
-	agentDisconnect           = time.Second
+	UpstreamDies  FaultKind = "upstream dies"       // the VM, with its agent
+	BackendDown   FaultKind = "backend down"        // the upstream, its agent lives
+	UpstreamSlow  FaultKind = "upstream 10x slower" //
+	UpstreamFails FaultKind = "upstream fails all"  // answers status 500 at once
+	EntryDies     FaultKind = "entry dies"          //
+	EntryFreezes  FaultKind = "entry freezes"       // past its lease, then wakes
+	EntryCut      FaultKind = "entry partitioned"   // from the control group, past its lease
+	AgentCut      FaultKind = "agent partitioned"   // from the control group, past its lease
+	LinkDown      FaultKind = "link down"           // between one entry and one agent
+	LostMessages  FaultKind = "lost messages"       // 5 % of all
+	LateMessages  FaultKind = "late messages"       // 10 % of all, 5 % twice
+	CancelWave    FaultKind = "cancellation wave"   // half of the open jobs
+	WrongRunTimes FaultKind = "wrong run times"     // declared wrong by up to 10 times
+	RollingDrain  FaultKind = "rolling drain"       // all upstreams one after the other
 )
 
+// Sizes of faults.
+const (
+	lossShare    = 0.05
+	lateShare    = 0.10
+	doubleShare  = 0.05
+	cancelShare  = 0.5
+	slowFactor   = 10
+	runTimeError = 10
+	drainStep    = 1500 * time.Millisecond // between the upstreams of a rolling drain
+	drainPoll    = 100 * time.Millisecond
+)
+
+// target is where a fault happens. A fault uses one of the two, or both.
+type target struct{ entry, up int }
+
+// effects says what each kind of fault does. An effect returns its repair, nil
+// for none.
+var effects = []struct {
+	kind  FaultKind
+	begin func(c *Cluster, t target) (repair func())
+}{
+	{UpstreamDies, func(c *Cluster, t target) func() { return c.crash(c.agentAt(t.up)) }},
+	{BackendDown, func(c *Cluster, t target) func() {
+		c.setBackend(t.up, true)
+		return func() { c.setBackend(t.up, false) }
+	}},
+	{UpstreamSlow, func(c *Cluster, t target) func() { return set(&c.ups[t.up].slow, slowFactor, 1) }},
+	{UpstreamFails, func(c *Cluster, t target) func() { return set(&c.ups[t.up].failing, true, false) }},
+	{EntryDies, func(c *Cluster, t target) func() { return c.crash(c.entryAt(t.entry)) }},
+	{EntryFreezes, func(c *Cluster, t target) func() { return c.freeze(c.entryAt(t.entry)) }},
+	{EntryCut, func(c *Cluster, t target) func() { return c.cutOff(c.entryAt(t.entry)) }},
+	{AgentCut, func(c *Cluster, t target) func() { return c.cutOff(c.agentAt(t.up)) }},
+	{LinkDown, (*Cluster).linkDown},
+	{LostMessages, func(c *Cluster, _ target) func() { return set(&c.links.loss, lossShare, 0) }},
+	{LateMessages, func(c *Cluster, _ target) func() {
+		c.links.late, c.links.double = lateShare, doubleShare
+		return func() { c.links.late, c.links.double = 0, 0 }
+	}},
+	{CancelWave, func(c *Cluster, _ target) func() { return c.cancelWave() }},
+	{WrongRunTimes, func(*Cluster, target) func() { return nil }}, // part of the load, see loadFor
+	{RollingDrain, func(c *Cluster, _ target) func() {
+		for i := range c.ups {
+			c.after(time.Duration(i)*drainStep, func() { c.drain(c.agentAt(i)) })
+		}
+		return nil
+	}},
+}
+
 // FaultKinds lists all kinds in the order of the report.
-var FaultKinds = []FaultKind{UpstreamDies, BackendDown, UpstreamSlow, UpstreamFails, EntryDies, EntryFreezes, EntryCut,
-	AgentCut, LinkDown, LostMessages, LateMessages, CancelWave, WrongRunTimes, RollingDrain}
+var FaultKinds = func() (list []FaultKind) {
+	for _, e := range effects {
+		list = append(list, e.kind)
+	}
+	return list
+}()
 
 // Fault is one fault of a run.
 type Fault struct {
@@ -60,76 +105,37 @@
 // apply makes a fault happen now and schedules its repair.
 func (c *Cluster) apply(f Fault) {
 	c.tracef("fault: %v", f)
-	up := f.Target % len(c.ups)
-	entry := f.Target % len(c.opts.Deployment.Weights)
-	switch f.Kind {
-	case UpstreamDies:
-		c.crash(c.current(wire.KindAgent, up), f.For)
-	case EntryDies:
-		c.crash(c.current(wire.KindEntry, entry), f.For)
-	case EntryFreezes:
-		c.freeze(c.current(wire.KindEntry, entry), f.For)
-	case EntryCut:
-		c.cutOff(c.current(wire.KindEntry, entry), f.For)
-	case AgentCut:
-		c.cutOff(c.current(wire.KindAgent, up), f.For)
-	case LinkDown:
-		c.linkDown(entry, up, f.For)
-	case BackendDown:
-		c.setBackend(up, true)
-		c.repair(f, func() { c.setBackend(up, false) })
-	case UpstreamSlow:
-		c.ups[up].slow = slowFactor
-		c.repair(f, func() { c.ups[up].slow = 1 })
-	case UpstreamFails:
-		c.ups[up].failing = true
-		c.repair(f, func() { c.ups[up].failing = false })
-	case LostMessages:
-		c.links.loss = lossShare
-		c.repair(f, func() { c.links.loss = 0 })
-	case LateMessages:
-		c.links.late, c.links.double = lateShare, doubleShare
-		c.repair(f, func() { c.links.late, c.links.double = 0, 0 })
-	case CancelWave:
-		c.cancelWave()
-	case RollingDrain:
-		for i := range c.ups {
-			c.after(time.Duration(i)*drainStep, func() { c.drain(c.current(wire.KindAgent, i)) })
-		}
+	t := target{f.Target % len(c.opts.Deployment.Weights), f.Target % len(c.ups)}
+	repair := effects[slices.Index(FaultKinds, f.Kind)].begin(c, t)
+	if repair != nil && f.For > 0 {
+		c.after(f.For, repair)
 	}
 }
 
-// repair calls undo when the fault ends.
-func (c *Cluster) repair(f Fault, undo func()) {
-	if f.For > 0 {
-		c.after(f.For, undo)
-	}
+// set gives *field a value and returns what gives it the other.
+func set[T any](field *T, during, after T) func() {
+	*field = during
+	return func() { *field = after }
 }
 
-// crash ends a process and restarts it.
-func (c *Cluster) crash(p *process, after time.Duration) {
+// crash ends a process. The repair starts its next incarnation.
+func (c *Cluster) crash(p *process) func() {
 	if p == nil {
-		return
+		return nil
 	}
 	c.kill(p)
-	if after > 0 {
-		c.restart(p, after)
-	}
+	return func() { c.restart(p) }
 }
 
-// freeze stops a process for a while. Its callers leave; on waking it first
+// freeze stops a process until the repair. Its callers leave; on waking it first
 // learns how old its last confirmation is, then gets all messages held back.
-func (c *Cluster) freeze(p *process, d time.Duration) {
+func (c *Cluster) freeze(p *process) func() {
 	if p == nil || p.frozen {
-		return
+		return nil
 	}
 	p.frozen = true
-	for _, cl := range c.callers {
-		if cl.at == p && !cl.done {
-			cl.lost()
-		}
-	}
-	c.after(d, func() {
+	c.abandon(p)
+	return func() {
 		p.frozen = false
 		if p.dead {
 			return
@@ -141,36 +147,34 @@
 		for _, f := range held {
 			f()
 		}
-	})
+	}
 }
 
 // cutOff separates a process from the control group.
-func (c *Cluster) cutOff(p *process, d time.Duration) {
+func (c *Cluster) cutOff(p *process) func() {
 	if p == nil {
-		return
+		return nil
 	}
-	p.cut = true
-	c.after(d, func() { p.cut = false })
+	return set(&p.cut, true, false)
 }
 
 // linkDown separates one entry from one agent. Both notice by their pings, and
 // the entry connects again after the repair.
-func (c *Cluster) linkDown(entry, up int, d time.Duration) {
-	pair := [2]int{entry, up}
-	c.links.down[pair] = true
-	c.after(agentDisconnect, func() {
-		e, a := c.current(wire.KindEntry, entry), c.current(wire.KindAgent, up)
-		if e != nil && a != nil && c.links.down[pair] {
+func (c *Cluster) linkDown(t target) func() {
+	c.links.down[t] = true
+	c.after(pingTimeout, func() {
+		e, a := c.entryAt(t.entry), c.agentAt(t.up)
+		if e != nil && a != nil && c.links.down[t] {
 			c.disconnect(e, a)
 		}
 	})
-	c.after(d, func() { delete(c.links.down, pair) })
+	return func() { delete(c.links.down, t) }
 }
 
 // setBackend stops or starts the upstream beside an agent.
 func (c *Cluster) setBackend(up int, down bool) {
 	c.ups[up].down = down
-	p := c.current(wire.KindAgent, up)
+	p := c.agentAt(up)
 	if p == nil {
 		return
 	}
@@ -184,23 +188,21 @@
 
 // sortedRuns lists the runs at an agent in order of their keys.
 func sortedRuns(p *process) []*span {
-	var list []*span
-	for _, r := range p.running {
-		list = append(list, r)
-	}
-	slices.SortFunc(list, func(a, b *span) int {
-		return cmp.Or(cmp.Compare(a.key.Job, b.key.Job), cmp.Compare(a.key.Entry, b.key.Entry), cmp.Compare(a.key.Index, b.key.Index))
-	})
-	return list
+	return slices.SortedFunc(maps.Values(p.running), func(a, b *span) int { return compareKeys(a.key, b.key) })
+}
+
+func compareKeys(a, b ids.TaskKey) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Entry, b.Entry), cmp.Compare(a.Index, b.Index))
 }
 
-// cancelWave cancels a share of the open jobs.
-func (c *Cluster) cancelWave() {
+// cancelWave cancels a share of the open jobs. It has no repair.
+func (c *Cluster) cancelWave() func() {
 	for _, cl := range c.callers {
 		if !cl.done && c.rng.Float64() < cancelShare {
 			cl.cancel()
 		}
 	}
+	return nil
 }
 
 // drain stops an agent in order and starts its next incarnation.
@@ -216,16 +218,15 @@
 
 // leaveWhenIdle ends a drained agent once nothing runs there.
 func (c *Cluster) leaveWhenIdle(p *process) {
-	if p.dead {
-		return
-	}
-	if !p.agent.Idle() {
+	switch {
+	case p.dead:
+	case !p.agent.Idle():
 		c.after(drainPoll, func() { c.leaveWhenIdle(p) })
-		return
+	default:
+		c.ctl.expire(p)
+		c.kill(p)
+		c.after(drainPoll, func() { c.restart(p) })
 	}
-	c.ctl.expire(p)
-	c.kill(p)
-	c.restart(p, drainPoll)
 }
 
 // Schedule draws the faults of a seeded run: one kind, or a pair of kinds that
--- a/bench/process.go
+++ b/bench/process.go
@@ -10,8 +10,16 @@
 	"github.com/baobabshore/baobabshore/wire"
 )
 
+// peerCore is what the cores of entries and agents have in common.
+type peerCore interface {
+	SetCurrent(current bool)
+	Connected(now time.Duration, peer ids.Incarnation)
+	Disconnected(now time.Duration, peer ids.Incarnation)
+}
+
 // entryCore is the part of dispatch.Core that the harness drives.
 type entryCore interface {
+	peerCore
 	Admit(now time.Duration, s dispatch.JobSpec) *verdict.Error
 	Submit(now time.Duration, j dispatch.Job)
 	Bodies(now time.Duration, job ids.Job, specs []wire.TaskSpec) *verdict.Error
@@ -19,26 +27,21 @@
 	Cancel(now time.Duration, job ids.Job)
 	CancelRequest(now time.Duration, key ids.TaskKey)
 	SetUpstreams(now time.Duration, rows []wire.Member)
-	SetCurrent(current bool)
 	Report(now time.Duration, r wire.Report)
 	Claimed(now time.Duration, job ids.Job, r wire.ClaimReply)
-	Connected(now time.Duration, up ids.Incarnation)
-	Disconnected(now time.Duration, up ids.Incarnation)
 	Tick(now time.Duration) dispatch.Output
 }
 
 // agentCore is the part of executor.Core that the harness drives.
 type agentCore interface {
+	peerCore
 	Receive(now time.Duration, m wire.Exchange)
 	Claim(now time.Duration, m wire.Claim) wire.ClaimReply
 	Finished(now time.Duration, a wire.Answer)
 	SetEntries(now time.Duration, at ids.Version, rows []wire.Member)
-	SetCurrent(current bool)
 	SetDown(now time.Duration, down bool)
 	Drain(now time.Duration)
 	Idle() bool
-	Connected(now time.Duration, entry ids.Incarnation)
-	Disconnected(now time.Duration, entry ids.Incarnation)
 	Tick(now time.Duration) executor.Output
 }
 
@@ -51,8 +54,9 @@
 	kind  wire.Kind
 	index int // of the entry or upstream, the same after a restart
 	inc   ids.Incarnation
-	entry entryCore
-	agent agentCore
+	core  peerCore  // entry or agent
+	entry entryCore // nil for an agent
+	agent agentCore // nil for an entry
 
 	dead, frozen bool
 	cut          bool // no contact with the control group
@@ -130,7 +134,7 @@
 	c := p.c
 	out := p.entry.Tick(c.now)
 	for _, env := range out.Send {
-		if to := c.agents[env.To]; to != nil {
+		if to := c.byInc[env.To]; to != nil {
 			p.countStarts(to, env.Exchange)
 			m := c.acct.message(exchangeContent(env.Exchange))
 			c.send(p, to, func() {
@@ -180,7 +184,7 @@
 		}
 	}
 	for _, env := range out.Send {
-		to := c.entries[env.To]
+		to := c.byInc[env.To]
 		if to == nil {
 			continue
 		}
--- a/bench/report.go
+++ b/bench/report.go
@@ -64,7 +64,6 @@
 	}
 	reportFaults(w)
 	reportViolations(w, o)
-	reportCredit(w, o)
 	return nil
 }
 
@@ -137,7 +136,7 @@
 				printRows(w, rows)
 				printReasons(w, "Refusals", rows[0].Results)
 			}
-			for _, name := range []string{rowCore, rowOmniscient, string(PickRandom)} {
+			for _, name := range []string{rowCore, rowOmniscient, rowRandom} {
 				r := find(rows, name)
 				mean.add(name, 100*load, r.Mean.Seconds())
 				p99.add(name, 100*load, r.P99.Seconds())
@@ -199,14 +198,7 @@
 	for _, d := range deployments() {
 		for _, t := range []float64{0, 0.25, 0.5, 0.75, 1} {
 			d.Tradeoff = t
-			l := Load{Base: 0.7, Length: o.Length}
-			results := make([]*Result, o.Seeds)
-			Parallel(o.Seeds, func(i int) { results[i] = Run(Options{Deployment: d, Load: l, Seed: uint64(i) + 1}) })
-			var records []Record
-			for _, r := range results {
-				records = append(records, r.Records...)
-			}
-			r := newRow("", d, l, records, results)
+			r := runSeeds("", Options{Deployment: d, Load: Load{Base: 0.7, Length: o.Length}}, o.Seeds, nil)
 			fmt.Fprintf(w, "| %s | %.2f | %s | %s | %.3f | %.2f | %.2f %% |\n", d.Name, t, millis(r.Mean), millis(r.P99), r.Lag, r.PerTask, 100*r.Wasted)
 			response.add(d.Name, t, r.Lag)
 			messages.add(d.Name, t, r.PerTask)
@@ -270,42 +262,6 @@
 	fmt.Fprintln(w)
 }
 
-// reportCredit compares the two splits of credit between entries.
-func reportCredit(w io.Writer, o ReportOptions) {
-	fmt.Fprintf(w, "## Trial: credit split by averages of fixed cycles\n\nModel of entries and agents with first-come order, not the cores.\n\n")
-	fmt.Fprintf(w, "| deployment | load | split | mean | p99 | lag | messages/task |\n|---|---|---|---|---|---|---|\n")
-	for _, d := range deployments() {
-		for _, base := range []float64{0.3, 0.7, 0.9} {
-			for _, cycles := range []bool{false, true} {
-				l := Load{Base: base, Length: o.Length}
-				row, perTask := creditRow(d, l, o.Seeds, cycles)
-				name := "demand on each message"
-				if cycles {
-					name = "averages each second"
-				}
-				fmt.Fprintf(w, "| %s | %.0f %% | %s | %s | %s | %.2f | %.3f |\n", d.Name, 100*base, name, millis(row.Mean), millis(row.P99), row.Lag, perTask)
-			}
-		}
-	}
-	fmt.Fprintln(w)
-}
-
-// creditRow pools the runs of one split.
-func creditRow(d Deployment, l Load, seeds int, cycles bool) (Summary, float64) {
-	var records []Record
-	messages, tasks := 0, 0
-	for seed := range seeds {
-		subs := Generate(d, l, uint64(seed)+1)
-		rec, n := RunCredit(d, subs, cycles)
-		records = append(records, rec...)
-		messages += n
-		for _, s := range subs {
-			tasks += len(s.Work)
-		}
-	}
-	return Summarize(d, records, warmup, l.Length), float64(messages) / float64(tasks)
-}
-
 // curves are named lines of a plot.
 type curves map[string]plotter.XYs
 
--- a/bench/targets.go
+++ b/bench/targets.go
@@ -1,8 +1,10 @@
 package bench
 
 import (
+	"cmp"
 	"runtime"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 )
@@ -35,69 +37,65 @@
 	Summary
 	PerTask float64 // messages for each task that ran, zero if not counted
 	Wasted  float64 // share of the messages
-	Results []*Result
+	Records []Record
+	Results []*Result // none for a baseline
 }
 
 // names of the rows that comparisons refer to.
 const (
 	rowCore       = "baobabshore"
 	rowOmniscient = "omniscient"
+	rowRandom     = "random"
 )
 
-// Compare runs all ways on the same arrivals and service times. The first row
-// is the real cores, the second the omniscient dispatcher with the best order.
+// Compare runs the cores and all baselines on the same arrivals and service
+// times. The first row is the real cores, the second the omniscient dispatcher
+// with the best order.
 func Compare(d Deployment, l Load, seeds int) []Row {
-	type way struct {
-		name string
-		run  func(seed uint64) ([]Record, *Result)
-	}
-	ways := []way{{rowCore, func(seed uint64) ([]Record, *Result) {
-		r := Run(Options{Deployment: d, Load: l, Seed: seed})
-		return r.Records, r
-	}}}
-	for _, o := range []Order{OrderArrival, OrderFair, OrderShort} {
-		ways = append(ways, way{rowOmniscient + ", " + string(o), func(seed uint64) ([]Record, *Result) {
-			return RunOmniscient(d, Generate(d, l, seed), o), nil
-		}})
-	}
-	for _, p := range []Pick{PickRandom, PickRound, PickLeast, PickTwo} {
-		ways = append(ways, way{string(p), func(seed uint64) ([]Record, *Result) {
-			return RunPush(d, Generate(d, l, seed), p, seed), nil
-		}})
-	}
-	records := make([][]Record, len(ways)*seeds)
-	results := make([]*Result, len(ways)*seeds)
+	records := make([][]Record, len(Baselines)*seeds)
+	rows := []Row{runSeeds(rowCore, Options{Deployment: d, Load: l}, seeds, nil)}
 	Parallel(len(records), func(i int) {
-		records[i], results[i] = ways[i/seeds].run(uint64(i%seeds) + 1)
+		seed := uint64(i%seeds) + 1
+		records[i] = Baselines[i/seeds].Run(d, Generate(d, l, seed), seed)
 	})
-	var rows []Row
-	for i, w := range ways {
+	for i, way := range Baselines {
 		pooled := slices.Concat(records[i*seeds : (i+1)*seeds]...)
-		rows = append(rows, newRow(w.name, d, l, pooled, results[i*seeds:(i+1)*seeds]))
+		rows = append(rows, Row{Name: way.Name, Summary: Summarize(d, pooled, warmup, l.Length)})
 	}
-	best := slices.MinFunc(rows[1:4], func(a, b Row) int { return int(a.Mean - b.Mean) })
+	orders := slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return !strings.HasPrefix(r.Name, rowOmniscient) })
+	best := slices.MinFunc(orders, func(a, b Row) int { return cmp.Compare(a.Mean, b.Mean) })
 	best.Name = rowOmniscient
 	return slices.Insert(rows, 1, best)
 }
 
-// newRow summarizes the runs of one way.
-func newRow(name string, d Deployment, l Load, records []Record, results []*Result) Row {
-	row := Row{Name: name, Summary: Summarize(d, records, warmup, l.Length)}
-	messages, wasted, runs := 0, 0, 0
-	for _, r := range results {
-		if r == nil {
-			return row
+// runSeeds runs the cores with seeds 1 to n and pools the results. Vary, if
+// given, changes the options of the i-th run.
+func runSeeds(name string, o Options, n int, vary func(i int, o *Options)) Row {
+	row := Row{Name: name, Results: make([]*Result, n)}
+	Parallel(n, func(i int) {
+		o := o
+		o.Seed = uint64(i) + 1
+		if vary != nil {
+			vary(i, &o)
 		}
+		row.Results[i] = Run(o)
+	})
+	messages, wasted, runs := 0, 0, 0
+	for _, r := range row.Results {
+		row.Records = append(row.Records, r.Records...)
 		messages += r.Messages
 		wasted += r.Wasted
 		runs += r.Runs
 	}
-	row.Results = results
-	row.PerTask = float64(messages) / float64(max(runs, 1))
-	row.Wasted = float64(wasted) / float64(max(messages, 1))
+	row.Summary = Summarize(o.Deployment, row.Records, warmup, o.Load.Length)
+	row.PerTask = share(messages, runs)
+	row.Wasted = share(wasted, messages)
 	return row
 }
 
+// share divides two counts.
+func share(part, all int) float64 { return float64(part) / float64(max(all, 1)) }
+
 // find returns the row of the given name.
 func find(rows []Row, name string) Row {
 	return rows[slices.IndexFunc(rows, func(r Row) bool { return r.Name == name })]
@@ -128,7 +126,7 @@
 // SteadyTargets compares the cores with the omniscient dispatcher at 70 % load.
 func SteadyTargets(d Deployment) []Target {
 	rows := Compare(d, Load{Base: 0.7, Length: steadyLength}, steadySeeds)
-	core, best, random := rows[0], find(rows, rowOmniscient), find(rows, string(PickRandom))
+	core, best, random := rows[0], find(rows, rowOmniscient), find(rows, rowRandom)
 	return []Target{
 		{Name: "mean against omniscient", Bound: 1.10, Got: ratio(core.Mean, best.Mean)},
 		{Name: "p99 against omniscient", Bound: 1.5, Got: ratio(core.P99, best.P99)},
@@ -145,21 +143,13 @@
 
 // RunFault runs one kind of fault at 70 % load, over a few seeds.
 func RunFault(d Deployment, kind FaultKind, seeds int) Row {
-	l := Load{Base: 0.7, Length: faultLength}
-	results := make([]*Result, seeds)
-	Parallel(seeds, func(i int) {
-		o := Options{Deployment: d, Load: l, Seed: uint64(i) + 1}
+	o := Options{Deployment: d, Load: Load{Base: 0.7, Length: faultLength}}
+	return runSeeds(string(kind), o, seeds, func(i int, o *Options) {
 		if kind != "" {
 			o.Faults = []Fault{{Kind: kind, At: 15 * time.Second, For: 8 * time.Second, Target: i}}
 		}
-		o.Load = loadFor(l, o.Faults)
-		results[i] = Run(o)
+		o.Load = loadFor(o.Load, o.Faults)
 	})
-	var records []Record
-	for _, r := range results {
-		records = append(records, r.Records...)
-	}
-	return newRow(string(kind), d, l, records, results)
 }
 
 // loadFor returns the load of a run with the given faults.
@@ -188,7 +178,7 @@
 			bad++
 		}
 	}
-	return Target{Name: "load of a failing upstream after 2 s", Bound: 0.01, Got: float64(bad) / float64(max(all, 1))}
+	return Target{Name: "load of a failing upstream after 2 s", Bound: 0.01, Got: share(bad, all)}
 }
 
 // AttemptsHalfDead is the number of starts for each single request once half of
@@ -205,7 +195,7 @@
 			singles++
 		}
 	}
-	return Target{Name: "attempts with half of the upstreams dead", Bound: 1.2, Got: float64(r.SingleStarts) / float64(max(singles, 1))}
+	return Target{Name: "attempts with half of the upstreams dead", Bound: 1.2, Got: share(r.SingleStarts, singles)}
 }
 
 // Burst of the opening hour.
@@ -220,36 +210,28 @@
 	burstSlack = 1.25
 )
 
-// BurstTargets measures goodput during a burst and recovery after it. Callers
+// BurstTargets measures goodput during a burst, the share of the capacity that
+// is spent on submissions that end complete, and recovery after it. Callers
 // wait for 2 s more than three times the ideal, so work refused during the
 // burst does not come back after it.
 func BurstTargets(d Deployment, seeds int) []Target {
 	l := Load{Base: burstBase, Length: 80 * time.Second, Burst: burstLoad, BurstAt: burstAt, BurstFor: burstFor,
 		Deadline: 2 * time.Second, Patience: 3}
 	goodput := 0.0
-	var records []Record
-	results := make([]*Result, seeds)
-	Parallel(seeds, func(i int) { results[i] = Run(Options{Deployment: d, Load: l, Seed: uint64(i) + 1}) })
-	for _, r := range results {
-		goodput += r.goodput(burstAt, burstAt+burstFor) / (d.Capacity() * burstFor.Seconds()) / float64(seeds)
-		records = append(records, r.Records...)
+	row := runSeeds("burst", Options{Deployment: d, Load: l}, seeds, nil)
+	for _, r := range row.Results {
+		goodput += r.workIn(burstAt, burstAt+burstFor, func(s *Submission) bool { return r.Records[s.ID].Complete }) / (d.Capacity() * burstFor.Seconds()) / float64(seeds)
 	}
 	end := burstAt + burstFor + recovery
-	before := Summarize(d, records, warmup, burstAt)
-	after := Summarize(d, records, end, end+(burstAt-warmup))
+	before := Summarize(d, row.Records, warmup, burstAt)
+	after := Summarize(d, row.Records, end, end+(burstAt-warmup))
 	return []Target{
 		{Name: "goodput in a burst of 3 times capacity", Bound: 0.95, AtLeast: true, Got: goodput},
 		{Name: "lag 5 s after the burst against before", Bound: burstSlack, Got: after.Lag / max(before.Lag, 1)},
 	}
 }
 
-// goodput is the work, in seconds at speed 1, that upstreams did in the window
-// for submissions that ended complete.
-func (r *Result) goodput(from, to time.Duration) float64 {
-	return r.workIn(from, to, func(s *Submission) bool { return r.Records[s.ID].Complete })
-}
-
-// workIn is the work done in the window for the submissions that f selects.
+// workIn is the work, in seconds at speed 1, that upstreams did in the window for the submissions that f selects.
 func (r *Result) workIn(from, to time.Duration, f func(*Submission) bool) float64 {
 	sum := 0.0
 	for _, s := range r.spans {
@@ -320,7 +302,7 @@
 			wasted += r.Wasted
 		}
 	}
-	return Target{Name: "wasted messages with faults", Bound: 0.05, Got: float64(wasted) / float64(max(messages, 1))}
+	return Target{Name: "wasted messages with faults", Bound: 0.05, Got: share(wasted, messages)}
 }
 
 // burstSeeds is the number of runs of the opening burst.
