bench: check not-run refusals by former owners

Every not-run outcome of every owner now counts; that of a former owner is the promise 'not-run refusal by a former owner of a job that ran', with a core that breaks it in TestChecksCanFail.

--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -20,9 +20,16 @@
 	faultSeed = flag.Uint64("fault-seed", 0, "first seed of the fault runs")
 )
 
+// formerOwnerSeed freezes an entry until its jobs have run elsewhere, and cancels
+// one of them at the former owner when it wakes.
+const formerOwnerSeed = 11855
+
 // TestPromises guards against every broken promise under single faults and
 // pairs of faults, and against waste above the bound in the same runs.
 func TestPromises(t *testing.T) {
+	if list := Run(FaultOptions(formerOwnerSeed)).Violations; len(list) > 0 {
+		t.Errorf("seed %d: %d violations, first: %v", formerOwnerSeed, len(list), list[0])
+	}
 	broken, messages, wasted := FaultRuns(*faultSeed, *faultRuns)
 	t.Logf("%d runs, %d messages, %d wasted", *faultRuns, messages, wasted)
 	shown := 0
@@ -166,7 +173,17 @@
 			}
 		})),
 		CorePanicked: outcomes(func([]dispatch.Outcome) []dispatch.Outcome { panic("defect") }),
-		FalseNotRun:  outcomes(each(func(o *dispatch.Outcome) { o.Err = verdict.Refuse(verdict.Overloaded, "") })),
+		FormerOwner: func(o *Options) {
+			*o = FaultOptions(formerOwnerSeed)
+			o.wrapEntry = func(c entryCore) entryCore {
+				return &faulty{c, each(func(o *dispatch.Outcome) {
+					if o.Err != nil && o.Err.Reason == verdict.Canceled {
+						o.Err = verdict.Refuse(verdict.Canceled, "")
+					}
+				})}
+			}
+		},
+		FalseNotRun: outcomes(each(func(o *dispatch.Outcome) { o.Err = verdict.Refuse(verdict.Overloaded, "") })),
 	}
 	for _, p := range Promises {
 		t.Run(strings.ReplaceAll(string(p), " ", "-"), func(t *testing.T) {
--- a/bench/caller.go
+++ b/bench/caller.go
@@ -51,8 +51,9 @@
 // arrive hands the submission to the core of an entry.
 func (cl *caller) arrive(e *process) {
 	c, s := cl.c, cl.sub
+	spec := c.spec(s)
 	if !s.Single {
-		if err := e.entry.Admit(c.now, c.spec(s)); err != nil {
+		if err := e.entry.Admit(c.now, spec); err != nil {
 			cl.reply(e, err)
 			return
 		}
@@ -61,7 +62,6 @@
 	}
 	e.seq++
 	key := ids.RequestOf(e.inc, e.seq)
-	spec := c.spec(s)
 	err := e.entry.Request(c.now, dispatch.Request{Key: key, Team: spec.Team, Service: spec.Service,
 		Spec: specs(s)[0], Idempotent: s.Idempotent, Deadline: s.Deadline})
 	if err != nil {
@@ -70,7 +70,7 @@
 	}
 	e.requests[key] = cl
 	cl.key = key
-	c.check.owes(e, outcomeID{key: key})
+	c.check.owes(e, key, 0)
 }
 
 // admit asks the control group for the job's record and submits the job.
@@ -93,7 +93,6 @@
 
 // admitted submits a new job to its owner, or joins the first submission.
 func (cl *caller) admitted(e *process, rec *jobRecord, duplicate bool) {
-	c := cl.c
 	cl.rec = rec
 	if duplicate {
 		cl.join(e)
@@ -102,9 +101,7 @@
 	if rec.owner != e {
 		return // the entry lost the job before it heard of the admission
 	}
-	rec.begun, rec.bodied = true, true
-	c.check.owes(e, outcomeID{job: rec.id, epoch: rec.epoch})
-	e.entry.Submit(c.now, dispatch.Job{JobSpec: c.spec(cl.sub), ID: rec.id, Epoch: rec.epoch, Specs: specs(cl.sub)})
+	rec.begin(e, dispatch.Job{Specs: specs(cl.sub)})
 }
 
 // join waits at entry e for a job that was submitted before, and supplies its
@@ -135,12 +132,12 @@
 	c.tracef("entry %d finishes job %d request %v epoch %d: %v", p.inc, o.Job, o.Request, o.Epoch, o.Err)
 	if o.Job == 0 {
 		cl := p.requests[o.Request]
-		c.check.outcome(o, cl.sub, true)
+		c.check.outcome(o, cl.sub, false)
 		cl.reply(p, o.Err)
 		return
 	}
 	rec := c.ctl.byID[o.Job]
-	c.check.outcome(o, rec.caller.sub, rec.owner == p || rec.caller.at == p)
+	c.check.outcome(o, rec.caller.sub, rec.owner != p)
 	if !p.cut {
 		c.ctl.complete(p, o)
 	}
--- a/bench/control.go
+++ b/bench/control.go
@@ -24,6 +24,15 @@
 	bodied bool // the owner's core has the bodies
 }
 
+// begin hands the job to the core of its owner. A job with bodies is new,
+// otherwise the owner takes it over.
+func (rec *jobRecord) begin(p *process, j dispatch.Job) {
+	rec.begun, rec.bodied = true, j.Specs != nil
+	j.JobSpec, j.ID, j.Epoch = p.c.spec(rec.caller.sub), rec.id, rec.epoch
+	p.c.check.owes(p, ids.TaskKey{Job: rec.id}, rec.epoch)
+	p.entry.Submit(p.c.now, j)
+}
+
 // control is the fake control group: a registry, leases and job records. It
 // is one place that never fails; its own faults are tested elsewhere.
 type control struct {
@@ -216,9 +225,7 @@
 		if rec.owner != p || rec.state != wire.JobOpen {
 			continue
 		}
-		rec.begun = true
-		c.check.owes(p, outcomeID{job: rec.id, epoch: rec.epoch})
-		p.entry.Submit(c.now, dispatch.Job{JobSpec: c.spec(rec.caller.sub), ID: rec.id, Epoch: rec.epoch, Takeover: true})
+		rec.begin(p, dispatch.Job{Takeover: true})
 	}
 	p.assigned = nil
 }
--- a/bench/process.go
+++ b/bench/process.go
@@ -241,7 +241,7 @@
 	}
 	s := c.callers[t.Sub].sub
 	u.running++
-	c.check.ran(u, st, s)
+	c.check.ran(u, st, t, s)
 	c.acct.ran(p.inc, st.Key)
 	r := &span{sub: s, key: st.Key, up: u, start: c.now, work: s.Work[t.Index]}
 	p.running[st.Key] = r
