bench: measure the design scale and shorten the report

The report defines its terms in one place, prints targets of both deployments side by side and all reasons in one table at the end. The flags -runs, -seeds and -length, which nobody set, are gone.

--- a/bench/accounts.go
+++ b/bench/accounts.go
@@ -68,6 +68,12 @@
 		held: map[startID]bool{}, refusals: map[verdict.Reason]int{}}
 }
 
+// reset forgets what was counted so far, not the state of tasks.
+func (a *accounts) reset() {
+	a.messages = nil
+	a.claims, a.starts, a.runs, a.singles = 0, 0, 0, 0
+}
+
 // message opens the account of a message that is sent.
 func (a *accounts) message(content string) *message {
 	m := &message{content: content}
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -37,8 +37,9 @@
 	Load       Load
 	Seed       uint64
 	Faults     []Fault
-	Quotas     []int     // of the teams, equal if nil
-	Trace      io.Writer // receives one line for each step, nil for none
+	Quotas     []int         // of the teams, equal if nil
+	CountFrom  time.Duration // messages, starts and runs before are not counted
+	Trace      io.Writer     // receives one line for each step, nil for none
 	// wrapAgent and wrapEntry replace a core by a broken one in negative tests.
 	wrapAgent func(agentCore) agentCore
 	wrapEntry func(entryCore) entryCore
@@ -102,6 +103,9 @@
 	for _, f := range o.Faults {
 		c.at(f.At, func() { c.apply(f) })
 	}
+	if o.CountFrom > 0 {
+		c.at(o.CountFrom, c.acct.reset)
+	}
 	c.startCallers()
 	c.runToEnd()
 	return c.result()
--- a/bench/cmd/report/main.go
+++ b/bench/cmd/report/main.go
@@ -13,34 +13,27 @@
 )
 
 func main() {
-	o := bench.DefaultReport()
 	docs := flag.String("docs", "docs", "directory of the report")
-	flag.IntVar(&o.FaultRuns, "runs", o.FaultRuns, "number of seeded fault runs")
-	flag.IntVar(&o.Seeds, "seeds", o.Seeds, "seeds of each comparison")
-	flag.DurationVar(&o.Length, "length", o.Length, "virtual time of the arrivals of each comparison")
 	seed := flag.Int64("trace", -1, "print the steps of the fault run with this seed and stop")
 	flag.Parse()
 	if *seed >= 0 {
 		trace(uint64(*seed))
 		return
 	}
-	if err := run(*docs, o); err != nil {
+	if err := run(*docs); err != nil {
 		fmt.Fprintln(os.Stderr, "report:", err)
 		os.Exit(1)
 	}
 }
 
-// run writes the report and prints it.
-func run(docs string, o bench.ReportOptions) error {
+// run writes the report.
+func run(docs string) error {
 	plots := filepath.Join(docs, "plots")
 	if err := os.MkdirAll(plots, 0o755); err != nil {
 		return err
 	}
 	var page bytes.Buffer
-	if err := bench.WriteReport(&page, plots, o); err != nil {
-		return err
-	}
-	if _, err := os.Stdout.Write(page.Bytes()); err != nil {
+	if err := bench.WriteReport(&page, plots); err != nil {
 		return err
 	}
 	return os.WriteFile(filepath.Join(docs, "measurements-dispatch.md"), page.Bytes(), 0o644)
--- a/bench/control.go
+++ b/bench/control.go
@@ -40,6 +40,7 @@
 	rng     *rand.Rand
 	version uint64
 	members []wire.Member
+	view    []wire.Member                     // copy of members that processes share, nil after a change
 	leases  map[ids.Incarnation]time.Duration // last renewal
 	jobs    []*jobRecord
 	byID    map[ids.Job]*jobRecord
@@ -54,7 +55,7 @@
 // register makes the registry row of a new process.
 func (k *control) register(p *process) {
 	d := k.c.opts.Deployment
-	k.version++
+	k.changed()
 	p.inc = ids.Incarnation(k.version)
 	m := wire.Member{Incarnation: p.inc}
 	m.Kind, m.Node = p.kind, ids.Node(fmt.Sprintf("%s-%d", p.kind, p.index))
@@ -68,6 +69,20 @@
 	k.leases[p.inc] = k.c.now
 }
 
+// changed begins a new version of the registry.
+func (k *control) changed() {
+	k.version++
+	k.view = nil
+}
+
+// rows returns a copy of the registry that nobody may change.
+func (k *control) rows() []wire.Member {
+	if k.view == nil {
+		k.view = slices.Clone(k.members)
+	}
+	return k.view
+}
+
 // member returns the row of an incarnation.
 func (k *control) member(inc ids.Incarnation) *wire.Member {
 	for i := range k.members {
@@ -80,7 +95,7 @@
 
 // setDraining marks the row of a process that leaves.
 func (k *control) setDraining(inc ids.Incarnation) {
-	k.version++
+	k.changed()
 	k.member(inc).Draining = true
 }
 
@@ -105,7 +120,7 @@
 	if !m.Live() {
 		return
 	}
-	k.version++
+	k.changed()
 	m.Expired = ids.Version(k.version)
 	k.c.tracef("control expires %s %d", p.kind, p.inc)
 	if p.kind == wire.KindEntry {
@@ -209,12 +224,11 @@
 	p.core.SetCurrent(true)
 	if at := ids.Version(c.ctl.version); at != p.view {
 		p.view = at
-		rows := slices.Clone(c.ctl.members)
 		if p.entry != nil {
 			isEntry := func(m wire.Member) bool { return m.Kind == wire.KindEntry }
-			p.entry.SetUpstreams(c.now, slices.DeleteFunc(rows, isEntry))
+			p.entry.SetUpstreams(c.now, slices.DeleteFunc(slices.Clone(c.ctl.rows()), isEntry))
 		} else {
-			p.agent.SetEntries(c.now, at, rows)
+			p.agent.SetEntries(c.now, at, c.ctl.rows())
 		}
 	}
 	if p.entry == nil {
--- a/bench/report.go
+++ b/bench/report.go
@@ -5,282 +5,284 @@
 	"fmt"
 	"io"
 	"maps"
-	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
-
 	"github.com/baobabshore/baobabshore/verdict"
 )
 
-// ReportOptions set the size of a report.
-type ReportOptions struct {
-	FaultRuns int           // seeded fault runs
-	Seeds     int           // of each comparison
-	Length    time.Duration // of the arrivals of each comparison
-}
-
-// DefaultReport is the size of the committed report.
-func DefaultReport() ReportOptions {
-	return ReportOptions{FaultRuns: 1050, Seeds: steadySeeds, Length: steadyLength}
-}
-
 // deployments in the order of the report.
 func deployments() []Deployment { return []Deployment{GtCentro(), Sydjylland()} }
 
-const intro = `# Measurements of dispatch and executor
+// definitions is the only place that defines the terms of the report.
+const definitions = `# Measurements of dispatch and executor
+
+Written by ` + "`go run ./bench/cmd/report`" + ` in virtual time. The same revision gives the same figures.
 
-Written by ` + "`go run ./bench/cmd/report`" + ` in virtual time. The same revision and
-options give the same figures. Times are in milliseconds.
+## Definitions
 
-Response time is what a caller sees, from sending to the whole answer. *Lag* is the mean of response
-time divided by the ideal of the submission: the larger of its longest task on the fastest upstream
-and its whole work on all slots, plus the network. The omniscient dispatcher has one queue for all
-entries and no delay to the upstreams, needs no admission record, knows speeds and sees every slot,
-but not how long a task will run. It is run in three orders (arrival, fair, fewest unstarted tasks
-first); ratios are against the order with the lowest mean in the same run.
+Times are in milliseconds. *Response time* is what a caller sees, from sending to the whole answer.
 
-A message between an entry and an agent is *wasted* if nothing in it advanced a task towards its
-answer, that is, it holds no start that led to a run and no first copy of the answer of a run.
-Refused, recalled and repeated starts, repeated answers, answers of hedges that lost, refusals,
-recalls, and messages with only credit, demand or acknowledgements are wasted. Claims, and the first
-cancellation of a job at an agent that holds tasks of it, count as messages and are not wasted.
+*Ideal* of a submission: the larger of its longest task on the fastest upstream and its whole work on
+all slots, plus the network. *Lag* is the mean of response time divided by the ideal.
+
+*Omniscient* dispatcher: it has one queue for all entries and no delay to the upstreams, needs no
+admission record, knows speeds and sees every slot, but not how long a task will run. It is run in
+three orders (arrival, fair, fewest unstarted tasks first). *Mean ratio* and *p99 ratio* are against
+the order with the lowest mean in the same run.
+
+*Wasted* message: a message between an entry and an agent in which nothing advanced a task towards its
+answer, that is, it holds no start that led to a run and no first copy of the answer of a run. Refused,
+recalled and repeated starts, repeated answers, answers of hedges that lost, refusals, recalls, and
+messages with only credit, demand or acknowledgements are wasted. Claims, and the first cancellation
+of a job at an agent that holds tasks of it, count as messages and are not wasted.
+
+*Incomplete*: submissions that ended without a complete answer.
 
 `
 
-// WriteReport runs all measurements, writes the tables to w and the plots to dir.
-func WriteReport(w io.Writer, dir string, o ReportOptions) error {
-	fmt.Fprint(w, intro)
-	reportTargets(w)
-	if err := reportLoads(w, dir, o); err != nil {
+// report writes the page. Its reasons are printed in a table at the end.
+type report struct {
+	io.Writer
+	plots   string // directory
+	reasons []string
+}
+
+// WriteReport runs all measurements, writes the page to w and the plots to dir.
+func WriteReport(w io.Writer, dir string) error {
+	r := &report{Writer: w, plots: dir}
+	fmt.Fprint(r, definitions)
+	r.targets()
+	r.scale()
+	if err := r.loads(); err != nil {
 		return err
 	}
-	if err := reportTradeoff(w, dir, o); err != nil {
+	if err := r.tradeoff(); err != nil {
 		return err
 	}
-	reportFaults(w)
-	reportViolations(w, o)
-	return nil
+	r.faults()
+	r.promises()
+	r.table("Reasons", "", "run", "refusals by agents", "refusals to callers", "failed submissions", "wasted messages")
+	_, err := fmt.Fprintln(r, strings.Join(r.reasons, "\n"))
+	return err
 }
 
-// reportTargets prints the bounds of design section 1.5 that counts and virtual
-// time decide.
-func reportTargets(w io.Writer) {
-	fmt.Fprintf(w, "## Targets\n\n| deployment | target | bound | measured | met |\n|---|---|---|---|---|\n")
-	for _, d := range deployments() {
-		for _, t := range AllTargets(d) {
-			relation := "≤"
-			if t.AtLeast {
-				relation = "≥"
-			}
-			fmt.Fprintf(w, "| %s | %s | %s %.3g | %.4f | %s |\n", d.Name, t.Name, relation, t.Bound, t.Got, yes(t.Met()))
-		}
+// table begins a section with a table. Rows follow with row.
+func (r *report) table(title, text string, columns ...string) {
+	fmt.Fprintf(r, "\n## %s\n\n", title)
+	if text != "" {
+		fmt.Fprintf(r, "%s\n\n", text)
 	}
-	fmt.Fprintln(w)
+	fmt.Fprintf(r, "| %s |\n|%s\n", strings.Join(columns, " | "), strings.Repeat("---|", len(columns)))
 }
 
-func yes(ok bool) string {
-	if ok {
-		return "yes"
+// row prints one row of a table.
+func (r *report) row(cells ...any) { fmt.Fprintln(r, tableRow(cells...)) }
+
+// tableRow formats one row. Times are in milliseconds.
+func tableRow(cells ...any) string {
+	var b strings.Builder
+	for _, c := range cells {
+		switch v := c.(type) {
+		case time.Duration:
+			fmt.Fprintf(&b, "| %.0f ", float64(v)/float64(time.Millisecond))
+		case float64:
+			fmt.Fprintf(&b, "| %.3f ", v)
+		default:
+			fmt.Fprintf(&b, "| %v ", v)
+		}
 	}
-	return "**no**"
+	return b.String() + "|"
 }
 
-// millis formats a time.
-func millis(d time.Duration) string { return fmt.Sprintf("%.0f", float64(d)/float64(time.Millisecond)) }
-
-const rowHead = "| way | answers | mean | p50 | p99 | p99.9 | lag | mean ratio | p99 ratio | messages/task | wasted | incomplete |\n|---|---|---|---|---|---|---|---|---|---|---|---|\n"
+func percent(share float64) string { return fmt.Sprintf("%.2f %%", 100*share) }
 
-// printRows prints rows of one load with their ratios to the omniscient row.
-func printRows(w io.Writer, rows []Row) {
-	fmt.Fprint(w, rowHead)
-	best := find(rows, rowOmniscient)
-	for _, r := range rows {
-		counts := "- | - | -"
-		if r.Results != nil {
-			counts = fmt.Sprintf("%.2f | %.2f %% | %d", r.PerTask, 100*r.Wasted, incomplete(r.Results))
+// targets prints the bounds of design section 1.5 that counts and virtual time
+// decide.
+func (r *report) targets() {
+	r.table("Targets", "Bounds of design section 1.5; a missed bound is bold.", "target", "bound", "gt-centro", "sydjylland")
+	var columns [][]Target
+	for _, d := range deployments() {
+		columns = append(columns, AllTargets(d))
+	}
+	for i, t := range columns[0] {
+		relation := "≤"
+		if t.AtLeast {
+			relation = "≥"
+		}
+		cells := []any{t.Name, fmt.Sprintf("%s %.3g", relation, t.Bound)}
+		for _, column := range columns {
+			got := fmt.Sprintf("%.4f", column[i].Got)
+			if !column[i].Met() {
+				got = "**" + got + "**"
+			}
+			cells = append(cells, got)
 		}
-		fmt.Fprintf(w, "| %s | %d | %s | %s | %s | %s | %.2f | %.3f | %.3f | %s |\n", r.Name, r.Count, millis(r.Mean), millis(r.P50),
-			millis(r.P99), millis(r.P999), r.Lag, ratio(r.Mean, best.Mean), ratio(r.P99, best.P99), counts)
+		r.row(cells...)
+	}
+}
+
+// scale compares today's size with the design scale.
+func (r *report) scale() {
+	text := fmt.Sprintf("gt-centro at 70 %% load, from %v to %v of virtual time, against the omniscient dispatcher in fair order.", scaleWarmup, scaleLength)
+	r.table("Size", text, "upstreams", "entries", "runs", "answers", "mean", "p99", "lag", "mean ratio", "p99 ratio",
+		"messages/task", "wasted", "incomplete")
+	for _, run := range ScaleRuns() {
+		core, ideal := run.Core, run.Ideal
+		r.row(len(run.Speeds), len(run.Weights), run.Seeds, core.Count, core.Mean, core.P99, core.Lag, ratio(core.Mean, ideal.Mean),
+			ratio(core.P99, ideal.P99), core.PerTask, percent(core.Wasted), incomplete(core.Records))
+		r.addReasons(fmt.Sprintf("%d upstreams", len(run.Speeds)), core.Results)
 	}
-	fmt.Fprintln(w)
 }
 
 // incomplete counts submissions without a complete answer.
-func incomplete(results []*Result) int {
+func incomplete(records []Record) int {
 	n := 0
-	for _, r := range results {
-		for _, rec := range r.Records {
-			if !rec.Complete {
-				n++
-			}
+	for _, rec := range records {
+		if !rec.Complete {
+			n++
 		}
 	}
 	return n
 }
 
-// reportLoads compares all ways over the load and plots the curves.
-func reportLoads(w io.Writer, dir string, o ReportOptions) error {
-	loads := []float64{0.3, 0.5, 0.7, 0.8, 0.9}
+// loads compares the cores and all baselines over the load and plots the curves.
+func (r *report) loads() error {
 	printed := []float64{0.3, 0.7, 0.9}
 	for _, d := range deployments() {
 		mean, p99 := curves{}, curves{}
-		for _, load := range loads {
-			rows := Compare(d, Load{Base: load, Length: o.Length}, o.Seeds)
+		for _, load := range []float64{0.3, 0.5, 0.7, 0.8, 0.9} {
+			rows := Compare(d, Load{Base: load, Length: steadyLength}, steadySeeds)
 			if slices.Contains(printed, load) {
-				fmt.Fprintf(w, "## %s at %.0f %% load\n\n", d.Name, 100*load)
-				printRows(w, rows)
-				printReasons(w, "Refusals", rows[0].Results)
+				r.load(fmt.Sprintf("%s at %.0f %% load", d.Name, 100*load), rows)
 			}
 			for _, name := range []string{rowCore, rowOmniscient, rowRandom} {
-				r := find(rows, name)
-				mean.add(name, 100*load, r.Mean.Seconds())
-				p99.add(name, 100*load, r.P99.Seconds())
+				row := find(rows, name)
+				mean.add(name, 100*load, row.Mean.Seconds())
+				p99.add(name, 100*load, row.P99.Seconds())
 			}
 		}
-		if err := mean.save(dir, d.Name+"-mean", "mean response time", "load in %", "seconds", true); err != nil {
+		fmt.Fprintf(r, "\n![mean](plots/%s-mean.svg)\n![p99](plots/%s-p99.svg)\n", d.Name, d.Name)
+		err := cmp.Or(mean.save(r.plots, d.Name+"-mean", "mean response time", "load in %", "seconds", true),
+			p99.save(r.plots, d.Name+"-p99", "99th percentile of response time", "load in %", "seconds", true))
+		if err != nil {
 			return err
 		}
-		if err := p99.save(dir, d.Name+"-p99", "99th percentile of response time", "load in %", "seconds", true); err != nil {
-			return err
-		}
-		fmt.Fprintf(w, "![mean](plots/%s-mean.svg)\n![p99](plots/%s-p99.svg)\n\n", d.Name, d.Name)
 	}
 	return nil
 }
 
-// printReasons prints how often agents refused starts and callers got refusals,
-// and how submissions ended that are not complete.
-func printReasons(w io.Writer, title string, results []*Result) {
-	agents, callers, ends, wasted := map[string]int{}, map[string]int{}, map[string]int{}, map[string]int{}
-	for _, r := range results {
-		addReasons(agents, r.AgentRefusals)
-		addReasons(callers, r.CallerRefusals)
-		for content, n := range r.WastedBy {
-			wasted[content] += n
+// load prints the rows of one load.
+func (r *report) load(title string, rows []Row) {
+	r.table(title, "", "dispatcher", "answers", "mean", "p50", "p99", "p99.9", "lag", "mean ratio", "p99 ratio",
+		"messages/task", "wasted", "incomplete")
+	best := find(rows, rowOmniscient)
+	for _, row := range rows {
+		cells := []any{row.Name, row.Count, row.Mean, row.P50, row.P99, row.P999, row.Lag, ratio(row.Mean, best.Mean), ratio(row.P99, best.P99)}
+		if row.Results == nil {
+			r.row(append(cells, "-", "-", "-")...)
+			continue
 		}
-		for _, rec := range r.Records {
+		r.row(append(cells, row.PerTask, percent(row.Wasted), incomplete(row.Records))...)
+	}
+	r.addReasons(title, rows[0].Results)
+}
+
+// addReasons counts why agents refused starts, why callers got refusals, how
+// submissions ended that are not complete, and what wasted messages held.
+func (r *report) addReasons(run string, results []*Result) {
+	agents, callers, ends, wasted := map[verdict.Reason]int{}, map[verdict.Reason]int{}, map[string]int{}, map[string]int{}
+	for _, res := range results {
+		addCounts(agents, res.AgentRefusals)
+		addCounts(callers, res.CallerRefusals)
+		addCounts(wasted, res.WastedBy)
+		for _, rec := range res.Records {
 			if !rec.Complete {
 				ends[fmt.Sprintf("%s/%s", rec.Verdict, rec.Reason)]++
 			}
 		}
 	}
-	fmt.Fprintf(w, "%s by agents: %s. To callers: %s. Failed submissions: %s. Wasted messages: %s.\n\n", title,
-		list(agents), list(callers), list(ends), list(wasted))
+	r.reasons = append(r.reasons, tableRow(run, list(agents), list(callers), list(ends), list(wasted)))
 }
 
-func addReasons(to map[string]int, from map[verdict.Reason]int) {
-	for reason, n := range from {
-		to[string(reason)] += n
+func addCounts[K comparable](to, from map[K]int) {
+	for k, n := range from {
+		to[k] += n
 	}
 }
 
 // list prints counts in order of their names.
-func list(m map[string]int) string {
-	if len(m) == 0 {
-		return "none"
-	}
-	s := ""
+func list[K ~string](m map[K]int) string {
+	var items []string
 	for _, k := range slices.Sorted(maps.Keys(m)) {
-		s += fmt.Sprintf(", %s %d", k, m[k])
+		items = append(items, fmt.Sprintf("%s %d", k, m[k]))
 	}
-	return s[2:]
+	return cmp.Or(strings.Join(items, ", "), "none")
 }
 
-// reportTradeoff varies the setting from fewest messages to fastest answers.
-func reportTradeoff(w io.Writer, dir string, o ReportOptions) error {
-	fmt.Fprintf(w, "## Setting tradeoff at 70 %% load\n\n| deployment | tradeoff | mean | p99 | lag | messages/task | wasted |\n|---|---|---|---|---|---|---|\n")
+// tradeoff varies the setting from fewest messages to fastest answers.
+func (r *report) tradeoff() error {
+	r.table("Setting tradeoff at 70 % load", "", "deployment", "tradeoff", "mean", "p99", "lag", "messages/task", "wasted")
 	response, messages := curves{}, curves{}
 	for _, d := range deployments() {
 		for _, t := range []float64{0, 0.25, 0.5, 0.75, 1} {
 			d.Tradeoff = t
-			r := runSeeds("", Options{Deployment: d, Load: Load{Base: 0.7, Length: o.Length}}, o.Seeds, nil)
-			fmt.Fprintf(w, "| %s | %.2f | %s | %s | %.3f | %.2f | %.2f %% |\n", d.Name, t, millis(r.Mean), millis(r.P99), r.Lag, r.PerTask, 100*r.Wasted)
-			response.add(d.Name, t, r.Lag)
-			messages.add(d.Name, t, r.PerTask)
+			row := runSeeds("", Options{Deployment: d, Load: Load{Base: 0.7, Length: steadyLength}}, steadySeeds, nil)
+			r.row(d.Name, t, row.Mean, row.P99, row.Lag, row.PerTask, percent(row.Wasted))
+			response.add(d.Name, t, row.Lag)
+			messages.add(d.Name, t, row.PerTask)
 		}
 	}
-	fmt.Fprint(w, "\n![lag](plots/tradeoff-lag.svg)\n![messages](plots/tradeoff-messages.svg)\n\n")
-	return cmp.Or(response.save(dir, "tradeoff-lag", "lag at 70 % load", "tradeoff", "response time / ideal", false),
-		messages.save(dir, "tradeoff-messages", "messages at 70 % load", "tradeoff", "messages per task", false))
+	fmt.Fprint(r, "\n![lag](plots/tradeoff-lag.svg)\n![messages](plots/tradeoff-messages.svg)\n")
+	return cmp.Or(response.save(r.plots, "tradeoff-lag", "lag at 70 % load", "tradeoff", "response time / ideal", false),
+		messages.save(r.plots, "tradeoff-messages", "messages at 70 % load", "tradeoff", "messages per task", false))
 }
 
 // faultSeeds is the number of runs for each kind of fault in the report.
 const faultSeeds = 5
 
-// reportFaults runs each kind of fault alone at 70 % load.
-func reportFaults(w io.Writer) {
-	fmt.Fprintf(w, "## One fault at 70 %% load\n\n%d runs of %v each, the fault at 15 s for 8 s.\n\n", faultSeeds, faultLength)
-	fmt.Fprintf(w, "| deployment | fault | mean | p99 | lag | messages/task | wasted | incomplete | violations |\n|---|---|---|---|---|---|---|---|---|\n")
-	all := map[string][]*Result{}
+// faults runs each kind of fault alone at 70 % load.
+func (r *report) faults() {
+	kinds := append([]FaultKind{""}, FaultKinds...)
+	results := map[FaultKind][]*Result{}
 	for _, d := range deployments() {
-		for _, kind := range append([]FaultKind{""}, FaultKinds...) {
-			r := RunFault(d, kind, faultSeeds)
-			name := cmp.Or(string(kind), "none")
+		r.table("One fault on "+d.Name+" at 70 % load", fmt.Sprintf("%d runs of %v each, the fault at 15 s for 8 s.", faultSeeds, faultLength),
+			"fault", "mean", "p99", "lag", "messages/task", "wasted", "incomplete", "violations")
+		for _, kind := range kinds {
+			row := RunFault(d, kind, faultSeeds)
 			broken := 0
-			for _, res := range r.Results {
+			for _, res := range row.Results {
 				broken += len(res.Violations)
 			}
-			fmt.Fprintf(w, "| %s | %s | %s | %s | %.2f | %.2f | %.2f %% | %d | %d |\n", d.Name, name, millis(r.Mean), millis(r.P99), r.Lag,
-				r.PerTask, 100*r.Wasted, incomplete(r.Results), broken)
-			all[name] = append(all[name], r.Results...)
+			r.row(cmp.Or(kind, "none"), row.Mean, row.P99, row.Lag, row.PerTask, percent(row.Wasted), incomplete(row.Records), broken)
+			results[kind] = append(results[kind], row.Results...)
 		}
 	}
-	fmt.Fprintln(w)
-	for _, kind := range append([]FaultKind{""}, FaultKinds...) {
-		name := cmp.Or(string(kind), "none")
-		printReasons(w, name+": refusals", all[name])
+	for _, kind := range kinds {
+		r.addReasons("fault: "+string(cmp.Or(kind, "none")), results[kind])
 	}
 }
 
-// reportViolations runs the seeded fault runs and counts broken promises.
-func reportViolations(w io.Writer, o ReportOptions) {
-	broken, messages, wasted := FaultRuns(0, o.FaultRuns)
-	count := map[Promise]int{}
-	first := map[Promise]uint64{}
+// reportRuns is the number of seeded fault runs in the report.
+const reportRuns = 1050
+
+// promises runs the seeded fault runs and counts broken promises.
+func (r *report) promises() {
+	broken, messages, wasted := FaultRuns(0, reportRuns)
+	seeds := map[Promise][]uint64{} // one element for each violation
 	for _, seed := range slices.Sorted(maps.Keys(broken)) {
 		for _, v := range broken[seed] {
-			if count[v.Promise]++; count[v.Promise] == 1 {
-				first[v.Promise] = seed
-			}
+			seeds[v.Promise] = append(seeds[v.Promise], seed)
 		}
 	}
-	fmt.Fprintf(w, "## Promises in %d seeded fault runs\n\nEach kind alone and each pair of kinds; %.2f %% of the messages were wasted.\n\n", o.FaultRuns,
-		100*float64(wasted)/float64(max(messages, 1)))
-	fmt.Fprintf(w, "| promise broken | count | first seed |\n|---|---|---|\n")
+	text := fmt.Sprintf("Each kind alone and each pair of kinds; %s of the messages were wasted.", percent(share(wasted, messages)))
+	r.table(fmt.Sprintf("Promises in %d seeded fault runs", reportRuns), text, "promise broken", "count", "first seed")
 	for _, p := range Promises {
-		seed := "-"
-		if count[p] > 0 {
-			seed = fmt.Sprint(first[p])
+		first := "-"
+		if len(seeds[p]) > 0 {
+			first = fmt.Sprint(seeds[p][0])
 		}
-		fmt.Fprintf(w, "| %s | %d | %s |\n", p, count[p], seed)
-	}
-	fmt.Fprintln(w)
-}
-
-// curves are named lines of a plot.
-type curves map[string]plotter.XYs
-
-func (c curves) add(name string, x, y float64) { c[name] = append(c[name], plotter.XY{X: x, Y: y}) }
-
-// save writes the plot as an SVG file.
-func (c curves) save(dir, name, title, x, y string, logarithmic bool) error {
-	p := plot.New()
-	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
-	p.Legend.Top, p.Legend.Left = true, true
-	if logarithmic {
-		p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}
-	}
-	var lines []any
-	for _, k := range slices.Sorted(maps.Keys(c)) {
-		lines = append(lines, k, c[k])
-	}
-	if err := plotutil.AddLinePoints(p, lines...); err != nil {
-		return err
+		r.row(p, len(seeds[p]), first)
 	}
-	return p.Save(16*vg.Centimeter, 10*vg.Centimeter, filepath.Join(dir, name+".svg"))
 }
--- a/bench/stats.go
+++ b/bench/stats.go
@@ -31,13 +31,14 @@
 func Summarize(d Deployment, records []Record, from, to time.Duration) Summary {
 	var times []time.Duration
 	var s Summary
+	ideal := d.ideal()
 	for _, r := range records {
 		if !r.Complete || r.Sub.At < from || r.Sub.At >= to {
 			continue
 		}
 		times = append(times, r.Response())
 		s.Mean += r.Response()
-		s.Lag += float64(r.Response()) / float64(r.Sub.Ideal(d))
+		s.Lag += float64(r.Response()) / float64(ideal(r.Sub))
 	}
 	s.Count = len(times)
 	if s.Count == 0 {
--- a/bench/targets.go
+++ b/bench/targets.go
@@ -52,22 +52,30 @@
 // times. The first row is the real cores, the second the omniscient dispatcher
 // with the best order.
 func Compare(d Deployment, l Load, seeds int) []Row {
-	records := make([][]Record, len(Baselines)*seeds)
-	rows := []Row{runSeeds(rowCore, Options{Deployment: d, Load: l}, seeds, nil)}
-	Parallel(len(records), func(i int) {
-		seed := uint64(i%seeds) + 1
-		records[i] = Baselines[i/seeds].Run(d, Generate(d, l, seed), seed)
+	rows := make([]Row, 1+len(Baselines))
+	Parallel(len(rows), func(i int) {
+		if i == 0 {
+			rows[i] = runSeeds(rowCore, Options{Deployment: d, Load: l}, seeds, nil)
+		} else {
+			rows[i] = Baselines[i-1].runSeeds(d, l, seeds, warmup)
+		}
 	})
-	for i, way := range Baselines {
-		pooled := slices.Concat(records[i*seeds : (i+1)*seeds]...)
-		rows = append(rows, Row{Name: way.Name, Summary: Summarize(d, pooled, warmup, l.Length)})
-	}
 	orders := slices.DeleteFunc(slices.Clone(rows), func(r Row) bool { return !strings.HasPrefix(r.Name, rowOmniscient) })
 	best := slices.MinFunc(orders, func(a, b Row) int { return cmp.Compare(a.Mean, b.Mean) })
 	best.Name = rowOmniscient
 	return slices.Insert(rows, 1, best)
 }
 
+// runSeeds runs the baseline with seeds 1 to n and pools the results.
+func (way Baseline) runSeeds(d Deployment, l Load, n int, from time.Duration) Row {
+	records := make([][]Record, n)
+	Parallel(n, func(i int) {
+		seed := uint64(i) + 1
+		records[i] = way.Run(d, Generate(d, l, seed), seed)
+	})
+	return Row{Name: way.Name, Summary: Summarize(d, slices.Concat(records...), from, l.Length)}
+}
+
 // runSeeds runs the cores with seeds 1 to n and pools the results. Vary, if
 // given, changes the options of the i-th run.
 func runSeeds(name string, o Options, n int, vary func(i int, o *Options)) Row {
@@ -87,7 +95,7 @@
 		wasted += r.Wasted
 		runs += r.Runs
 	}
-	row.Summary = Summarize(o.Deployment, row.Records, warmup, o.Load.Length)
+	row.Summary = Summarize(o.Deployment, row.Records, cmp.Or(o.CountFrom, warmup), o.Load.Length)
 	row.PerTask = share(messages, runs)
 	row.Wasted = share(wasted, messages)
 	return row
@@ -261,6 +269,39 @@
 	return Target{Name: "deviation from a team's share at quota", Bound: 0.05, Got: worst}
 }
 
+// Size of the runs that compare today's number of upstreams with the design scale.
+const (
+	scaleUpstreams = 2800
+	scaleEntries   = 10
+	scaleDomains   = 7
+	scaleWarmup    = 1 * time.Second
+	scaleLength    = 2 * time.Second
+)
+
+// ScaleRun is one size of the system.
+type ScaleRun struct {
+	Deployment
+	Seeds       int
+	Core, Ideal Row // Ideal is the omniscient dispatcher in fair order
+}
+
+// ScaleRuns runs today's size and the design scale for a short time at 70 %
+// load. Today's size has as many more seeds as it is smaller.
+func ScaleRuns() []ScaleRun {
+	d := GtCentro()
+	runs := []ScaleRun{{Deployment: d, Seeds: scaleUpstreams / len(d.Speeds)}, {Deployment: d, Seeds: 1}}
+	large := &runs[1].Deployment
+	large.Domains, large.Weights = scaleDomains, slices.Repeat([]int{1}, scaleEntries)
+	large.Speeds = slices.Repeat(spread, scaleUpstreams/len(spread)+1)[:scaleUpstreams]
+	for i := range runs {
+		r := &runs[i]
+		l := Load{Base: 0.7, Length: scaleLength}
+		r.Core = runSeeds(rowCore, Options{Deployment: r.Deployment, Load: l, CountFrom: scaleWarmup}, r.Seeds, nil)
+		r.Ideal = Baselines[1].runSeeds(r.Deployment, l, r.Seeds, scaleWarmup)
+	}
+	return runs
+}
+
 // FaultRuns runs seeds first to first+n-1 of the fault schedules and returns the
 // violations by seed, and the messages and how many of them were wasted.
 func FaultRuns(first uint64, n int) (broken map[uint64][]Violation, messages, wasted int) {
--- a/bench/workload.go
+++ b/bench/workload.go
@@ -1,8 +1,10 @@
 package bench
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -59,15 +61,6 @@
 	return d.DomainLatency
 }
 
-// fastest is the highest speed of an upstream.
-func (d Deployment) fastest() float64 {
-	best := 0.0
-	for _, s := range d.Speeds {
-		best = max(best, s)
-	}
-	return best
-}
-
 // Submission is what a caller sends: a job, or a single request.
 type Submission struct {
 	ID         int
@@ -81,17 +74,21 @@
 	Deadline   time.Duration   // on the clock of At
 }
 
-// Ideal is a lower bound of the response time for any dispatcher: each task on
-// the fastest upstream, the whole work on all slots, and the network. A job
-// can't beat the larger of the two.
-func (s *Submission) Ideal(d Deployment) time.Duration {
-	longest, sum := time.Duration(0), time.Duration(0)
-	for _, w := range s.Work {
-		longest = max(longest, w)
-		sum += w
+// ideal returns the function that gives the ideal of a submission, a lower bound
+// of the response time for any dispatcher: each task on the fastest upstream,
+// the whole work on all slots, and the network. A job can't beat the larger of
+// the two.
+func (d Deployment) ideal() func(*Submission) time.Duration {
+	fastest, capacity := slices.Max(d.Speeds), d.Capacity()
+	return func(s *Submission) time.Duration {
+		longest, sum := time.Duration(0), time.Duration(0)
+		for _, w := range s.Work {
+			longest = max(longest, w)
+			sum += w
+		}
+		run := max(float64(longest)/fastest, float64(sum)/capacity)
+		return time.Duration(run) + 2*d.ClientLatency + 2*d.LocalLatency
 	}
-	run := max(float64(longest)/d.fastest(), float64(sum)/d.Capacity())
-	return time.Duration(run) + 2*d.ClientLatency + 2*d.LocalLatency
 }
 
 // Load is the shape of the arrivals. Loads are relative to the capacity.
@@ -165,9 +162,8 @@
 // Generate draws the submissions of a run: Poisson arrivals at the given load.
 func Generate(d Deployment, l Load, seed uint64) []*Submission {
 	rng := newRand(seed, 1)
-	if l.MaxTasks == 0 {
-		l.MaxTasks = maxTasks
-	}
+	l.MaxTasks = cmp.Or(l.MaxTasks, maxTasks)
+	capacity, ideal := d.Capacity(), d.ideal()
 	perSubmission := meanWork() * (singleShare + (1-singleShare)*meanTasks(l.MaxTasks))
 	var subs []*Submission
 	for at := time.Duration(0); ; {
@@ -175,15 +171,17 @@
 		if l.Burst > 0 && at >= l.BurstAt && at < l.BurstAt+l.BurstFor {
 			load = l.Burst
 		}
-		at += seconds(rng.ExpFloat64() * perSubmission / (load * d.Capacity()))
+		at += seconds(rng.ExpFloat64() * perSubmission / (load * capacity))
 		if at >= l.Length {
 			return subs
 		}
-		subs = append(subs, draw(d, l, rng, len(subs), at))
+		s := draw(d, l, rng, len(subs), at)
+		s.Deadline = at + cmp.Or(l.Deadline, defaultExpiry) + time.Duration(l.Patience*float64(ideal(s)))
+		subs = append(subs, s)
 	}
 }
 
-// draw makes one submission.
+// draw makes one submission without its deadline.
 func draw(d Deployment, l Load, rng *rand.Rand, id int, at time.Duration) *Submission {
 	s := &Submission{ID: id, At: at, Entry: weighted(rng, d.Weights), Team: rng.IntN(teams)}
 	n := 1
@@ -198,10 +196,6 @@
 	if l.DeclaredError > 1 {
 		s.Declared = time.Duration(float64(s.Declared) * math.Pow(l.DeclaredError, 2*rng.Float64()-1))
 	}
-	if l.Deadline == 0 {
-		l.Deadline = defaultExpiry
-	}
-	s.Deadline = at + l.Deadline + time.Duration(l.Patience*float64(s.Ideal(d)))
 	return s
 }
 
