--- a/bench/caller.go
+++ b/bench/caller.go
@@ -18,16 +18,16 @@
 
 // caller sends one submission and waits for its outcome.
 type caller struct {
-	c          *Cluster
-	sub        *Submission
-	at         *process // entry that it is connected to, nil for none
-	prefer     int      // entry that it tries next
-	attempts   int
-	generation int // of the job key; a job that ended not-run is sent under a new one
-	rec        *jobRecord
-	key        ids.TaskKey // of the latest single request
-	done       bool
-	record     Record
+	c         *Cluster
+	sub       *Submission
+	at        *process // entry that it is connected to, nil for none
+	prefer    int      // entry that it tries next
+	attempts  int
+	admission *jobRecord  // under the current job key; a job that ended not-run is sent under a new one
+	rec       *jobRecord  // what the caller has heard of the admission
+	key       ids.TaskKey // of the latest single request
+	done      bool
+	record    Record
 }
 
 // submit connects to an entry and sends the submission.
@@ -180,8 +180,7 @@
 		return
 	}
 	if cl.rec != nil && cl.rec.err != nil && cl.rec.err.Verdict == verdict.NotRun {
-		cl.generation++
-		cl.rec = nil
+		cl.admission, cl.rec = nil, nil
 	}
 	if err.Reason != verdict.Overloaded {
 		cl.prefer++
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -308,8 +308,7 @@
 
 // connect opens the missing connections of an entry to the agents it knows.
 func (c *Cluster) connect(p *process) {
-	for _, m := range c.ctl.members {
-		to := c.byInc[m.Incarnation]
+	for _, to := range c.lives {
 		if to.kind != wire.KindAgent || to.dead || p.conns[to.inc] || c.links.down[target{p.index, to.index}] {
 			continue
 		}
--- a/bench/control.go
+++ b/bench/control.go
@@ -34,22 +34,19 @@
 }
 
 // control is the fake control group: a registry, leases and job records. It
-// is one place that never fails; its own faults are tested elsewhere.
+// is one place that never fails; its own faults are tested elsewhere. The
+// registry rows stand in the processes.
 type control struct {
 	c       *Cluster
 	rng     *rand.Rand
 	version uint64
-	members []wire.Member
-	view    []wire.Member                     // copy of members that processes share, nil after a change
-	leases  map[ids.Incarnation]time.Duration // last renewal
+	view    []wire.Member // of the registry, shared by the processes, nil after a change
 	jobs    []*jobRecord
 	byID    map[ids.Job]*jobRecord
-	byKey   map[string]*jobRecord
 }
 
 func newControl(c *Cluster, seed uint64) *control {
-	return &control{c: c, rng: newRand(seed, 4), leases: map[ids.Incarnation]time.Duration{},
-		byID: map[ids.Job]*jobRecord{}, byKey: map[string]*jobRecord{}}
+	return &control{c: c, rng: newRand(seed, 4), byID: map[ids.Job]*jobRecord{}}
 }
 
 // register makes the registry row of a new process.
@@ -65,8 +62,8 @@
 	} else {
 		m.Weight = d.Weights[p.index]
 	}
-	k.members = append(k.members, m)
-	k.leases[p.inc] = k.c.now
+	p.row = m
+	p.renewed = k.c.now
 }
 
 // changed begins a new version of the registry.
@@ -75,40 +72,32 @@
 	k.view = nil
 }
 
-// rows returns a copy of the registry that nobody may change.
+// rows returns the registry. Nobody may change the result.
 func (k *control) rows() []wire.Member {
 	if k.view == nil {
-		k.view = slices.Clone(k.members)
-	}
-	return k.view
-}
-
-// member returns the row of an incarnation.
-func (k *control) member(inc ids.Incarnation) *wire.Member {
-	for i := range k.members {
-		if k.members[i].Incarnation == inc {
-			return &k.members[i]
+		for _, p := range k.c.lives {
+			k.view = append(k.view, p.row)
 		}
 	}
-	return nil
+	return k.view
 }
 
 // setDraining marks the row of a process that leaves.
-func (k *control) setDraining(inc ids.Incarnation) {
+func (k *control) setDraining(p *process) {
 	k.changed()
-	k.member(inc).Draining = true
+	p.row.Draining = true
 }
 
 // renewed takes in a renewal and schedules the end of the lease.
 func (k *control) renewed(p *process) {
 	at := k.c.now
-	k.leases[p.inc] = at
+	p.renewed = at
 	lease := wire.AgentLease
 	if p.kind == wire.KindEntry {
 		lease = wire.EntryLease
 	}
 	k.c.after(lease, func() {
-		if k.leases[p.inc] == at {
+		if p.renewed == at {
 			k.expire(p)
 		}
 	})
@@ -116,12 +105,11 @@
 
 // expire ends an incarnation and moves the jobs of an entry to a live one.
 func (k *control) expire(p *process) {
-	m := k.member(p.inc)
-	if !m.Live() {
+	if !p.row.Live() {
 		return
 	}
 	k.changed()
-	m.Expired = ids.Version(k.version)
+	p.row.Expired = ids.Version(k.version)
 	k.c.tracef("control expires %s %d", p.kind, p.inc)
 	if p.kind == wire.KindEntry {
 		k.reassign()
@@ -132,7 +120,7 @@
 // live entry it waits for the next registration.
 func (k *control) reassign() {
 	for _, rec := range k.jobs {
-		if rec.state != wire.JobOpen || k.member(rec.owner.inc).Live() {
+		if rec.state != wire.JobOpen || rec.owner.row.Live() {
 			continue
 		}
 		to := k.liveEntry()
@@ -150,10 +138,10 @@
 func (k *control) liveEntry() *process {
 	var live []*process
 	var weights []int
-	for _, m := range k.members {
-		if m.Kind == wire.KindEntry && m.Live() {
-			live = append(live, k.c.byInc[m.Incarnation])
-			weights = append(weights, m.Weight)
+	for _, p := range k.c.lives {
+		if p.kind == wire.KindEntry && p.row.Live() {
+			live = append(live, p)
+			weights = append(weights, p.row.Weight)
 		}
 	}
 	if len(live) == 0 {
@@ -162,16 +150,17 @@
 	return live[weighted(k.rng, weights)]
 }
 
-// admit records a job, or returns the record of the first submission of its key.
+// admit records a job, or returns the record of the first submission under the
+// caller's job key.
 func (k *control) admit(owner *process, cl *caller) (rec *jobRecord, duplicate bool) {
-	key := fmt.Sprintf("%d/%d", cl.sub.ID, cl.generation)
-	if rec := k.byKey[key]; rec != nil {
-		return rec, true
+	if cl.admission != nil {
+		return cl.admission, true
 	}
 	k.version++
 	rec = &jobRecord{id: ids.Job(k.version), epoch: 1, owner: owner, caller: cl, state: wire.JobOpen}
 	k.jobs = append(k.jobs, rec)
-	k.byID[rec.id], k.byKey[key] = rec, rec
+	k.byID[rec.id] = rec
+	cl.admission = rec
 	return rec, false
 }
 
@@ -200,7 +189,7 @@
 		if p.dead || p.frozen || p.cut {
 			return
 		}
-		if !c.ctl.member(p.inc).Live() {
+		if !p.row.Live() {
 			c.kill(p)
 			c.after(time.Second, func() { c.restart(p) })
 			return
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -211,7 +211,7 @@
 		return
 	}
 	p.drained = c.now
-	c.ctl.setDraining(p.inc)
+	c.ctl.setDraining(p)
 	p.input(func() { p.agent.Drain(c.now) })
 	c.after(drainPoll, func() { c.leaveWhenIdle(p) })
 }
--- a/bench/process.go
+++ b/bench/process.go
@@ -54,9 +54,10 @@
 	kind  wire.Kind
 	index int // of the entry or upstream, the same after a restart
 	inc   ids.Incarnation
-	core  peerCore  // entry or agent
-	entry entryCore // nil for an agent
-	agent agentCore // nil for an entry
+	row   wire.Member // in the registry
+	core  peerCore    // entry or agent
+	entry entryCore   // nil for an agent
+	agent agentCore   // nil for an entry
 
 	dead, frozen bool
 	cut          bool // no contact with the control group
@@ -64,6 +65,7 @@
 	lastTick     time.Duration
 	tickAt       time.Duration // of the next scheduled tick, zero for none
 	view         ids.Version
+	renewed      time.Duration // last renewal that the control group saw
 	confirmed    time.Duration // when the last confirmed renewal was sent
 	assigned     []*jobRecord  // takeovers for the next renewal
 
