--- a/bench/accounts.go
+++ b/bench/accounts.go
@@ -6,9 +6,29 @@
 	"github.com/baobabshore/baobabshore/wire"
 )
 
+// Counts of messages between entries and agents, and of starts.
+type Counts struct {
+	Messages, Wasted int
+	Runs             int // tasks that upstreams began to run
+	SingleStarts     int // start items sent for single requests
+}
+
+func (c *Counts) add(o Counts) {
+	c.Messages += o.Messages
+	c.Wasted += o.Wasted
+	c.Runs += o.Runs
+	c.SingleStarts += o.SingleStarts
+}
+
+// PerTask is the number of messages for each task that ran.
+func (c Counts) PerTask() float64 { return share(c.Messages, c.Runs) }
+
+// WastedShare is the share of wasted messages.
+func (c Counts) WastedShare() float64 { return share(c.Wasted, c.Messages) }
+
 // message is the account of one message between an entry and an agent. It is
 // useful if something in it advanced a task towards its answer, otherwise it is
-// wasted. The page of the report defines this in full, see definitions.
+// wasted. The text of the report defines this in full.
 type message struct {
 	content string // what it carries, to tell kinds of waste apart
 	useful  bool
@@ -45,15 +65,11 @@
 
 // accounts counts messages, starts and refusals.
 type accounts struct {
+	counts   Counts // Messages holds claims only, Wasted nothing, until totals
 	messages []*message
-	claims   int
-	starts   int // start items sent
-	runs     int // tasks that upstreams began to run
-	singles  int // of the starts, those of single requests
 	answered map[ids.TaskKey]bool
 	pending  map[startID]*message   // first copy delivered of a start that has not run
-	held     map[startID]bool       // jobs of which an agent has received starts
-	canceled map[startID]bool       // jobs of which it has received a cancellation
+	canceled map[startID]bool       // jobs of which an agent has received a cancellation, false if only starts
 	refusals map[verdict.Reason]int // by agents
 }
 
@@ -65,14 +81,11 @@
 
 func newAccounts() *accounts {
 	return &accounts{answered: map[ids.TaskKey]bool{}, pending: map[startID]*message{}, canceled: map[startID]bool{},
-		held: map[startID]bool{}, refusals: map[verdict.Reason]int{}}
+		refusals: map[verdict.Reason]int{}}
 }
 
 // reset forgets what was counted so far, not the state of tasks.
-func (a *accounts) reset() {
-	a.messages = nil
-	a.claims, a.starts, a.runs, a.singles = 0, 0, 0, 0
-}
+func (a *accounts) reset() { a.messages, a.counts = nil, Counts{} }
 
 // message opens the account of a message that is sent.
 func (a *accounts) message(content string) *message {
@@ -84,15 +97,17 @@
 // exchangeArrived notes which starts m brought to an agent.
 func (a *accounts) exchangeArrived(to ids.Incarnation, x wire.Exchange, m *message) {
 	for _, st := range x.Starts {
-		id := startID{to, st.Key}
-		a.held[startID{to, ids.TaskKey{Job: st.Key.Job}}] = true
+		id, job := startID{to, st.Key}, startID{to, ids.TaskKey{Job: st.Key.Job}}
+		if _, held := a.canceled[job]; !held {
+			a.canceled[job] = false
+		}
 		if a.pending[id] == nil {
 			a.pending[id] = m
 		}
 	}
 	for _, o := range x.Cancels {
 		id := startID{to, ids.TaskKey{Job: o.Job}}
-		if a.held[id] && !a.canceled[id] {
+		if canceled, held := a.canceled[id]; held && !canceled {
 			a.canceled[id] = true
 			m.useful = true
 		}
@@ -101,7 +116,7 @@
 
 // ran credits the message that brought a start.
 func (a *accounts) ran(at ids.Incarnation, key ids.TaskKey) {
-	a.runs++
+	a.counts.Runs++
 	if m := a.pending[startID{at, key}]; m != nil {
 		m.useful = true
 	}
@@ -121,13 +136,15 @@
 	}
 }
 
-// totals returns the number of messages and the wasted ones by content.
-func (a *accounts) totals() (sent int, wasted map[string]int) {
-	wasted = map[string]int{}
+// totals returns the counts and the wasted messages by content.
+func (a *accounts) totals() (Counts, map[string]int) {
+	c, wasted := a.counts, map[string]int{}
+	c.Messages += len(a.messages)
 	for _, m := range a.messages {
 		if !m.useful {
+			c.Wasted++
 			wasted[m.content]++
 		}
 	}
-	return len(a.messages) + a.claims, wasted
+	return c, wasted
 }
--- a/bench/baseline.go
+++ b/bench/baseline.go
@@ -28,7 +28,7 @@
 // uses the one with the lowest mean in the run.
 var Baselines = []Baseline{
 	{Name: "omniscient, arrival", rank: func(j *openJob) int { return j.sub.ID }},
-	{Name: "omniscient, fair", rank: func(j *openJob) int { return j.running }},
+	fairOrder,
 	{Name: "omniscient, fewest-left", rank: (*openJob).waiting},
 	{Name: rowRandom, choose: func(b *baselineRun, _ int) int { return b.rng.IntN(len(b.ups)) }},
 	{Name: "round-robin", choose: func(b *baselineRun, entry int) int {
@@ -49,6 +49,10 @@
 	}},
 }
 
+// fairOrder is the omniscient dispatcher that takes the job with the fewest
+// running tasks first.
+var fairOrder = Baseline{Name: "omniscient, fair", rank: func(j *openJob) int { return j.running }}
+
 // openJob is a submission in a baseline.
 type openJob struct {
 	sub     *Submission
--- a/bench/bench_test.go
+++ b/bench/bench_test.go
@@ -30,8 +30,8 @@
 	if list := Run(FaultOptions(formerOwnerSeed)).Violations; len(list) > 0 {
 		t.Errorf("seed %d: %d violations, first: %v", formerOwnerSeed, len(list), list[0])
 	}
-	broken, messages, wasted := FaultRuns(*faultSeed, *faultRuns)
-	t.Logf("%d runs, %d messages, %d wasted", *faultRuns, messages, wasted)
+	broken, counts := FaultRuns(*faultSeed, *faultRuns)
+	t.Logf("%d runs, %d messages, %d wasted", *faultRuns, counts.Messages, counts.Wasted)
 	shown := 0
 	for seed, list := range broken {
 		if shown++; shown <= 10 {
--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -47,15 +47,13 @@
 
 // Result is what a run measured.
 type Result struct {
-	Records          []Record
-	Messages, Wasted int
-	WastedBy         map[string]int // wasted messages by content
-	Starts, Runs     int
-	SingleStarts     int
-	AgentRefusals    map[verdict.Reason]int
-	CallerRefusals   map[verdict.Reason]int
-	Violations       []Violation
-	spans            []*span
+	Counts
+	Records        []Record
+	WastedBy       map[string]int // wasted messages by content
+	AgentRefusals  map[verdict.Reason]int
+	CallerRefusals map[verdict.Reason]int
+	Violations     []Violation
+	spans          []*span
 }
 
 // Cluster is one run: entries and agents with the real cores, connected by fakes.
@@ -160,12 +158,8 @@
 
 // result collects the measurements.
 func (c *Cluster) result() *Result {
-	r := &Result{Starts: c.acct.starts, Runs: c.acct.runs, SingleStarts: c.acct.singles,
-		AgentRefusals: c.acct.refusals, CallerRefusals: c.refusals, Violations: c.check.violations, spans: c.spans}
-	r.Messages, r.WastedBy = c.acct.totals()
-	for _, n := range r.WastedBy {
-		r.Wasted += n
-	}
+	r := &Result{AgentRefusals: c.acct.refusals, CallerRefusals: c.refusals, Violations: c.check.violations, spans: c.spans}
+	r.Counts, r.WastedBy = c.acct.totals()
 	for _, cl := range c.callers {
 		r.Records = append(r.Records, cl.record)
 	}
@@ -293,7 +287,7 @@
 	if to == nil || to.dead || c.links.down[target{p.index, to.index}] {
 		return
 	}
-	c.acct.claims += 2
+	c.acct.counts.Messages += 2
 	latency := c.opts.Deployment.link(p.index, to.index)
 	c.after(latency, func() {
 		to.input(func() {
--- a/bench/process.go
+++ b/bench/process.go
@@ -159,9 +159,8 @@
 func (p *process) countStarts(to *process, x wire.Exchange) {
 	c := p.c
 	for _, st := range x.Starts {
-		c.acct.starts++
 		if st.Key.IsRequest() {
-			c.acct.singles++
+			c.acct.counts.SingleStarts++
 		}
 		id := sentStart{startID{to.inc, st.Key}, st.Try}
 		late := to.drained > 0 && c.now > to.drained+drainGrace
--- a/bench/report.go
+++ b/bench/report.go
@@ -128,11 +128,11 @@
 	text := fmt.Sprintf("gt-centro at 70 %% load, from %v to %v of virtual time, against the omniscient dispatcher in fair order.", scaleWarmup, scaleLength)
 	r.table("Size", text, "upstreams", "entries", "runs", "answers", "mean", "p99", "lag", "mean ratio", "p99 ratio",
 		"messages/task", "wasted", "incomplete")
-	for _, run := range ScaleRuns() {
-		core, ideal := run.Core, run.Ideal
-		r.row(len(run.Speeds), len(run.Weights), run.Seeds, core.Count, core.Mean, core.P99, core.Lag, ratio(core.Mean, ideal.Mean),
-			ratio(core.P99, ideal.P99), core.PerTask, percent(core.Wasted), incomplete(core.Records))
-		r.addReasons(fmt.Sprintf("%d upstreams", len(run.Speeds)), core.Results)
+	for _, d := range []Deployment{GtCentro(), designScale()} {
+		core, ideal := runScale(d)
+		r.row(len(d.Speeds), len(d.Weights), len(core.Results), core.Count, core.Mean, core.P99, core.Lag, ratio(core.Mean, ideal.Mean),
+			ratio(core.P99, ideal.P99), core.PerTask(), percent(core.WastedShare()), incomplete(core.Records))
+		r.addReasons(fmt.Sprintf("%d upstreams", len(d.Speeds)), core.Results)
 	}
 }
 
@@ -184,7 +184,7 @@
 			r.row(append(cells, "-", "-", "-")...)
 			continue
 		}
-		r.row(append(cells, row.PerTask, percent(row.Wasted), incomplete(row.Records))...)
+		r.row(append(cells, row.PerTask(), percent(row.WastedShare()), incomplete(row.Records))...)
 	}
 	r.addReasons(title, rows[0].Results)
 }
@@ -228,10 +228,10 @@
 	for _, d := range deployments() {
 		for _, t := range []float64{0, 0.25, 0.5, 0.75, 1} {
 			d.Tradeoff = t
-			row := runSeeds("", Options{Deployment: d, Load: Load{Base: 0.7, Length: steadyLength}}, steadySeeds, nil)
-			r.row(d.Name, t, row.Mean, row.P99, row.Lag, row.PerTask, percent(row.Wasted))
+			row := runSeeds(Options{Deployment: d, Load: Load{Base: 0.7, Length: steadyLength}}, steadySeeds, nil)
+			r.row(d.Name, t, row.Mean, row.P99, row.Lag, row.PerTask(), percent(row.WastedShare()))
 			response.add(d.Name, t, row.Lag)
-			messages.add(d.Name, t, row.PerTask)
+			messages.add(d.Name, t, row.PerTask())
 		}
 	}
 	fmt.Fprint(r, "\n![lag](plots/tradeoff-lag.svg)\n![messages](plots/tradeoff-messages.svg)\n")
@@ -255,7 +255,7 @@
 			for _, res := range row.Results {
 				broken += len(res.Violations)
 			}
-			r.row(cmp.Or(kind, "none"), row.Mean, row.P99, row.Lag, row.PerTask, percent(row.Wasted), incomplete(row.Records), broken)
+			r.row(cmp.Or(kind, "none"), row.Mean, row.P99, row.Lag, row.PerTask(), percent(row.WastedShare()), incomplete(row.Records), broken)
 			results[kind] = append(results[kind], row.Results...)
 		}
 	}
@@ -269,14 +269,14 @@
 
 // promises runs the seeded fault runs and counts broken promises.
 func (r *report) promises() {
-	broken, messages, wasted := FaultRuns(0, reportRuns)
+	broken, counts := FaultRuns(0, reportRuns)
 	seeds := map[Promise][]uint64{} // one element for each violation
 	for _, seed := range slices.Sorted(maps.Keys(broken)) {
 		for _, v := range broken[seed] {
 			seeds[v.Promise] = append(seeds[v.Promise], seed)
 		}
 	}
-	text := fmt.Sprintf("Each kind alone and each pair of kinds; %s of the messages were wasted.", percent(share(wasted, messages)))
+	text := fmt.Sprintf("Each kind alone and each pair of kinds; %s of the messages were wasted.", percent(counts.WastedShare()))
 	r.table(fmt.Sprintf("Promises in %d seeded fault runs", reportRuns), text, "promise broken", "count", "first seed")
 	for _, p := range Promises {
 		first := "-"
