--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -4,9 +4,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"runtime"
+	"runtime/debug"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/baobabshore/baobabshore/dispatch"
@@ -124,7 +123,7 @@
 func (c *Cluster) runToEnd() {
 	defer func() {
 		if r := recover(); r != nil {
-			c.check.broken(CorePanicked, "%v at %s", r, panicSite())
+			c.check.broken(CorePanicked, "%v\n%s", r, debug.Stack())
 		}
 	}()
 	length := c.opts.Load.Length
@@ -141,21 +140,6 @@
 	c.check.finish(c.callers)
 }
 
-// panicSite returns the function of the cores in which a panic began.
-func panicSite() string {
-	var pcs [32]uintptr
-	frames := runtime.CallersFrames(pcs[:runtime.Callers(3, pcs[:])])
-	for {
-		f, more := frames.Next()
-		if strings.Contains(f.Function, "/dispatch.") || strings.Contains(f.Function, "/executor.") {
-			return fmt.Sprintf("%s:%d", f.Function, f.Line)
-		}
-		if !more {
-			return "the harness"
-		}
-	}
-}
-
 // result collects the measurements.
 func (c *Cluster) result() *Result {
 	r := &Result{AgentRefusals: c.acct.refusals, CallerRefusals: c.refusals, Violations: c.check.violations, spans: c.spans}
@@ -306,10 +290,11 @@
 		if to.kind != wire.KindAgent || to.dead || p.conns[to.inc] || c.links.down[target{p.index, to.index}] {
 			continue
 		}
-		p.conns[to.inc] = true
+		p.conns[to.inc], to.conns[p.inc] = true, true
 		c.after(2*c.opts.Deployment.link(p.index, to.index), func() {
 			if to.dead {
 				delete(p.conns, to.inc)
+				delete(to.conns, p.inc)
 				return
 			}
 			to.input(func() { to.core.Connected(c.now, p.inc) })
@@ -318,14 +303,16 @@
 	}
 }
 
-// disconnect ends the connection of an entry and an agent at both ends.
-func (c *Cluster) disconnect(entry, agent *process) {
-	if !entry.conns[agent.inc] {
+// disconnect ends the connection of two processes, if there is one, at both ends.
+func (c *Cluster) disconnect(a, b *process) {
+	if !a.conns[b.inc] {
 		return
 	}
-	delete(entry.conns, agent.inc)
-	entry.input(func() { entry.core.Disconnected(c.now, agent.inc) })
-	agent.input(func() { agent.core.Disconnected(c.now, entry.inc) })
+	delete(a.conns, b.inc)
+	delete(b.conns, a.inc)
+	for _, end := range [...][2]*process{{a, b}, {b, a}} {
+		end[0].input(func() { end[0].core.Disconnected(c.now, end[1].inc) })
+	}
 }
 
 // kill ends a process at once. Runs on the upstream of an agent end with it.
@@ -342,13 +329,7 @@
 	}
 	c.after(pingTimeout, func() {
 		for _, o := range c.lives {
-			switch {
-			case o.kind == p.kind:
-			case p.kind == wire.KindAgent:
-				c.disconnect(o, p)
-			default:
-				c.disconnect(p, o)
-			}
+			c.disconnect(p, o)
 		}
 	})
 }
--- a/bench/process.go
+++ b/bench/process.go
@@ -69,7 +69,7 @@
 	confirmed    time.Duration // when the last confirmed renewal was sent
 	assigned     []*jobRecord  // takeovers for the next renewal
 
-	conns    map[ids.Incarnation]bool // agents that an entry is connected to
+	conns    map[ids.Incarnation]bool // peers that it is connected to
 	seq      uint64                   // of single requests
 	requests map[ids.TaskKey]*caller
 	sent     map[sentStart]bool
