--- a/executor/tick.go
+++ b/executor/tick.go
@@ -19,7 +19,7 @@
 	out.Send = c.report(now)
 	c.limitAnswers()
 	c.sweep(now)
-	out.NextTick = earliest(deadline, resend)
+	out.NextTick = earliest(earliest(deadline, resend), c.creditDue())
 	if len(c.rows) > 0 {
 		out.NextTick = earliest(out.NextTick, c.lastSweep+sweepInterval)
 	}
@@ -67,11 +67,14 @@
 
 // report builds one message for each entry that has something to learn.
 func (c *Core) report(now time.Duration) []Envelope {
-	var send []Envelope
+	var due []*session
 	for _, s := range c.order {
-		if !s.connected || !c.worthReporting(now, s) {
-			continue
+		if s.connected && c.worthReporting(now, s) {
+			due = append(due, s)
 		}
+	}
+	var send []Envelope
+	for _, s := range due {
 		send = append(send, Envelope{To: s.entry, Report: c.reportTo(now, s)})
 	}
 	return send
@@ -96,7 +99,9 @@
 		s.unacked = append(s.unacked, r)
 	}
 	s.answers, s.extra, s.started = nil, nil, nil
-	s.granted, s.reportedD, s.reportedX = s.credit, c.draining, c.down
+	s.reportedD, s.reportedX = c.draining, c.down
+	s.sentCredit, s.sentOthers = s.credit, c.running+c.queued-s.holding
+	s.changedAt = 0
 	s.reportAt, s.due = now, false
 	return m
 }
