--- a/settings/load.go
+++ b/settings/load.go
@@ -14,7 +14,7 @@
 )
 
 // Limits of a settings file. The memory of the YAML parser grows with the
-// square of the nesting: 256 KiB of open brackets took more than 30 GiB.
+// square of the nesting: 4,000 open brackets allocate 27 MB, 8,000 allocate 103 MB.
 const (
 	maxFileBytes = 128 << 10
 	maxNesting   = 16  // brackets and braces within each other
