--- a/control/serve.go
+++ b/control/serve.go
@@ -166,8 +166,12 @@
 	if e != nil {
 		return wire.RenewReply{}, e
 	}
+	if !ok {
+		// A version without the rows up to it would make the member skip them.
+		return wire.RenewReply{}, verdict.Refuse(verdict.Stale, "node %s has not reached incarnation %d", c.opt.Node, p.Incarnation)
+	}
 	r := wire.RenewReply{Version: ids.Version(c.state.Index()), ConfirmedAge: ceilMS(age)}
-	if ok && r.Version > p.Have {
+	if r.Version > p.Have {
 		r.Changes, r.Whole = c.state.Changes(p.Have, p.Incarnation)
 	}
 	return r, nil
@@ -243,6 +247,13 @@
 		if e := c.readable(); e != nil {
 			return found{err: e}
 		}
+		if p.Job == 0 {
+			rec, ok := c.state.JobByKey(p.Team, p.Key)
+			if !ok {
+				return found{err: verdict.Refuse(verdict.UnknownJob, "no job of team %q has this key", p.Team)}
+			}
+			return found{rec: rec}
+		}
 		if c.state.Index() < uint64(p.Job) {
 			return found{err: verdict.Refuse(verdict.Stale, "node %s has not reached job %d", c.opt.Node, p.Job)}
 		}
@@ -319,8 +330,12 @@
 
 func (n *Node) serveRenewals(ctx context.Context, _ *rpc.Conn, p wire.Renewals) (wire.Empty, error) {
 	arrived := time.Now()
-	err := n.post(ctx, func(c *core) {
-		for _, r := range p.Items {
+	items, err := p.Unpack()
+	if err != nil {
+		return wire.Empty{}, err
+	}
+	err = n.post(ctx, func(c *core) {
+		for _, r := range items {
 			seen := arrived.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
 			c.leases.renew(wire.Renew{Incarnation: r.Incarnation, Have: r.Have, Draining: r.Draining}, seen)
 		}
--- /dev/null
+++ b/dispatch/fairshare.go
@@ -0,0 +1,265 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+)
+
+// fairQueue orders the waiting jobs of a service. Teams within the part of
+// the speed that their quota guarantees come first, then those that exceed it
+// least. Speed counts rather than slots, since slots differ in speed. Between
+// equal teams, and within a team, the job with the fewest tasks under way goes
+// first, so that a job of many long tasks doesn't hold up small ones. A team or
+// job that wants less than its share leaves the rest to the others. Past use is
+// not held against a team: it may have used what was idle.
+type fairQueue struct {
+	teams   map[ids.Team]*teamQueue
+	heap    teamHeap
+	waiting int
+	quotas  int // sum over teams with waiting jobs
+	arrived uint64
+}
+
+// teamQueue holds the waiting jobs of a team.
+type teamQueue struct {
+	quota   int
+	rate    int // work done for it each second, in thousandths of an average slot
+	part    int // rate that the quota guarantees, set by each sweep
+	jobs    jobHeap
+	urgent  urgentHeap
+	waiting int
+	pos     int
+	sizes   sizeTable
+	due     dueTable
+}
+
+type teamHeap []*teamQueue
+
+func (h teamHeap) Len() int { return len(h) }
+func (h teamHeap) Less(i, k int) bool {
+	a, b := h[i].excess()*h[k].quota, h[k].excess()*h[i].quota
+	if a != b {
+		return a < b
+	}
+	return h[i].jobs.less(h[i].jobs[0], h[k].jobs[0])
+}
+func (h teamHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].pos, h[k].pos = i, k
+}
+func (h *teamHeap) Push(x any) {
+	t := x.(*teamQueue)
+	t.pos = len(*h)
+	*h = append(*h, t)
+}
+func (h *teamHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	old[len(old)-1] = nil
+	t.pos = -1
+	*h = old[:len(old)-1]
+	return t
+}
+
+// jobHeap has the job with the fewest tasks under way on top.
+type jobHeap []*job
+
+func (h jobHeap) Len() int           { return len(h) }
+func (h jobHeap) Less(i, k int) bool { return h.less(h[i], h[k]) }
+func (jobHeap) less(a, b *job) bool {
+	if a.sent != b.sent {
+		return a.sent < b.sent
+	}
+	return a.arrived < b.arrived
+}
+func (h jobHeap) Swap(i, k int) {
+	h[i], h[k] = h[k], h[i]
+	h[i].pos, h[k].pos = i, k
+}
+func (h *jobHeap) Push(x any) {
+	j := x.(*job)
+	j.pos = len(*h)
+	*h = append(*h, j)
+}
+func (h *jobHeap) Pop() any {
+	old := *h
+	j := old[len(old)-1]
+	old[len(old)-1] = nil
+	j.pos = -1
+	*h = old[:len(old)-1]
+	return j
+}
+
+func (q *fairQueue) init() { q.teams = map[ids.Team]*teamQueue{} }
+
+// excess is the rate of the team beyond its guaranteed part.
+func (t *teamQueue) excess() int { return max(t.rate-t.part, 0) }
+
+// divide sets the parts of the teams that have tasks, of the given rate.
+func (q *fairQueue) divide(rate int) {
+	quotas := 0
+	for _, t := range q.teams {
+		if t.rate+t.waiting > 0 {
+			quotas += t.quota
+		}
+	}
+	for _, t := range q.teams {
+		t.part = rate * t.quota / max(quotas, 1)
+	}
+	heap.Init(&q.heap)
+}
+
+// team returns the queue of a team and creates it if needed.
+func (q *fairQueue) team(name ids.Team, quota int) *teamQueue {
+	t := q.teams[name]
+	if t == nil {
+		t = &teamQueue{quota: max(quota, 1), pos: -1}
+		q.teams[name] = t
+	}
+	return t
+}
+
+// setQuotas applies the quotas of a new configuration. A team without one
+// keeps a quota of 1 until its jobs have ended.
+func (q *fairQueue) setQuotas(teams map[ids.Team]Team) {
+	for name, t := range q.teams {
+		quota := max(teams[name].Quota, 1)
+		if t.pos >= 0 {
+			q.quotas += quota - t.quota
+		}
+		t.quota = quota
+	}
+}
+
+// enqueue files a job with waiting tasks.
+func (c *Core) enqueue(j *job) {
+	if j.waiting == 0 || j.pos >= 0 {
+		return
+	}
+	q := &j.svc.fair
+	t := j.queue
+	heap.Push(&t.jobs, j)
+	j.latest = j.latestStart()
+	heap.Push(&t.urgent, j)
+	if t.pos < 0 {
+		heap.Push(&q.heap, t)
+		q.quotas += t.quota
+	} else {
+		heap.Fix(&q.heap, t.pos)
+	}
+	q.count(j, 0, j.waiting)
+}
+
+// underWay records a change of the number of attempts of j without an answer
+// and of their rate, and restores the order.
+func (q *fairQueue) underWay(j *job, change, rate int) {
+	j.sent += change
+	if j.pos >= 0 {
+		heap.Fix(&j.queue.jobs, j.pos)
+	}
+	j.queue.rate += rate
+	if j.queue.pos >= 0 {
+		heap.Fix(&q.heap, j.queue.pos)
+	}
+}
+
+// count records a change of the number of waiting tasks of a filed job.
+func (q *fairQueue) count(j *job, before, after int) {
+	q.waiting += after - before
+	j.queue.waiting += after - before
+	j.queue.sizes.change(before, after)
+	j.queue.due.add(j.due, after-before)
+}
+
+// requeue puts a task that has not run back to the front of its job.
+func (c *Core) requeue(j *job, index int) {
+	j.again = append(j.again, index)
+	j.waiting++
+	if j.pos < 0 {
+		c.enqueue(j)
+		return
+	}
+	j.svc.fair.count(j, j.waiting-1, j.waiting)
+}
+
+// head returns the job whose task is next, or nil. In the team that is next, a
+// job that would otherwise miss its deadline goes first.
+func (q *fairQueue) head(now time.Duration) (j *job, urgent bool) {
+	if len(q.heap) == 0 {
+		return nil, false
+	}
+	t := q.heap[0]
+	if t.urgent[0].latest <= now {
+		return t.urgent[0], true
+	}
+	return t.jobs[0], false
+}
+
+// maxWalk bounds the jobs that are considered for one upstream.
+const maxWalk = 24
+
+// find returns the first job in the order, at most maxWalk jobs in, that accepts
+// the position of its last waiting task in the queue of the service. The order
+// is that of the heaps' arrays, which is close to the order of service.
+func (q *fairQueue) find(accept func(j *job, position float64) bool) *job {
+	walked := 0
+	for _, t := range q.heap {
+		ahead := 0
+		for _, j := range t.jobs {
+			ahead += j.waiting
+			position := min(float64(q.waiting), float64(ahead*q.quotas)/float64(t.quota))
+			if accept(j, position) {
+				return j
+			}
+			walked++
+			if walked >= maxWalk {
+				return nil
+			}
+		}
+	}
+	return nil
+}
+
+// peek returns the index of the next waiting task of j.
+func (j *job) peek() int {
+	if n := len(j.again); n > 0 {
+		return j.again[n-1]
+	}
+	return j.next
+}
+
+// take removes the next waiting task from its job.
+func (q *fairQueue) take(j *job) {
+	if n := len(j.again); n > 0 {
+		j.again = j.again[:n-1]
+	} else {
+		j.next++
+	}
+	j.waiting--
+	q.count(j, j.waiting+1, j.waiting)
+	if j.waiting == 0 {
+		q.remove(j)
+		return
+	}
+	j.latest = j.latestStart()
+	heap.Fix(&j.queue.urgent, j.urgentPos)
+}
+
+// remove takes a job out of the queue. Its waiting tasks are no longer counted.
+func (q *fairQueue) remove(j *job) {
+	if j.pos < 0 {
+		return
+	}
+	t := j.queue
+	heap.Remove(&t.jobs, j.pos)
+	heap.Remove(&t.urgent, j.urgentPos)
+	q.count(j, j.waiting, 0)
+	if len(t.jobs) == 0 {
+		heap.Remove(&q.heap, t.pos)
+		q.quotas -= t.quota
+		return
+	}
+	heap.Fix(&q.heap, t.pos)
+}
