entry: keep reports back until claims are answered

Cause: an answer to a running task that a claim hands over could reach the core before the reply to the claim. Bodies for a takeover raced with the question for its state in the same way. Change: reports of an agent wait while a claim to it is open; supply waits until the core has the bodies.

--- a/entry/agentconn.go
+++ b/entry/agentconn.go
@@ -55,9 +55,11 @@
 	conn *rpc.Conn
 	out  chan wire.Exchange
 
-	mu    sync.Mutex
-	ready bool          // the core knows of the connection
-	early []wire.Report // reports that arrived before
+	// mu is never taken by the loop, which may be what a holder waits for.
+	mu     sync.Mutex
+	ready  bool          // the core knows of the connection
+	claims int           // claims without a reply
+	early  []wire.Report // reports held back until ready and without claims
 }
 
 // connect follows the registry view: one agentConn for each live agent.
@@ -158,7 +160,7 @@
 	if !a.life.loop.Post(func(now time.Duration) { a.life.core.Connected(now, inc) }) {
 		return
 	}
-	a.passEarly(k)
+	a.setReady(k)
 	go k.write()
 	a.monitor(k.conn)
 	a.link.Store(nil)
@@ -221,25 +223,40 @@
 	return true
 }
 
-// receive passes a report to the core, after Connected.
+// receive passes a report to the core, after Connected. Reports wait for the
+// replies to claims: they may answer tasks that the core learns of by the reply,
+// and an answer to an unknown task would be dropped.
 func (a *agentConn) receive(k *link, r wire.Report) {
 	a.touch()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if !k.ready {
-		k.early = append(k.early, r)
-		return
-	}
-	a.pass(r)
+	k.early = append(k.early, r)
+	a.passEarly(k)
 }
 
+// passEarly passes on what was held back. The caller holds k.mu.
 func (a *agentConn) passEarly(k *link) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
+	if !k.ready || k.claims > 0 {
+		return
+	}
 	for _, r := range k.early {
 		a.pass(r)
 	}
-	k.early, k.ready = nil, true
+	k.early = k.early[:0]
+}
+
+func (a *agentConn) setReady(k *link) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ready = true
+	a.passEarly(k)
+}
+
+func (a *agentConn) addClaim(k *link, n int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.claims += n
+	a.passEarly(k)
 }
 
 func (a *agentConn) pass(r wire.Report) {
@@ -323,6 +340,8 @@
 		return
 	}
 	go func() {
+		a.addClaim(k, 1)
+		defer a.addClaim(k, -1)
 		var r wire.ClaimReply
 		ctx, cancel := context.WithTimeout(a.ctx, l.entry.opts.SuspectAfter)
 		defer cancel()
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -145,7 +145,7 @@
 	if rec.Epoch == 1 || j != nil && j.isDone() {
 		return
 	}
-	l.loop.Post(func(now time.Duration) {
+	l.loop.Call(func(now time.Duration) {
 		l.takeOver(now, wire.Assigned{Ownership: own, Record: rec})
 		if err := l.core.Bodies(now, rec.Job, s.Tasks); err != nil {
 			klog.Warningf("entry: Bodies of job %d not taken: %v.", rec.Job, err)
