--- a/ctl/status.go
+++ b/ctl/status.go
@@ -54,10 +54,12 @@
 		orNone(string(st.Leader)), st.Term, st.ConfigVer, st.Live, st.OpenJobs, st.Node)
 	w := tabwriter.NewWriter(c.app.Out, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "CONTROL NODE\tADDRESS\tROLE\tINSTANCE\tRECORDS")
+	slices.SortFunc(st.Nodes, func(a, b wire.ControlNode) int { return cmp.Compare(a.Node, b.Node) })
 	for _, n := range st.Nodes {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", n.Node, n.Addr, role(n, st.Leader), n.Instance, matched(n))
 	}
-	fmt.Fprintln(w, "\t\t\t\t")
+	w.Flush()
+	fmt.Fprintln(w)
 	fmt.Fprintln(w, "MEMBER\tKIND\tADDRESS\tDOMAIN\tINCARNATION\tSTATE\tRENEWED")
 	slices.SortFunc(st.Members, func(a, b wire.MemberStatus) int {
 		return cmp.Or(cmp.Compare(b.Kind, a.Kind), cmp.Compare(a.Node, b.Node), cmp.Compare(a.Incarnation, b.Incarnation))
@@ -107,7 +109,7 @@
 }
 
 type dumpCommand struct {
-	app *app
+	app  *app
 	Args struct {
 		Address string `positional-arg-name:"ADDRESS" required:"yes"`
 	} `positional-args:"yes"`
@@ -135,7 +137,7 @@
 }
 
 type drainCommand struct {
-	app *app
+	app  *app
 	Undo bool `long:"undo" description:"send work again"`
 	Args struct {
 		Node ids.Node `positional-arg-name:"UPSTREAM" required:"yes" description:"node name of its agent, see baobabctl status"`
@@ -165,7 +167,7 @@
 }
 
 type replaceCommand struct {
-	app *app
+	app  *app
 	Args struct {
 		Old     ids.Node `positional-arg-name:"OLD" required:"yes" description:"node name of the lost control node"`
 		Address string   `positional-arg-name:"ADDRESS" required:"yes" description:"listener of the new control node, host:port"`
--- a/executor/credit.go
+++ b/executor/credit.go
@@ -63,8 +63,15 @@
 	return list
 }
 
-// worthReporting tells whether a report must go out. A change of credit alone
-// is reported when it opens or closes the upstream to the entry.
+// creditInterval is how long an entry's view of an upstream may be wrong before
+// a message corrects it. Most views are corrected earlier by a report that goes
+// to the entry anyway. Correcting them at once cost 4 % of all messages and
+// improved the mean response time by 1 %.
+const creditInterval = 200 * time.Millisecond
+
+// worthReporting tells whether a report must go out now. A change of credit
+// alone is reported when the entry has taken the upstream to be open or closed
+// in error for a while.
 func (c *Core) worthReporting(now time.Duration, s *session) bool {
 	if s.due || len(s.answers)+len(s.extra)+len(s.started) > 0 {
 		return true
@@ -72,10 +79,35 @@
 	if s.reportedD != c.draining || s.reportedX != c.down {
 		return true
 	}
-	if s.credit == s.granted {
+	isOpen := c.openTo(s)
+	if c.believedOpen(s) == isOpen {
+		s.changedAt = 0
 		return false
 	}
-	wasOpen := s.granted > s.holding+c.cfg.LookAhead
-	isOpen := s.credit > s.holding+c.cfg.LookAhead
-	return wasOpen != isOpen
+	if s.changedAt == 0 {
+		s.changedAt = now
+	}
+	return now-s.changedAt >= creditInterval
+}
+
+// openTo reports whether a task of the entry would start at once.
+func (c *Core) openTo(s *session) bool {
+	return s.credit > s.holding && c.running+c.queued < c.limit()
+}
+
+// believedOpen reports what the entry concludes from the last report and its own
+// tasks.
+func (c *Core) believedOpen(s *session) bool {
+	return s.sentCredit > s.holding && s.sentOthers+s.holding < c.limit()
+}
+
+// creditDue returns when a change of credit is to be reported.
+func (c *Core) creditDue() time.Duration {
+	var next time.Duration
+	for _, s := range c.order {
+		if s.connected && s.changedAt != 0 {
+			next = earliest(next, s.changedAt+creditInterval)
+		}
+	}
+	return next
 }
