entry: check all silent agents by one timer

Cause: each connection to an agent had a ticker of 500 ms. Change: one ticker in each life wakes only the monitors of silent agents that have work.

--- a/entry/agentconn.go
+++ b/entry/agentconn.go
@@ -44,8 +44,9 @@
 	cancel context.CancelFunc
 
 	link    atomic.Pointer[link]
-	heard   atomic.Int64 // Unix nanoseconds of the last message of the agent
-	working atomic.Int64 // tasks at the agent without an answer
+	heard   atomic.Int64  // Unix nanoseconds of the last message of the agent
+	working atomic.Int64  // tasks at the agent without an answer
+	check   chan struct{} // wakes the monitor
 	pending map[ids.TaskKey]struct{}
 }
 
@@ -81,7 +82,7 @@
 }
 
 func (l *life) newAgentConn(m wire.Member) *agentConn {
-	a := &agentConn{life: l, member: m, pending: map[ids.TaskKey]struct{}{}}
+	a := &agentConn{life: l, member: m, pending: map[ids.TaskKey]struct{}{}, check: make(chan struct{}, 1)}
 	a.ctx, a.cancel = context.WithCancel(l.ctx)
 	go a.run()
 	return a
@@ -174,22 +175,50 @@
 // monitor returns when the connection has ended, or when an agent that has work
 // stays silent.
 func (a *agentConn) monitor(c *rpc.Conn) {
-	t := time.NewTicker(a.life.entry.opts.PingAfter)
-	defer t.Stop()
 	for {
 		select {
 		case <-c.Done():
 			return
 		case <-a.ctx.Done():
 			return
-		case now := <-t.C:
-			if a.quiet(now) && !a.ping(c) {
+		case <-a.check:
+			if a.quiet(time.Now()) && !a.ping(c) {
 				return
 			}
 		}
 	}
 }
 
+// checkAgents wakes the monitors of silent agents that have work. One timer
+// serves all, since thousands of idle agents would otherwise wake the process
+// several thousand times a second.
+func (l *life) checkAgents() {
+	t := time.NewTicker(l.entry.opts.PingAfter)
+	defer t.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case now := <-t.C:
+			l.loop.Post(func(time.Duration) {
+				for _, a := range l.agents {
+					a.wake(now)
+				}
+			})
+		}
+	}
+}
+
+func (a *agentConn) wake(now time.Time) {
+	if !a.quiet(now) {
+		return
+	}
+	select {
+	case a.check <- struct{}{}:
+	default: // it is awake
+	}
+}
+
 func (a *agentConn) quiet(now time.Time) bool {
 	return a.working.Load() > 0 && now.UnixNano()-a.heard.Load() > int64(a.life.entry.opts.PingAfter)
 }
--- a/entry/life.go
+++ b/entry/life.go
@@ -62,6 +62,7 @@
 	l.loop.Start()
 	l.loop.Call(l.applyView)
 	go l.follow()
+	go l.checkAgents()
 }
 
 func (l *life) hasEnded() bool { return l.ctx.Err() != nil }
