--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -327,6 +327,7 @@
 		if n != 1 && n != 2 && n != 4 && n != regionPeers {
 			continue
 		}
+		time.Sleep(wire.RenewInterval) // the new learners have caught up
 		r, err := g.nodes[0].watch(pass)
 		if err != nil {
 			return nil, err
--- a/bench/capacity/report.go
+++ b/bench/capacity/report.go
@@ -1,7 +1,9 @@
 package capacity
 
 import (
+	"fmt"
 	"io"
+	"time"
 
 	"k8s.io/klog/v2"
 )
@@ -38,11 +40,12 @@
 		if only != "" && only != p.name {
 			continue
 		}
+		start := time.Now()
 		series, err := p.run()
 		if err != nil {
 			return err
 		}
-		Print(w, p.title, series)
+		Print(w, fmt.Sprintf("%s, in %.0f s", p.title, time.Since(start).Seconds()), series)
 	}
 	return nil
 }
