--- a/bench/cluster.go
+++ b/bench/cluster.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"runtime"
-	"strings"
+	"runtime/debug"
+	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/dispatch"
@@ -36,8 +36,9 @@
 	Load       Load
 	Seed       uint64
 	Faults     []Fault
-	Quotas     []int     // of the teams, equal if nil
-	Trace      io.Writer // receives one line for each step, nil for none
+	Quotas     []int         // of the teams, equal if nil
+	CountFrom  time.Duration // messages, starts and runs before are not counted
+	Trace      io.Writer     // receives one line for each step, nil for none
 	// wrapAgent and wrapEntry replace a core by a broken one in negative tests.
 	wrapAgent func(agentCore) agentCore
 	wrapEntry func(entryCore) entryCore
@@ -45,15 +46,13 @@
 
 // Result is what a run measured.
 type Result struct {
-	Records          []Record
-	Messages, Wasted int
-	WastedBy         map[string]int // wasted messages by content
-	Starts, Runs     int
-	SingleStarts     int
-	AgentRefusals    map[verdict.Reason]int
-	CallerRefusals   map[verdict.Reason]int
-	Violations       []Violation
-	spans            []*span
+	Counts
+	Records        []Record
+	WastedBy       map[string]int // wasted messages by content
+	AgentRefusals  map[verdict.Reason]int
+	CallerRefusals map[verdict.Reason]int
+	Violations     []Violation
+	spans          []*span
 }
 
 // Cluster is one run: entries and agents with the real cores, connected by fakes.
@@ -65,8 +64,7 @@
 	check    *checker
 	acct     *accounts
 	ups      []*upstream
-	entries  map[ids.Incarnation]*process
-	agents   map[ids.Incarnation]*process
+	byInc    map[ids.Incarnation]*process
 	lives    []*process // all processes in order of their start
 	callers  []*caller
 	open     int // callers without an outcome
@@ -79,7 +77,7 @@
 // linkFaults is the state of all links between entries and agents.
 type linkFaults struct {
 	loss, late, double float64         // probabilities for each message
-	down               map[[2]int]bool // pairs of entry and upstream without contact
+	down               map[target]bool // pairs of entry and upstream without contact
 }
 
 // maxLate is the longest extra delay of a late message.
@@ -87,22 +85,24 @@
 
 // Run drives the real cores through one workload.
 func Run(o Options) *Result {
-	c := &Cluster{opts: o, rng: rand.New(rand.NewPCG(o.Seed, 3)), acct: newAccounts(),
-		entries: map[ids.Incarnation]*process{}, agents: map[ids.Incarnation]*process{},
-		refusals: map[verdict.Reason]int{}, lastAt: map[[2]ids.Incarnation]time.Duration{}}
-	c.links.down = map[[2]int]bool{}
+	c := &Cluster{opts: o, rng: newRand(o.Seed, 3), acct: newAccounts(),
+		byInc: map[ids.Incarnation]*process{}, refusals: map[verdict.Reason]int{}, lastAt: map[[2]ids.Incarnation]time.Duration{}}
+	c.links.down = map[target]bool{}
 	c.check = newChecker(func() time.Duration { return c.now })
 	c.ctl = newControl(c, o.Seed)
 	for i, speed := range o.Deployment.Speeds {
 		c.ups = append(c.ups, &upstream{index: i, speed: speed, slow: 1, slots: o.Deployment.Slots})
-		c.startAgent(i)
+		c.start(wire.KindAgent, i)
 	}
 	for i := range o.Deployment.Weights {
-		c.startEntry(i)
+		c.start(wire.KindEntry, i)
 	}
 	for _, f := range o.Faults {
 		c.at(f.At, func() { c.apply(f) })
 	}
+	if o.CountFrom > 0 {
+		c.at(o.CountFrom, c.acct.reset)
+	}
 	c.startCallers()
 	c.runToEnd()
 	return c.result()
@@ -123,51 +123,27 @@
 func (c *Cluster) runToEnd() {
 	defer func() {
 		if r := recover(); r != nil {
-			c.check.broken(CorePanicked, "%v at %s", r, panicSite())
+			c.check.broken(CorePanicked, "%v\n%s", r, debug.Stack())
 		}
 	}()
-	end := c.opts.Load.Length + maxRun
-	c.runUntil(end, func() bool { return c.open == 0 && c.now >= c.opts.Load.Length })
+	length := c.opts.Load.Length
+	never := func() bool { return false }
+	c.runUntil(length+maxRun, func() bool { return c.open == 0 && c.now >= length })
+	end := c.now + time.Second
 	if len(c.opts.Faults) > 0 {
-		c.runUntil(max(c.now, c.lastDeadline())+settle, func() bool { return false })
-	} else {
-		c.runUntil(c.now+time.Second, func() bool { return false })
-	}
-	c.check.finish(c.callers)
-}
-
-// lastDeadline is the latest deadline of all submissions.
-func (c *Cluster) lastDeadline() time.Duration {
-	last := time.Duration(0)
-	for _, cl := range c.callers {
-		last = max(last, cl.sub.Deadline)
-	}
-	return last
-}
-
-// panicSite returns the function of the cores in which a panic began.
-func panicSite() string {
-	var pcs [32]uintptr
-	frames := runtime.CallersFrames(pcs[:runtime.Callers(3, pcs[:])])
-	for {
-		f, more := frames.Next()
-		if strings.Contains(f.Function, "/dispatch.") || strings.Contains(f.Function, "/executor.") {
-			return fmt.Sprintf("%s:%d", f.Function, f.Line)
-		}
-		if !more {
-			return "the harness"
+		end = c.now + settle
+		for _, cl := range c.callers {
+			end = max(end, cl.sub.Deadline+settle)
 		}
 	}
+	c.runUntil(end, never)
+	c.check.finish(c.callers)
 }
 
 // result collects the measurements.
 func (c *Cluster) result() *Result {
-	r := &Result{Starts: c.acct.starts, Runs: c.acct.runs, SingleStarts: c.acct.singles,
-		AgentRefusals: c.acct.refusals, CallerRefusals: c.refusals, Violations: c.check.violations, spans: c.spans}
-	r.Messages, r.WastedBy = c.acct.totals()
-	for _, n := range r.WastedBy {
-		r.Wasted += n
-	}
+	r := &Result{AgentRefusals: c.acct.refusals, CallerRefusals: c.refusals, Violations: c.check.violations, spans: c.spans}
+	r.Counts, r.WastedBy = c.acct.totals()
 	for _, cl := range c.callers {
 		r.Records = append(r.Records, cl.record)
 	}
@@ -180,39 +156,31 @@
 	}
 }
 
-// startEntry starts a new incarnation of an entry.
-func (c *Cluster) startEntry(index int) {
-	p := c.newProcess(wire.KindEntry, index)
-	core := entryCore(dispatch.New(c.config(p.inc), c.opts.Seed+uint64(p.inc)))
-	if c.opts.wrapEntry != nil {
-		core = c.opts.wrapEntry(core)
-	}
-	p.entry = core
-	c.entries[p.inc] = p
-	p.heartbeat()
-	c.ctl.reassign()
-}
-
-// startAgent starts a new incarnation of the agent beside an upstream.
-func (c *Cluster) startAgent(index int) {
-	p := c.newProcess(wire.KindAgent, index)
-	core := agentCore(executor.New(executor.Config{Self: p.inc, Slots: c.opts.Deployment.Slots,
-		Connections: connections, LookAhead: dispatch.DefaultLookAhead, AnswerBytes: answerBytes}))
-	if c.opts.wrapAgent != nil {
-		core = c.opts.wrapAgent(core)
-	}
-	p.agent = core
-	c.agents[p.inc] = p
-	p.heartbeat()
-}
-
-// newProcess registers a process with the control group.
-func (c *Cluster) newProcess(kind wire.Kind, index int) *process {
+// start starts a new incarnation of an entry, or of the agent beside an upstream.
+func (c *Cluster) start(kind wire.Kind, index int) {
 	p := &process{c: c, kind: kind, index: index, confirmed: c.now, conns: map[ids.Incarnation]bool{},
 		requests: map[ids.TaskKey]*caller{}, sent: map[sentStart]bool{}, running: map[ids.TaskKey]*span{}}
 	c.ctl.register(p)
 	c.lives = append(c.lives, p)
-	return p
+	c.byInc[p.inc] = p
+	if kind == wire.KindEntry {
+		p.entry = dispatch.New(c.config(p.inc), c.opts.Seed+uint64(p.inc))
+		if c.opts.wrapEntry != nil {
+			p.entry = c.opts.wrapEntry(p.entry)
+		}
+		p.core = p.entry
+	} else {
+		p.agent = executor.New(executor.Config{Self: p.inc, Slots: c.opts.Deployment.Slots,
+			Connections: connections, LookAhead: dispatch.DefaultLookAhead, AnswerBytes: answerBytes})
+		if c.opts.wrapAgent != nil {
+			p.agent = c.opts.wrapAgent(p.agent)
+		}
+		p.core = p.agent
+	}
+	p.heartbeat()
+	if kind == wire.KindEntry {
+		c.ctl.reassign()
+	}
 }
 
 // config is the configuration in force.
@@ -248,17 +216,23 @@
 func (c *Cluster) reachable(prefer int) *process {
 	n := len(c.opts.Deployment.Weights)
 	for i := range n {
-		if p := c.current(wire.KindEntry, (prefer+i)%n); p != nil && !p.frozen {
+		if p := c.entryAt((prefer + i) % n); p != nil && !p.frozen {
 			return p
 		}
 	}
 	return nil
 }
 
+// entryAt returns the running entry of the given index, or nil.
+func (c *Cluster) entryAt(index int) *process { return c.current(wire.KindEntry, index) }
+
+// agentAt returns the running agent beside an upstream, or nil.
+func (c *Cluster) agentAt(index int) *process { return c.current(wire.KindAgent, index) }
+
 // current returns the running process of the given kind and index, or nil.
 func (c *Cluster) current(kind wire.Kind, index int) *process {
-	for i := len(c.lives) - 1; i >= 0; i-- {
-		if p := c.lives[i]; p.kind == kind && p.index == index && !p.dead {
+	for _, p := range slices.Backward(c.lives) {
+		if p.kind == kind && p.index == index && !p.dead {
 			return p
 		}
 	}
@@ -268,22 +242,22 @@
 // send delivers a message between an entry and an agent in order, unless a
 // fault drops, delays or repeats it.
 func (c *Cluster) send(from, to *process, deliver func()) {
-	entry, agent := from, to
+	pair := target{from.index, to.index}
 	if from.kind == wire.KindAgent {
-		entry, agent = to, from
+		pair = target{to.index, from.index}
 	}
-	if c.links.down[[2]int{entry.index, agent.index}] || c.rng.Float64() < c.links.loss {
+	if c.links.down[pair] || c.rng.Float64() < c.links.loss {
 		return
 	}
-	latency := c.opts.Deployment.link(entry.index, agent.index)
+	latency := c.opts.Deployment.link(pair.entry, pair.up)
 	arrive := func() { to.input(deliver) }
 	if c.rng.Float64() < c.links.late {
 		c.after(latency+time.Duration(c.rng.Int64N(int64(maxLate))), arrive)
 		return
 	}
-	pair := [2]ids.Incarnation{from.inc, to.inc}
-	at := max(c.now+latency, c.lastAt[pair])
-	c.lastAt[pair] = at
+	conn := [2]ids.Incarnation{from.inc, to.inc}
+	at := max(c.now+latency, c.lastAt[conn])
+	c.lastAt[conn] = at
 	c.at(at, arrive)
 	if c.rng.Float64() < c.links.double {
 		c.acct.message("copies")
@@ -293,11 +267,11 @@
 
 // claim carries a claim and its reply.
 func (c *Cluster) claim(p *process, order dispatch.ClaimOrder) {
-	to := c.agents[order.To]
-	if to == nil || to.dead || c.links.down[[2]int{p.index, to.index}] {
+	to := c.byInc[order.To]
+	if to == nil || to.dead || c.links.down[target{p.index, to.index}] {
 		return
 	}
-	c.acct.claims += 2
+	c.acct.counts.Messages += 2
 	latency := c.opts.Deployment.link(p.index, to.index)
 	c.after(latency, func() {
 		to.input(func() {
@@ -312,31 +286,33 @@
 
 // connect opens the missing connections of an entry to the agents it knows.
 func (c *Cluster) connect(p *process) {
-	for _, m := range c.ctl.members {
-		to := c.agents[m.Incarnation]
-		if to == nil || to.dead || p.conns[to.inc] || c.links.down[[2]int{p.index, to.index}] {
+	for _, to := range c.lives {
+		if to.kind != wire.KindAgent || to.dead || p.conns[to.inc] || c.links.down[target{p.index, to.index}] {
 			continue
 		}
-		p.conns[to.inc] = true
+		p.conns[to.inc], to.conns[p.inc] = true, true
 		c.after(2*c.opts.Deployment.link(p.index, to.index), func() {
 			if to.dead {
 				delete(p.conns, to.inc)
+				delete(to.conns, p.inc)
 				return
 			}
-			to.input(func() { to.agent.Connected(c.now, p.inc) })
-			p.input(func() { p.entry.Connected(c.now, to.inc) })
+			to.input(func() { to.core.Connected(c.now, p.inc) })
+			p.input(func() { p.core.Connected(c.now, to.inc) })
 		})
 	}
 }
 
-// disconnect ends the connection of an entry and an agent at both ends.
-func (c *Cluster) disconnect(entry, agent *process) {
-	if !entry.conns[agent.inc] {
+// disconnect ends the connection of two processes, if there is one, at both ends.
+func (c *Cluster) disconnect(a, b *process) {
+	if !a.conns[b.inc] {
 		return
 	}
-	delete(entry.conns, agent.inc)
-	entry.input(func() { entry.entry.Disconnected(c.now, agent.inc) })
-	agent.input(func() { agent.agent.Disconnected(c.now, entry.inc) })
+	delete(a.conns, b.inc)
+	delete(b.conns, a.inc)
+	for _, end := range [...][2]*process{{a, b}, {b, a}} {
+		end[0].input(func() { end[0].core.Disconnected(c.now, end[1].inc) })
+	}
 }
 
 // kill ends a process at once. Runs on the upstream of an agent end with it.
@@ -347,37 +323,29 @@
 	c.tracef("%s %d dies", p.kind, p.inc)
 	p.dead = true
 	p.held = nil
-	for _, cl := range c.callers {
-		if cl.at == p && !cl.done {
-			cl.lost()
-		}
-	}
+	c.abandon(p)
 	for _, r := range sortedRuns(p) {
 		p.end(r, wire.Answer{})
 	}
 	c.after(pingTimeout, func() {
 		for _, o := range c.lives {
-			switch {
-			case o.kind == p.kind:
-			case p.kind == wire.KindAgent:
-				c.disconnect(o, p)
-			default:
-				c.disconnect(p, o)
-			}
+			c.disconnect(p, o)
 		}
 	})
 }
 
 // restart starts the next incarnation of a process that has ended.
-func (c *Cluster) restart(p *process, after time.Duration) {
-	c.after(after, func() {
-		if c.current(p.kind, p.index) != nil {
-			return
-		}
-		if p.kind == wire.KindEntry {
-			c.startEntry(p.index)
-		} else {
-			c.startAgent(p.index)
+func (c *Cluster) restart(p *process) {
+	if c.current(p.kind, p.index) == nil {
+		c.start(p.kind, p.index)
+	}
+}
+
+// abandon makes the callers of an entry leave it.
+func (c *Cluster) abandon(p *process) {
+	for _, cl := range c.callers {
+		if cl.at == p && !cl.done {
+			cl.lost()
 		}
-	})
+	}
 }
--- a/bench/control.go
+++ b/bench/control.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/dispatch"
@@ -23,28 +24,35 @@
 	bodied bool // the owner's core has the bodies
 }
 
+// begin hands the job to the core of its owner. A job with bodies is new,
+// otherwise the owner takes it over.
+func (rec *jobRecord) begin(p *process, j dispatch.Job) {
+	rec.begun, rec.bodied = true, j.Specs != nil
+	j.JobSpec, j.ID, j.Epoch = p.c.spec(rec.caller.sub), rec.id, rec.epoch
+	p.c.check.owes(p, ids.TaskKey{Job: rec.id}, rec.epoch)
+	p.entry.Submit(p.c.now, j)
+}
+
 // control is the fake control group: a registry, leases and job records. It
-// is one place that never fails; its own faults are tested elsewhere.
+// is one place that never fails; its own faults are tested elsewhere. The
+// registry rows stand in the processes.
 type control struct {
 	c       *Cluster
 	rng     *rand.Rand
 	version uint64
-	members []wire.Member
-	leases  map[ids.Incarnation]time.Duration // last renewal
+	view    []wire.Member // of the registry, shared by the processes, nil after a change
 	jobs    []*jobRecord
 	byID    map[ids.Job]*jobRecord
-	byKey   map[string]*jobRecord
 }
 
 func newControl(c *Cluster, seed uint64) *control {
-	return &control{c: c, rng: rand.New(rand.NewPCG(seed, 4)), leases: map[ids.Incarnation]time.Duration{},
-		byID: map[ids.Job]*jobRecord{}, byKey: map[string]*jobRecord{}}
+	return &control{c: c, rng: newRand(seed, 4), byID: map[ids.Job]*jobRecord{}}
 }
 
 // register makes the registry row of a new process.
 func (k *control) register(p *process) {
 	d := k.c.opts.Deployment
-	k.version++
+	k.changed()
 	p.inc = ids.Incarnation(k.version)
 	m := wire.Member{Incarnation: p.inc}
 	m.Kind, m.Node = p.kind, ids.Node(fmt.Sprintf("%s-%d", p.kind, p.index))
@@ -54,36 +62,42 @@
 	} else {
 		m.Weight = d.Weights[p.index]
 	}
-	k.members = append(k.members, m)
-	k.leases[p.inc] = k.c.now
+	p.row = m
+	p.renewed = k.c.now
+}
+
+// changed begins a new version of the registry.
+func (k *control) changed() {
+	k.version++
+	k.view = nil
 }
 
-// member returns the row of an incarnation.
-func (k *control) member(inc ids.Incarnation) *wire.Member {
-	for i := range k.members {
-		if k.members[i].Incarnation == inc {
-			return &k.members[i]
+// rows returns the registry. Nobody may change the result.
+func (k *control) rows() []wire.Member {
+	if k.view == nil {
+		for _, p := range k.c.lives {
+			k.view = append(k.view, p.row)
 		}
 	}
-	return nil
+	return k.view
 }
 
 // setDraining marks the row of a process that leaves.
-func (k *control) setDraining(inc ids.Incarnation) {
-	k.version++
-	k.member(inc).Draining = true
+func (k *control) setDraining(p *process) {
+	k.changed()
+	p.row.Draining = true
 }
 
 // renewed takes in a renewal and schedules the end of the lease.
 func (k *control) renewed(p *process) {
 	at := k.c.now
-	k.leases[p.inc] = at
+	p.renewed = at
 	lease := wire.AgentLease
 	if p.kind == wire.KindEntry {
 		lease = wire.EntryLease
 	}
 	k.c.after(lease, func() {
-		if k.leases[p.inc] == at {
+		if p.renewed == at {
 			k.expire(p)
 		}
 	})
@@ -91,12 +105,11 @@
 
 // expire ends an incarnation and moves the jobs of an entry to a live one.
 func (k *control) expire(p *process) {
-	m := k.member(p.inc)
-	if !m.Live() {
+	if !p.row.Live() {
 		return
 	}
-	k.version++
-	m.Expired = ids.Version(k.version)
+	k.changed()
+	p.row.Expired = ids.Version(k.version)
 	k.c.tracef("control expires %s %d", p.kind, p.inc)
 	if p.kind == wire.KindEntry {
 		k.reassign()
@@ -107,7 +120,7 @@
 // live entry it waits for the next registration.
 func (k *control) reassign() {
 	for _, rec := range k.jobs {
-		if rec.state != wire.JobOpen || k.member(rec.owner.inc).Live() {
+		if rec.state != wire.JobOpen || rec.owner.row.Live() {
 			continue
 		}
 		to := k.liveEntry()
@@ -125,10 +138,10 @@
 func (k *control) liveEntry() *process {
 	var live []*process
 	var weights []int
-	for _, m := range k.members {
-		if m.Kind == wire.KindEntry && m.Live() {
-			live = append(live, k.c.entries[m.Incarnation])
-			weights = append(weights, m.Weight)
+	for _, p := range k.c.lives {
+		if p.kind == wire.KindEntry && p.row.Live() {
+			live = append(live, p)
+			weights = append(weights, p.row.Weight)
 		}
 	}
 	if len(live) == 0 {
@@ -137,16 +150,17 @@
 	return live[weighted(k.rng, weights)]
 }
 
-// admit records a job, or returns the record of the first submission of its key.
+// admit records a job, or returns the record of the first submission under the
+// caller's job key.
 func (k *control) admit(owner *process, cl *caller) (rec *jobRecord, duplicate bool) {
-	key := fmt.Sprintf("%d/%d", cl.sub.ID, cl.generation)
-	if rec := k.byKey[key]; rec != nil {
-		return rec, true
+	if cl.admission != nil {
+		return cl.admission, true
 	}
 	k.version++
 	rec = &jobRecord{id: ids.Job(k.version), epoch: 1, owner: owner, caller: cl, state: wire.JobOpen}
 	k.jobs = append(k.jobs, rec)
-	k.byID[rec.id], k.byKey[key] = rec, rec
+	k.byID[rec.id] = rec
+	cl.admission = rec
 	return rec, false
 }
 
@@ -175,9 +189,9 @@
 		if p.dead || p.frozen || p.cut {
 			return
 		}
-		if !c.ctl.member(p.inc).Live() {
+		if !p.row.Live() {
 			c.kill(p)
-			c.restart(p, time.Second)
+			c.after(time.Second, func() { c.restart(p) })
 			return
 		}
 		c.ctl.renewed(p)
@@ -189,29 +203,21 @@
 // checkCurrent tells the core when the last confirmation is too old.
 func (p *process) checkCurrent() {
 	if p.c.now-p.confirmed > wire.StaleAfter {
-		p.setCurrent(false)
-	}
-}
-
-func (p *process) setCurrent(current bool) {
-	if p.entry != nil {
-		p.entry.SetCurrent(current)
-	} else {
-		p.agent.SetCurrent(current)
+		p.core.SetCurrent(false)
 	}
 }
 
 // update applies the control group's state to the core of a process.
 func (p *process) update() {
 	c := p.c
-	p.setCurrent(true)
+	p.core.SetCurrent(true)
 	if at := ids.Version(c.ctl.version); at != p.view {
 		p.view = at
-		rows := append([]wire.Member(nil), c.ctl.members...)
 		if p.entry != nil {
-			p.entry.SetUpstreams(c.now, agentsOf(rows))
+			isEntry := func(m wire.Member) bool { return m.Kind == wire.KindEntry }
+			p.entry.SetUpstreams(c.now, slices.DeleteFunc(slices.Clone(c.ctl.rows()), isEntry))
 		} else {
-			p.agent.SetEntries(c.now, at, rows)
+			p.agent.SetEntries(c.now, at, c.ctl.rows())
 		}
 	}
 	if p.entry == nil {
@@ -222,20 +228,7 @@
 		if rec.owner != p || rec.state != wire.JobOpen {
 			continue
 		}
-		rec.begun = true
-		c.check.owes(p, outcomeID{job: rec.id, epoch: rec.epoch})
-		p.entry.Submit(c.now, dispatch.Job{JobSpec: c.spec(rec.caller.sub), ID: rec.id, Epoch: rec.epoch, Takeover: true})
+		rec.begin(p, dispatch.Job{Takeover: true})
 	}
 	p.assigned = nil
 }
-
-// agentsOf returns the rows of agents.
-func agentsOf(rows []wire.Member) []wire.Member {
-	var list []wire.Member
-	for _, m := range rows {
-		if m.Kind == wire.KindAgent {
-			list = append(list, m)
-		}
-	}
-	return list
-}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -53,7 +53,9 @@
 	busy        fenwick     // busy slots by cost bucket
 	rate        fenwick     // completions per unit of work by cost bucket
 
+	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
+	held   int      // attempts without an answer
 	fair   fairQueue
 	quar   int        // upstreams in quarantine
 	aheads []*attempt // attempts placed as look-ahead, not yet answered
@@ -67,6 +69,7 @@
 	team     ids.Team
 	svc      *service
 	deadline time.Duration
+	due      time.Duration // when the last task should have started
 	single   bool
 	idem     bool
 	ended    bool
@@ -76,17 +79,18 @@
 	sent     int // attempts without an answer
 	maybeRan bool
 
-	work     estimate // run time of this job's tasks, normalized
-	declared float64  // seconds, zero if unknown
+	offset   offset  // run time of this job's tasks
+	declared float64 // seconds, zero if unknown
 
 	// Fair sharing.
-	arrived uint64
-	pass    float64
-	pos     int // position in the heap of the team, -1 if nothing waits
-	next    int // first task that has never been placed
-	again   []int
-	waiting int
-	queue   *teamQueue
+	arrived   uint64
+	pos       int           // position in the heap of the team, -1 if nothing waits
+	latest    time.Duration // when the job becomes urgent
+	urgentPos int
+	next      int // first task that has never been placed
+	again     []int
+	waiting   int
+	queue     *teamQueue
 
 	touched       map[*upstream]struct{}
 	visited       []*upstream // upstreams that may hold rows, in order of first use
@@ -118,8 +122,8 @@
 	recalled   bool
 	running    bool // the agent has said that it runs
 	hedgeTimer *timer
+	rate       int // speed of the upstream when it was placed, in units of rateUnit
 	isHedge    bool
-	charged    float64 // slot seconds charged to team and job
 	sentAt     time.Duration
 	resentAt   time.Duration
 	resends    int
@@ -179,7 +183,7 @@
 	if s != nil {
 		return s
 	}
-	s = &service{name: name, cfg: c.cfg.Services[name]}
+	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1}
 	s.fair.init()
 	c.services[name] = s
 	at, _ := slices.BinarySearchFunc(c.svcOrder, name, func(o *service, n ids.Service) int {
@@ -254,12 +258,17 @@
 	return ids.TaskOf(j.id, index)
 }
 
-// addJob files the bodies and the deadline of a job.
-func (c *Core) addJob(j *job, specs []wire.TaskSpec) {
+// addJob files the bodies, the team and the deadline of a job.
+func (c *Core) addJob(now time.Duration, j *job, specs []wire.TaskSpec) {
 	for i := range specs {
 		j.tasks[i].spec = specs[i]
 	}
+	q := &j.svc.fair
+	q.arrived++
+	j.arrived = q.arrived
+	j.queue = q.team(j.team, c.cfg.Teams[j.team].Quota)
 	j.pos = -1
+	j.due, _ = j.svc.plan(now, j.deadline, j.queue, len(j.tasks), j.svc.taskWork(seconds(j.declared)))
 	j.deadlineTimer = c.timers.add(j.deadline, &timer{kind: deadlineTimer, job: j})
 }
 
@@ -282,7 +291,7 @@
 		declared: s.RunTime.Seconds(),
 	}
 	c.jobs[s.ID] = j
-	c.addJob(j, s.Specs)
+	c.addJob(now, j, s.Specs)
 	if s.Takeover {
 		c.startTakeover(now, j, len(s.Specs) > 0)
 		return
@@ -314,7 +323,7 @@
 		waiting:  1,
 	}
 	c.requests[r.Key] = j
-	c.addJob(j, []wire.TaskSpec{r.Spec})
+	c.addJob(now, j, []wire.TaskSpec{r.Spec})
 	c.enqueue(j)
 	return nil
 }
