dispatch: count failures of a job against the upstream where it first failed

A job stops at its first failure, so a failing upstream was charged once for eight failed tasks and one entry never quarantined it. Failures on a second upstream now clear the first, so a job that fails everywhere harms none.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -85,8 +85,10 @@
 	switch {
 	case ans.Verdict == verdict.Ran && ans.Status > 0 && ans.Status < 500:
 		c.learn(u, nil, ans)
-		c.succeeded(now, u)
+		c.succeeded(now, u, a.sentAt)
 		c.reindex(u)
+	case ans.Verdict == verdict.Ran:
+		c.blame(now, u, a.job, ans)
 	case ans.Reason == verdict.Canceled && ans.RunUS > 0:
 		u.svc.learnAborted(u, float64(ans.RunUS)/1e6)
 	}
@@ -134,7 +136,7 @@
 func (c *Core) taskDone(now time.Duration, u *upstream, a *attempt, ans *wire.Answer) {
 	j := a.job
 	c.learn(u, j, ans)
-	c.succeeded(now, u)
+	c.succeeded(now, u, a.sentAt)
 	c.reindex(u)
 	c.earnRetries()
 	t := &j.tasks[a.index]
@@ -152,7 +154,7 @@
 func (c *Core) taskFailed(now time.Duration, u *upstream, a *attempt, ans *wire.Answer) {
 	j := a.job
 	if ans.Reason != verdict.AnswerExpired && ans.Reason != verdict.Fenced {
-		c.failed(now, u, string(ans.Reason))
+		c.blame(now, u, j, ans)
 	}
 	if j.single {
 		c.requestFailed(now, u, a, ans)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -96,6 +96,8 @@
 	visited       []*upstream // upstreams that may hold rows, in order of first use
 	takeover      *takeover
 	deadlineTimer *timer
+	blamed        *upstream // first upstream on which a task failed
+	blames        int       // failures counted against it
 }
 
 // task is one task of a job.
--- a/dispatch/deadlines.go
+++ b/dispatch/deadlines.go
@@ -12,8 +12,8 @@
 	urgency = 2.0
 	// planShare is the part of the time to the deadline in which a job is planned
 	// to end. Run times vary, so work planned up to the deadline often misses it.
-	planShare = 0.25
-	reserveFixed = 1500*time.Millisecond
+	planShare    = 0.25
+	reserveFixed = 1500 * time.Millisecond
 	reserveShare = 0.4
 	// dueSlots and dueStep give the table of deadlines a horizon of 64 s. Later
 	// deadlines are counted in the last slot.
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -45,17 +45,18 @@
 	marked   bool
 	flushSet bool
 
-	speed    estimate // run time relative to the service's work
-	recent   float64  // fast average of the speed's residual
-	stall    float64  // penalty while its tasks are overdue
-	health   Health
-	window   int     // ramp-up limit of held tasks
-	failRate float64 // moving average
-	streak   int     // failures since the last success
-	good     int     // successes since the last change of health
-	probeAt  time.Duration
-	probeGap time.Duration
-	stableAt time.Duration // end of the trickle after flapping
+	speed         estimate // run time relative to the service's work
+	recent        float64  // fast average of the speed's residual
+	stall         float64  // penalty while its tasks are overdue
+	health        Health
+	window        int     // ramp-up limit of held tasks
+	failRate      float64 // moving average
+	streak        int     // failures since the last success
+	good          int     // successes since the last change of health
+	probeAt       time.Duration
+	probeGap      time.Duration
+	quarantinedAt time.Duration
+	stableAt      time.Duration // end of the trickle after flapping
 
 	slow   float64 // expected run time relative to the service's work, with penalties
 	bucket int
@@ -94,6 +95,33 @@
 	failPenalty = 20
 )
 
+// blame attributes a failed task. Failures of one job count against the first
+// upstream on which it fails; when it fails on a second one as well, the job is
+// taken to be at fault and the first upstream is cleared.
+func (c *Core) blame(now time.Duration, u *upstream, j *job, ans *wire.Answer) {
+	switch {
+	case j.single || j.blamed == nil || j.blamed == u:
+		j.blamed = u
+		j.blames++
+		c.failed(now, u, string(ans.Reason))
+	case j.blames > 0:
+		c.clear(now, j)
+	}
+}
+
+// clear takes back the failures that a job has counted against an upstream.
+func (c *Core) clear(now time.Duration, j *job) {
+	u := j.blamed
+	for ; j.blames > 0; j.blames-- {
+		u.failRate = max((u.failRate-failWeight)/(1-failWeight), 0)
+		u.streak = max(u.streak-1, 0)
+	}
+	if u.health == Quarantined && u.streak < minStreak && !u.gone {
+		c.release(now, u)
+	}
+	c.reindex(u)
+}
+
 // failed records a failure of a task on u and quarantines u when it fails more
 // than the other upstreams do.
 func (c *Core) failed(now time.Duration, u *upstream, why string) {
@@ -148,14 +176,19 @@
 	u.health = Quarantined
 	u.svc.quar++
 	u.svc.quarantined = append(u.svc.quarantined, u)
+	u.quarantinedAt = now
 	u.probeGap = max(u.probeGap, probeFirst)
 	u.probeAt = now + u.probeGap
 	c.decide(now, "quarantine", u.inc, ids.TaskKey{}, why)
 	c.recallAhead(now, u)
 }
 
-// succeeded records a task that u ran without failure.
-func (c *Core) succeeded(now time.Duration, u *upstream) {
+// succeeded records a task that u ran without failure. Tasks that it started
+// before its quarantine don't count as probes.
+func (c *Core) succeeded(now time.Duration, u *upstream, sentAt time.Duration) {
+	if u.health == Quarantined && sentAt < u.quarantinedAt {
+		return
+	}
 	u.streak = 0
 	u.good++
 	u.backoff = 0
