--- a/bench/measure.go
+++ b/bench/measure.go
@@ -22,6 +22,11 @@
 	Results []*Result // none for a baseline
 }
 
+// incomplete counts submissions without a complete answer.
+func (r Row) incomplete() int {
+	return len(slices.DeleteFunc(slices.Clone(r.Records), func(rec Record) bool { return rec.Complete }))
+}
+
 // names of the rows that comparisons refer to.
 const (
 	rowCore       = "baobabshore"
--- a/bench/report.go
+++ b/bench/report.go
@@ -68,36 +68,39 @@
 	return err
 }
 
-// table begins a section with a table. Rows follow with row.
+// table begins a section with a table.
 func (r *report) table(title, text string, columns ...string) {
-	fmt.Fprintf(r, "\n## %s\n\n", title)
 	if text != "" {
-		fmt.Fprintf(r, "%s\n\n", text)
+		text = "\n" + text + "\n"
 	}
-	fmt.Fprintf(r, "| %s |\n|%s\n", strings.Join(columns, " | "), strings.Repeat("---|", len(columns)))
+	fmt.Fprintf(r, "\n## %s\n%s\n| %s |\n|%s\n", title, text, strings.Join(columns, " | "), strings.Repeat("---|", len(columns)))
 }
 
-// row prints one row of a table.
-func (r *report) row(cells ...any) { fmt.Fprintln(r, tableRow(cells...)) }
+// rows begins a section with a table of measured rows. Times are in milliseconds.
+func (r *report) rows(title, text string, labels ...string) {
+	r.table(title, text, append(labels, "answers", "mean", "p50", "p99", "p99.9", "lag", "mean ratio", "p99 ratio",
+		"messages/task", "wasted", "incomplete")...)
+}
 
-// tableRow formats one row. Times are in milliseconds.
-func tableRow(cells ...any) string {
-	var b strings.Builder
-	for _, c := range cells {
-		switch v := c.(type) {
-		case time.Duration:
-			fmt.Fprintf(&b, "| %.0f ", float64(v)/float64(time.Millisecond))
-		case float64:
-			fmt.Fprintf(&b, "| %.3f ", v)
-		default:
-			fmt.Fprintf(&b, "| %v ", v)
-		}
+// row prints a measured row. Its ratios are against best, if there is one.
+func (r *report) row(row Row, best *Row, labels ...any) {
+	for _, label := range labels {
+		fmt.Fprintf(r, "| %v ", label)
+	}
+	ms := func(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+	fmt.Fprintf(r, "| %d | %.0f | %.0f | %.0f | %.0f | %.2f ", row.Count, ms(row.Mean), ms(row.P50), ms(row.P99), ms(row.P999), row.Lag)
+	if best != nil {
+		fmt.Fprintf(r, "| %.3f | %.3f ", ratio(row.Mean, best.Mean), ratio(row.P99, best.P99))
+	} else {
+		fmt.Fprint(r, "| - | - ")
+	}
+	if row.Results != nil {
+		fmt.Fprintf(r, "| %.2f | %.2f %% | %d |\n", row.PerTask(), 100*row.WastedShare(), row.incomplete())
+	} else {
+		fmt.Fprintln(r, "| - | - | - |")
 	}
-	return b.String() + "|"
 }
 
-func percent(share float64) string { return fmt.Sprintf("%.2f %%", 100*share) }
-
 // targets prints the bounds of design section 1.5 that counts and virtual time
 // decide.
 func (r *report) targets() {
@@ -111,42 +114,29 @@
 		if t.AtLeast {
 			relation = "≥"
 		}
-		cells := []any{t.Name, fmt.Sprintf("%s %.3g", relation, t.Bound)}
+		fmt.Fprintf(r, "| %s | %s %.3g ", t.Name, relation, t.Bound)
 		for _, column := range columns {
-			got := fmt.Sprintf("%.4f", column[i].Got)
+			format := "| %.4f "
 			if !column[i].Met() {
-				got = "**" + got + "**"
+				format = "| **%.4f** "
 			}
-			cells = append(cells, got)
+			fmt.Fprintf(r, format, column[i].Got)
 		}
-		r.row(cells...)
+		fmt.Fprintln(r, "|")
 	}
 }
 
 // scale compares today's size with the design scale.
 func (r *report) scale() {
 	text := fmt.Sprintf("gt-centro at 70 %% load, from %v to %v of virtual time, against the omniscient dispatcher in fair order.", scaleWarmup, scaleLength)
-	r.table("Size", text, "upstreams", "entries", "runs", "answers", "mean", "p99", "lag", "mean ratio", "p99 ratio",
-		"messages/task", "wasted", "incomplete")
+	r.rows("Size", text, "upstreams", "entries", "runs")
 	for _, d := range []Deployment{GtCentro(), designScale()} {
 		core, ideal := runScale(d)
-		r.row(len(d.Speeds), len(d.Weights), len(core.Results), core.Count, core.Mean, core.P99, core.Lag, ratio(core.Mean, ideal.Mean),
-			ratio(core.P99, ideal.P99), core.PerTask(), percent(core.WastedShare()), incomplete(core.Records))
+		r.row(core, &ideal, len(d.Speeds), len(d.Weights), len(core.Results))
 		r.addReasons(fmt.Sprintf("%d upstreams", len(d.Speeds)), core.Results)
 	}
 }
 
-// incomplete counts submissions without a complete answer.
-func incomplete(records []Record) int {
-	n := 0
-	for _, rec := range records {
-		if !rec.Complete {
-			n++
-		}
-	}
-	return n
-}
-
 // loads compares the cores and all baselines over the load and plots the curves.
 func (r *report) loads() error {
 	printed := []float64{0.3, 0.7, 0.9}
@@ -175,16 +165,10 @@
 
 // load prints the rows of one load.
 func (r *report) load(title string, rows []Row) {
-	r.table(title, "", "dispatcher", "answers", "mean", "p50", "p99", "p99.9", "lag", "mean ratio", "p99 ratio",
-		"messages/task", "wasted", "incomplete")
+	r.rows(title, "", "dispatcher")
 	best := find(rows, rowOmniscient)
 	for _, row := range rows {
-		cells := []any{row.Name, row.Count, row.Mean, row.P50, row.P99, row.P999, row.Lag, ratio(row.Mean, best.Mean), ratio(row.P99, best.P99)}
-		if row.Results == nil {
-			r.row(append(cells, "-", "-", "-")...)
-			continue
-		}
-		r.row(append(cells, row.PerTask(), percent(row.WastedShare()), incomplete(row.Records))...)
+		r.row(row, &best, row.Name)
 	}
 	r.addReasons(title, rows[0].Results)
 }
@@ -203,7 +187,7 @@
 			}
 		}
 	}
-	r.reasons = append(r.reasons, tableRow(run, list(agents), list(callers), list(ends), list(wasted)))
+	r.reasons = append(r.reasons, fmt.Sprintf("| %s | %s | %s | %s | %s |", run, list(agents), list(callers), list(ends), list(wasted)))
 }
 
 func addCounts[K comparable](to, from map[K]int) {
@@ -223,13 +207,13 @@
 
 // tradeoff varies the setting from fewest messages to fastest answers.
 func (r *report) tradeoff() error {
-	r.table("Setting tradeoff at 70 % load", "", "deployment", "tradeoff", "mean", "p99", "lag", "messages/task", "wasted")
+	r.rows("Setting tradeoff at 70 % load", "", "deployment", "tradeoff")
 	response, messages := curves{}, curves{}
 	for _, d := range deployments() {
 		for _, t := range []float64{0, 0.25, 0.5, 0.75, 1} {
 			d.Tradeoff = t
 			row := runSeeds(Options{Deployment: d, Load: Load{Base: 0.7, Length: steadyLength}}, steadySeeds, nil)
-			r.row(d.Name, t, row.Mean, row.P99, row.Lag, row.PerTask(), percent(row.WastedShare()))
+			r.row(row, nil, d.Name, t)
 			response.add(d.Name, t, row.Lag)
 			messages.add(d.Name, t, row.PerTask())
 		}
@@ -247,15 +231,14 @@
 	kinds := append([]FaultKind{""}, FaultKinds...)
 	results := map[FaultKind][]*Result{}
 	for _, d := range deployments() {
-		r.table("One fault on "+d.Name+" at 70 % load", fmt.Sprintf("%d runs of %v each, the fault at 15 s for 8 s.", faultSeeds, faultLength),
-			"fault", "mean", "p99", "lag", "messages/task", "wasted", "incomplete", "violations")
+		r.rows("One fault on "+d.Name+" at 70 % load", fmt.Sprintf("%d runs of %v each, the fault at 15 s for 8 s.", faultSeeds, faultLength), "fault", "violations")
 		for _, kind := range kinds {
 			row := RunFault(d, kind, faultSeeds)
 			broken := 0
 			for _, res := range row.Results {
 				broken += len(res.Violations)
 			}
-			r.row(cmp.Or(kind, "none"), row.Mean, row.P99, row.Lag, row.PerTask(), percent(row.WastedShare()), incomplete(row.Records), broken)
+			r.row(row, nil, cmp.Or(kind, "none"), broken)
 			results[kind] = append(results[kind], row.Results...)
 		}
 	}
@@ -276,13 +259,13 @@
 			seeds[v.Promise] = append(seeds[v.Promise], seed)
 		}
 	}
-	text := fmt.Sprintf("Each kind alone and each pair of kinds; %s of the messages were wasted.", percent(counts.WastedShare()))
+	text := fmt.Sprintf("Each kind alone and each pair of kinds; %.2f %% of the messages were wasted.", 100*counts.WastedShare())
 	r.table(fmt.Sprintf("Promises in %d seeded fault runs", reportRuns), text, "promise broken", "count", "first seed")
 	for _, p := range Promises {
 		first := "-"
 		if len(seeds[p]) > 0 {
 			first = fmt.Sprint(seeds[p][0])
 		}
-		r.row(p, len(seeds[p]), first)
+		fmt.Fprintf(r, "| %s | %d | %s |\n", p, len(seeds[p]), first)
 	}
 }
