--- a/bench/cmd/report/main.go
+++ b/bench/cmd/report/main.go
@@ -3,11 +3,9 @@
 package main
 
 import (
-	"bytes"
 	"flag"
 	"fmt"
 	"os"
-	"path/filepath"
 
 	"github.com/baobabshore/baobabshore/bench"
 )
@@ -20,25 +18,12 @@
 		trace(uint64(*seed))
 		return
 	}
-	if err := run(*docs); err != nil {
+	if err := bench.WriteReport(*docs); err != nil {
 		fmt.Fprintln(os.Stderr, "report:", err)
 		os.Exit(1)
 	}
 }
 
-// run writes the report.
-func run(docs string) error {
-	plots := filepath.Join(docs, "plots")
-	if err := os.MkdirAll(plots, 0o755); err != nil {
-		return err
-	}
-	var page bytes.Buffer
-	if err := bench.WriteReport(&page, plots); err != nil {
-		return err
-	}
-	return os.WriteFile(filepath.Join(docs, "measurements-dispatch.md"), page.Bytes(), 0o644)
-}
-
 // trace prints one fault run.
 func trace(seed uint64) {
 	o := bench.FaultOptions(seed)
--- a/bench/faults.go
+++ b/bench/faults.go
@@ -48,23 +48,45 @@
 // target is where a fault happens. A fault uses one of the two, or both.
 type target struct{ entry, up int }
 
-// effects says what each kind of fault does. An effect returns its repair, nil
-// for none.
+// effect makes a fault happen and returns its repair, nil for none.
+type effect func(c *Cluster, t target) (repair func())
+
+// onEntry applies an effect on a process to the entry, if one runs.
+func onEntry(f func(*Cluster, *process) func()) effect {
+	return func(c *Cluster, t target) func() {
+		if p := c.entryAt(t.entry); p != nil {
+			return f(c, p)
+		}
+		return nil
+	}
+}
+
+// onAgent applies an effect on a process to the agent, if one runs.
+func onAgent(f func(*Cluster, *process) func()) effect {
+	return func(c *Cluster, t target) func() {
+		if p := c.agentAt(t.up); p != nil {
+			return f(c, p)
+		}
+		return nil
+	}
+}
+
+// effects says what each kind of fault does.
 var effects = []struct {
 	kind  FaultKind
-	begin func(c *Cluster, t target) (repair func())
+	begin effect
 }{
-	{UpstreamDies, func(c *Cluster, t target) func() { return c.crash(c.agentAt(t.up)) }},
+	{UpstreamDies, onAgent((*Cluster).crash)},
 	{BackendDown, func(c *Cluster, t target) func() {
 		c.setBackend(t.up, true)
 		return func() { c.setBackend(t.up, false) }
 	}},
 	{UpstreamSlow, func(c *Cluster, t target) func() { return set(&c.ups[t.up].slow, slowFactor, 1) }},
 	{UpstreamFails, func(c *Cluster, t target) func() { return set(&c.ups[t.up].failing, true, false) }},
-	{EntryDies, func(c *Cluster, t target) func() { return c.crash(c.entryAt(t.entry)) }},
-	{EntryFreezes, func(c *Cluster, t target) func() { return c.freeze(c.entryAt(t.entry)) }},
-	{EntryCut, func(c *Cluster, t target) func() { return c.cutOff(c.entryAt(t.entry)) }},
-	{AgentCut, func(c *Cluster, t target) func() { return c.cutOff(c.agentAt(t.up)) }},
+	{EntryDies, onEntry((*Cluster).crash)},
+	{EntryFreezes, onEntry((*Cluster).freeze)},
+	{EntryCut, onEntry((*Cluster).cutOff)},
+	{AgentCut, onAgent((*Cluster).cutOff)},
 	{LinkDown, (*Cluster).linkDown},
 	{LostMessages, func(c *Cluster, _ target) func() { return set(&c.links.loss, lossShare, 0) }},
 	{LateMessages, func(c *Cluster, _ target) func() {
@@ -120,9 +142,6 @@
 
 // crash ends a process. The repair starts its next incarnation.
 func (c *Cluster) crash(p *process) func() {
-	if p == nil {
-		return nil
-	}
 	c.kill(p)
 	return func() { c.restart(p) }
 }
@@ -130,7 +149,7 @@
 // freeze stops a process until the repair. Its callers leave; on waking it first
 // learns how old its last confirmation is, then gets all messages held back.
 func (c *Cluster) freeze(p *process) func() {
-	if p == nil || p.frozen {
+	if p.frozen {
 		return nil
 	}
 	p.frozen = true
@@ -152,9 +171,6 @@
 
 // cutOff separates a process from the control group.
 func (c *Cluster) cutOff(p *process) func() {
-	if p == nil {
-		return nil
-	}
 	return set(&p.cut, true, false)
 }
 
--- a/bench/report.go
+++ b/bench/report.go
@@ -1,10 +1,12 @@
 package bench
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
-	"io"
 	"maps"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -44,14 +46,17 @@
 
 // report writes the page. Its reasons are printed in a table at the end.
 type report struct {
-	io.Writer
+	bytes.Buffer
 	plots   string // directory
 	reasons []string
 }
 
-// WriteReport runs all measurements, writes the page to w and the plots to dir.
-func WriteReport(w io.Writer, dir string) error {
-	r := &report{Writer: w, plots: dir}
+// WriteReport runs all measurements and writes the page and the plots below docs.
+func WriteReport(docs string) error {
+	r := &report{plots: filepath.Join(docs, "plots")}
+	if err := os.MkdirAll(r.plots, 0o755); err != nil {
+		return err
+	}
 	fmt.Fprint(r, definitions)
 	r.targets()
 	r.scale()
@@ -64,8 +69,8 @@
 	r.faults()
 	r.promises()
 	r.table("Reasons", "", "run", "refusals by agents", "refusals to callers", "failed submissions", "wasted messages")
-	_, err := fmt.Fprintln(r, strings.Join(r.reasons, "\n"))
-	return err
+	fmt.Fprintln(r, strings.Join(r.reasons, "\n"))
+	return os.WriteFile(filepath.Join(docs, "measurements-dispatch.md"), r.Bytes(), 0o644)
 }
 
 // table begins a section with a table.
