--- a/bench/queue.go
+++ b/bench/queue.go
@@ -1,7 +1,3 @@
-// Package bench measures the decision packages dispatch and executor in
-// virtual time. It connects the real cores through small fakes of links,
-// upstreams, callers and the control group, checks every promise of the design
-// while they run, and compares them with other ways to place tasks.
 package bench
 
 import (
