--- a/bench/caller.go
+++ b/bench/caller.go
@@ -55,9 +55,9 @@
 	if !s.Single {
 		if err := e.entry.Admit(c.now, spec); err != nil {
 			cl.reply(e, err)
-			return
+		} else {
+			cl.admit(e)
 		}
-		cl.admit(e)
 		return
 	}
 	e.seq++
@@ -160,15 +160,12 @@
 			return
 		}
 		c.tracef("caller of submission %d gets %v", cl.sub.ID, err)
-		switch {
-		case err == nil:
-			cl.finish(true, nil)
-		case err.Verdict == verdict.NotRun:
-			c.refusals[err.Reason]++
-			cl.retry(err)
-		default:
-			cl.finish(false, err)
+		if err == nil || err.Verdict != verdict.NotRun {
+			cl.finish(err)
+			return
 		}
+		c.refusals[err.Reason]++
+		cl.retry(err)
 	})
 }
 
@@ -176,7 +173,7 @@
 func (cl *caller) retry(err *verdict.Error) {
 	c := cl.c
 	if err.RetryAfter == 0 || c.now+err.RetryAfter >= cl.sub.Deadline || cl.attempts >= maxAttempts {
-		cl.finish(false, err)
+		cl.finish(err)
 		return
 	}
 	if cl.rec != nil && cl.rec.err != nil && cl.rec.err.Verdict == verdict.NotRun {
@@ -196,7 +193,7 @@
 	cl.at = nil
 	cl.prefer++
 	if cl.sub.Single && !cl.sub.Idempotent {
-		cl.finish(false, verdict.Unknown(verdict.ConnectionFailed, "the entry is gone"))
+		cl.finish(verdict.Unknown(verdict.ConnectionFailed, "the entry is gone"))
 		return
 	}
 	cl.c.after(resubmitDelay, cl.submit)
@@ -219,12 +216,12 @@
 	})
 }
 
-// finish records the outcome.
-func (cl *caller) finish(complete bool, err *verdict.Error) {
+// finish records the outcome, nil for a complete answer.
+func (cl *caller) finish(err *verdict.Error) {
 	cl.done = true
 	cl.c.open--
 	cl.record.Ended = cl.c.now
-	cl.record.Complete = complete
+	cl.record.Complete = err == nil
 	if err != nil {
 		cl.record.Reason, cl.record.Verdict = err.Reason, err.Verdict
 	}
--- a/bench/control.go
+++ b/bench/control.go
@@ -225,10 +225,9 @@
 	}
 	c.connect(p)
 	for _, rec := range p.assigned {
-		if rec.owner != p || rec.state != wire.JobOpen {
-			continue
+		if rec.owner == p && rec.state == wire.JobOpen {
+			rec.begin(p, dispatch.Job{Takeover: true})
 		}
-		rec.begin(p, dispatch.Job{Takeover: true})
 	}
 	p.assigned = nil
 }
