dispatch: count briefly blocked upstreams towards the capacity

Cause: an upstream is blocked for 5 to 1000 ms after a refusal. Admission took it for unusable and refused new work with no-upstream during that time. Change: capacity counts what is connected, up and not draining.

--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -212,9 +212,13 @@
 	return n
 }
 
-// usable reports whether u may get new work, probes aside.
-func (u *upstream) usable() bool {
-	return u.connected && !u.gone && !u.draining && !u.down && u.blocked == 0
+// usable reports whether u may get new work now, probes aside.
+func (u *upstream) usable() bool { return u.serving() && u.blocked == 0 }
+
+// serving reports whether u counts towards the capacity of its service. A block
+// after a refusal is too short to refuse new work for.
+func (u *upstream) serving() bool {
+	return u.connected && !u.gone && !u.draining && !u.down
 }
 
 // block keeps new work away from u for a moment after a refusal. The wait
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -314,7 +314,7 @@
 	slots := u.slots()
 	busy := min(slots, u.held)
 	w := indexed{in: true, bucket: u.bucket, busy: float64(busy), rate: float64(busy) / u.slow}
-	if u.usable() && u.health != Quarantined {
+	if u.serving() && u.health != Quarantined {
 		w.fails = u.failRate
 		w.slots = max(min(slots-u.others, u.credit), min(u.credit, 1))
 		w.usable = float64(w.slots) / u.slow
