entry: report why the job of a test was refused

Cause: the test waited for ever when its job was refused. Change: it fails with the answer instead. Conclusion: go test ./entry -run 'TakeoverAfter|NeverTells' -count=50 -cpu 1,2,8 passes.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -423,6 +423,9 @@
 	var job *job
 	eventually(t, "the job", func() bool {
 		job = s.entries[0].jobs.byKey("t", "k")
+		if len(answer) > 0 {
+			t.Fatalf("refused: %v", <-answer)
+		}
 		return job != nil
 	})
 	frozen := s.control.session(old.self)
