--- a/upstreamsim/sim.go
+++ b/upstreamsim/sim.go
@@ -182,8 +182,8 @@
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	mode := Mode(s.mode.Load())
 	if mode == Refuse {
+		ctx.Error("refused", fasthttp.StatusServiceUnavailable) // drops the headers set before
 		ctx.Response.Header.Set("Baobab-Verdict", verdict.NotRun.String())
-		ctx.Error("refused", fasthttp.StatusServiceUnavailable)
 		return
 	}
 	var t task
