--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,6 +28,7 @@
 type Agent struct {
 	opts     Options
 	upstream *upstream
+	metrics  *metrics
 	server   *rpc.Server
 	nonce    string
 	life     atomic.Pointer[life]
@@ -50,7 +51,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for entries")
 	}
-	a := &Agent{opts: o, upstream: newUpstream(o), nonce: member.NewNonce()}
+	a := &Agent{opts: o, upstream: newUpstream(o), metrics: newMetrics(o.Scope), nonce: member.NewNonce()}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	if a.opts.Advertise == "" {
 		a.opts.Advertise = l.Addr().String()
@@ -76,7 +77,7 @@
 	if err != nil {
 		return errors.Wrap(err, "register")
 	}
-	l := newLife(a.opts, a.upstream, s)
+	l := newLife(a.opts, a.upstream, a.metrics, s)
 	l.start()
 	a.life.Store(l)
 	return nil
--- a/agent/life.go
+++ b/agent/life.go
@@ -24,6 +24,7 @@
 	upstream *upstream
 	loop     *eventloop.Loop
 	core     *executor.Core
+	metrics  *metrics
 
 	peers   map[ids.Incarnation]*peer
 	timeout time.Duration // of one task, from the configuration
@@ -35,9 +36,9 @@
 	cancel context.CancelFunc
 }
 
-func newLife(o Options, u *upstream, s Session) *life {
+func newLife(o Options, u *upstream, m *metrics, s Session) *life {
 	l := &life{
-		opts: o, self: s.Incarnation(), session: s, upstream: u,
+		opts: o, self: s.Incarnation(), session: s, upstream: u, metrics: m,
 		peers: map[ids.Incarnation]*peer{}, timeout: o.TaskTimeout,
 		core: executor.New(executor.Config{
 			Self: s.Incarnation(), Slots: o.Slots, Connections: o.Connections,
@@ -142,7 +143,7 @@
 		early := time.AfterFunc(limit, func() { l.timeUp(s.Key, time.Since(begin)) })
 		r := l.upstream.call(s, limit+l.opts.LingerTimeout)
 		early.Stop()
-		l.calls.Add(-1)
+		l.metrics.ended(r.answer, l.calls.Add(-1))
 		if r.down && !l.down.Swap(true) {
 			go l.probe()
 		}
@@ -151,17 +152,20 @@
 }
 
 func (l *life) timeUp(key ids.TaskKey, ran time.Duration) {
+	l.metrics.timeouts.Inc(1)
 	l.loop.Post(func(now time.Duration) { l.core.TimedOut(now, timedOut(key, ran)) })
 }
 
 // probe asks for the upstream until it accepts connections again.
 func (l *life) probe() {
 	klog.Warningf("agent: Upstream %s can't be reached.", l.opts.Upstream)
+	l.metrics.setDown(true)
 	l.loop.Post(func(now time.Duration) { l.core.SetDown(now, true) })
 	for sleep(l.ctx, l.opts.ProbeInterval) {
 		if l.upstream.probe() {
 			klog.Infof("agent: Upstream %s can be reached again.", l.opts.Upstream)
 			l.down.Store(false)
+			l.metrics.setDown(false)
 			l.loop.Post(func(now time.Duration) { l.core.SetDown(now, false) })
 			return
 		}
