--- a/cmd/baobab-entry/main.go
+++ b/cmd/baobab-entry/main.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
@@ -25,7 +27,13 @@
 		os.Exit(2)
 	}
 	defer klog.Flush()
-	if err := run(opts.Settings); err != nil {
+	err := run(opts.Settings)
+	var faults settings.Problems
+	if errors.As(err, &faults) {
+		fmt.Fprintln(os.Stderr, faults)
+		os.Exit(2)
+	}
+	if err != nil {
 		klog.Errorf("entry: Stopped: %v.", err)
 		klog.Flush()
 		os.Exit(1)
