--- a/member/servers.go
+++ b/member/servers.go
@@ -15,6 +15,8 @@
 	// renewTimeout bounds one renewal, so that two unreachable servers can be
 	// passed over before the view is stale.
 	renewTimeout = 500 * time.Millisecond
+	// maxDoublings bounds the growth of renewTimeout, to 8 s.
+	maxDoublings = 4
 	// writeTimeout bounds one attempt of a write at one server. It is above the
 	// 2 s in which a new leader is elected.
 	writeTimeout = 3 * time.Second
@@ -90,6 +92,18 @@
 	c.Close()
 }
 
+// closeOthers closes the connections to all servers but one.
+func (s *servers) closeOthers(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for other, c := range s.conns {
+		if other != addr {
+			c.Close()
+			delete(s.conns, other)
+		}
+	}
+}
+
 // call asks one server. It drops the connection when no answer arrives.
 func (s *servers) call(ctx context.Context, timeout time.Duration, addr, method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
--- a/member/session.go
+++ b/member/session.go
@@ -101,6 +101,11 @@
 		self.Nonce = NewNonce()
 		s.tracker.gone = false
 	}
+	if self.Kind == wire.KindAgent {
+		// Only the registration needs the leader, which would otherwise hold a
+		// connection of each agent of its region.
+		s.servers.closeOthers(s.servers.addrs[s.tracker.server])
+	}
 	run, cancel := context.WithCancel(context.Background())
 	s.cancel = cancel
 	s.admits = newBatcher(run, s.sendAdmits)
@@ -272,11 +277,12 @@
 func (s *Session) renew(ctx context.Context) {
 	s.mu.Lock()
 	addr := s.servers.addrs[s.tracker.server]
+	timeout := s.tracker.timeout()
 	req := wire.Renew{Incarnation: s.inc, Have: s.tracker.view.Version, Draining: s.draining.Load()}
 	s.mu.Unlock()
 	var r wire.RenewReply
 	sent := time.Now()
-	err := s.servers.call(ctx, renewTimeout, addr, wire.MethodRenew, req, &r)
+	err := s.servers.call(ctx, timeout, addr, wire.MethodRenew, req, &r)
 
 	s.mu.Lock()
 	changed := false
