executor, agent: dump the start table

Cause: the agent's /dump page showed connections only. Change: executor.Dump gives counts of rows by state and the entries' credit. Conclusion: go test ./agent ./executor passes; the page is part of /dump.

--- a/agent/life.go
+++ b/agent/life.go
@@ -209,13 +209,14 @@
 	Current     bool              `json:"current"`
 	Down        bool              `json:"down"`
 	Calls       int64             `json:"calls"`
+	Core        executor.Dump     `json:"core"`
 	Entries     []ids.Incarnation `json:"entries"`
 }
 
 func (l *life) dump() dump {
 	d := dump{
 		Incarnation: l.self, Current: l.session.Current(time.Now()),
-		Down: l.down.Load(), Calls: l.calls.Load(),
+		Down: l.down.Load(), Calls: l.calls.Load(), Core: l.core.Dump(),
 	}
 	for e := range l.peers {
 		d.Entries = append(d.Entries, e)
