--- a/entry/http.go
+++ b/entry/http.go
@@ -167,12 +167,9 @@
 
 func keyHeaders(ctx *fasthttp.RequestCtx) (key string, keyTime int64, err *verdict.Error) {
 	key = string(ctx.Request.Header.Peek(headerKey))
-	if text := string(ctx.Request.Header.Peek(headerKeyTime)); text != "" {
-		n, perr := strconv.ParseInt(text, 10, 64)
-		if perr != nil || n <= 0 {
-			return "", 0, verdict.Refuse(verdict.BadRequest, "%s: must be a time in Unix milliseconds", headerKeyTime)
-		}
-		keyTime = n
+	keyTime, err = parseKeyTime(headerKeyTime, string(ctx.Request.Header.Peek(headerKeyTime)))
+	if err != nil {
+		return "", 0, err
 	}
 	return key, keyTime, checkKey(key, keyTime)
 }
--- a/entry/submission.go
+++ b/entry/submission.go
@@ -43,7 +43,7 @@
 type jobBody struct {
 	Team       string     `json:"team"`
 	Key        string     `json:"key"`
-	KeyTime    int64      `json:"key_time"` // Unix milliseconds
+	KeyTime    string     `json:"key_time"` // RFC 3339
 	Service    string     `json:"service"`
 	Tasks      []taskBody `json:"tasks"`
 	RunTimeMS  int64      `json:"run_time_ms"`
@@ -79,11 +79,18 @@
 	if err := j.checkFields(); err != nil {
 		return submission{}, err
 	}
+	keyTime, err := parseKeyTime("key_time", j.KeyTime)
+	if err == nil {
+		err = checkKey(j.Key, keyTime)
+	}
+	if err != nil {
+		return submission{}, err
+	}
 	s := submission{
 		Team:     ids.Team(j.Team),
 		Service:  ids.Service(j.Service),
 		Key:      j.Key,
-		KeyTime:  j.KeyTime,
+		KeyTime:  keyTime,
 		RunTime:  time.Duration(j.RunTimeMS) * time.Millisecond,
 		Deadline: time.Duration(j.DeadlineMS) * time.Millisecond,
 	}
@@ -117,7 +124,21 @@
 	case j.DeadlineMS < 0 || j.DeadlineMS > maxDeadline.Milliseconds():
 		return verdict.Refuse(verdict.BadRequest, "deadline_ms: must be from 0 to %d", maxDeadline.Milliseconds())
 	}
-	return checkKey(j.Key, j.KeyTime)
+	return nil
+}
+
+// parseKeyTime reads the creation time of a key as Unix milliseconds. An empty
+// text gives zero.
+func parseKeyTime(field, text string) (int64, *verdict.Error) {
+	if text == "" {
+		return 0, nil
+	}
+	at, err := time.Parse(time.RFC3339, text) // accepts fractions of a second
+	if err != nil || at.UnixMilli() <= 0 {
+		return 0, verdict.Refuse(verdict.BadRequest,
+			"%s: %.40q is not a time as in RFC 3339, for example 2026-01-31T08:00:00.123Z", field, text)
+	}
+	return at.UnixMilli(), nil
 }
 
 func checkKey(key string, keyTime int64) *verdict.Error {
@@ -126,8 +147,6 @@
 		return verdict.Refuse(verdict.BadRequest, "key: %d bytes, at most %d are allowed", len(key), wire.MaxKeyBytes)
 	case !printable(key):
 		return verdict.Refuse(verdict.BadRequest, "key: only printable ASCII characters are allowed")
-	case keyTime < 0:
-		return verdict.Refuse(verdict.BadRequest, "key_time: must be a time in Unix milliseconds")
 	case keyTime != 0 && key == "":
 		return verdict.Refuse(verdict.BadRequest, "key_time: needs a key")
 	}
