entry: test that an agent registers again after its end

Cause: no test covered a new incarnation in the same process. Change: the registration ends while all slots are taken.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -524,3 +524,24 @@
 	}
 	s.checkOnce(t)
 }
+
+// Guards against an agent that stays useless after its registration has ended,
+// and against slots that are used twice while the old incarnation's calls go on.
+func TestAgentRegistersAgain(t *testing.T) {
+	s := newSystem(t, testCluster(), 1, Options{})
+	s.upstream.SetMode(upstreamsim.Hold)
+	answer := make(chan reply, 1)
+	go func() { answer <- call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("", 4)) }()
+	eventually(t, "full slots", func() bool { return s.upstream.Running() == 4 })
+	s.control.expire(1, 0)
+	if r := <-answer; r.status != 502 || r.header.Get(headerVerdict) != "may-have-run" {
+		t.Errorf("job at the lost incarnation: %v", r)
+	}
+	s.upstream.SetMode(upstreamsim.Serve)
+	s.upstream.Release()
+	s.awaitCapacity(t, s.entries[0])
+	if r := call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("", 8)); r.status != 200 {
+		t.Errorf("job at the new incarnation: %v", r)
+	}
+	s.checkOnce(t)
+}
