entry: don't wait for a job that may never get capacity in a test

Cause: under load the entry admitted the job before it noticed the closed agent, and the test waited 30 s. Change: the job is submitted without a wait.

--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -451,7 +451,7 @@
 	s := newSystem(t, testCluster(), 2, Options{})
 	first := jobOf(t, call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("k", 2)))
 	s.agent.Close()
-	r := call(t, s.entries[1], "POST", "/v1/jobs?wait=30s", jobJSON("new", 2))
+	r := call(t, s.entries[1], "POST", "/v1/jobs", jobJSON("new", 2))
 	for r.status != 503 { // the entry has not noticed yet
 		r = call(t, s.entries[1], "POST", "/v1/jobs", jobJSON("", 2))
 	}
