--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -423,6 +423,9 @@
 	var job *job
 	eventually(t, "the job", func() bool {
 		job = s.entries[0].jobs.byKey("t", "k")
+		if len(answer) > 0 {
+			t.Fatalf("refused: %v", <-answer)
+		}
 		return job != nil
 	})
 	frozen := s.control.session(old.self)
@@ -448,7 +451,7 @@
 	s := newSystem(t, testCluster(), 2, Options{})
 	first := jobOf(t, call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("k", 2)))
 	s.agent.Close()
-	r := call(t, s.entries[1], "POST", "/v1/jobs?wait=30s", jobJSON("new", 2))
+	r := call(t, s.entries[1], "POST", "/v1/jobs", jobJSON("new", 2))
 	for r.status != 503 { // the entry has not noticed yet
 		r = call(t, s.entries[1], "POST", "/v1/jobs", jobJSON("", 2))
 	}
@@ -521,3 +524,24 @@
 	}
 	s.checkOnce(t)
 }
+
+// Guards against an agent that stays useless after its registration has ended,
+// and against slots that are used twice while the old incarnation's calls go on.
+func TestAgentRegistersAgain(t *testing.T) {
+	s := newSystem(t, testCluster(), 1, Options{})
+	s.upstream.SetMode(upstreamsim.Hold)
+	answer := make(chan reply, 1)
+	go func() { answer <- call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("", 4)) }()
+	eventually(t, "full slots", func() bool { return s.upstream.Running() == 4 })
+	s.control.expire(1, 0)
+	if r := <-answer; r.status != 502 || r.header.Get(headerVerdict) != "may-have-run" {
+		t.Errorf("job at the lost incarnation: %v", r)
+	}
+	s.upstream.SetMode(upstreamsim.Serve)
+	s.upstream.Release()
+	s.awaitCapacity(t, s.entries[0])
+	if r := call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("", 8)); r.status != 200 {
+		t.Errorf("job at the new incarnation: %v", r)
+	}
+	s.checkOnce(t)
+}
