--- a/consensus/status.go
+++ b/consensus/status.go
@@ -12,9 +12,19 @@
 // Leader returns the id of the leader, which may be this node, or "" if none is known.
 func (n *Node) Leader() ID { return n.leader }
 
-// IsLeader reports whether this node leads and its lease holds.
+// IsLeader reports whether this node leads and its lease held at the last tick. A
+// process that was frozen may not have noticed yet that another one leads; only
+// ReadIndex tells.
 func (n *Node) IsLeader() bool { return n.role == leader }
 
+// Outdated reports whether the group has seen a higher boot count of this node
+// than the one it was started with: its disk is an older copy. Its votes and
+// answers do not count until it is replaced by a node with another id.
+func (n *Node) Outdated() bool {
+	p, ok := n.group().Peer(n.cfg.ID)
+	return ok && n.cfg.Boot < p.Boot
+}
+
 // Commit returns the index of the last entry known to be committed.
 func (n *Node) Commit() uint64 { return n.commit }
 
--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -246,6 +246,19 @@
 	return errors.Join(err, l.Close())
 }
 
+// TestDamagedBeforeIntact guards against taking damage for a torn write: a record
+// that looks unwritten or cut off is not the last one.
+func TestDamagedBeforeIntact(t *testing.T) {
+	for i := range 2 {
+		fsys, logFile, offsets := sample(t)
+		clear(fsys.names[logFile].data[offsets[i]:offsets[i+1]])
+		var damage *CorruptError
+		if err := start(fsys); !errors.As(err, &damage) || damage.File != logFile || damage.Offset != offsets[i] {
+			t.Errorf("batch %d zeroed: %v", i, err)
+		}
+	}
+}
+
 // TestMissingFile guards against a start without a part of the acknowledged state.
 func TestMissingFile(t *testing.T) {
 	whole, _, _ := sample(t)
