--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -179,6 +179,9 @@
 	for i := range uint64(3) {
 		offsets = append(offsets, l.Size())
 		e := consensus.Entry{Index: 2 + i, Term: 1, Data: fmt.Appendf(nil, "entry %d", i)}
+		if i == 1 {
+			e.Data = bytes.Repeat(e.Data, 2*sectorBytes/len(e.Data)+1) // has a whole sector
+		}
 		must(t, l.Append(&consensus.HardState{Term: 1, Commit: i}, []consensus.Entry{e}, nil))
 	}
 	return fsys, logName(testDir, 2), append(offsets, l.Size())
