--- a/consensus/scripted_test.go
+++ b/consensus/scripted_test.go
@@ -137,3 +137,35 @@
 		t.Fatalf("committed %d, want at least %d", d.node.Commit(), a.node.Commit())
 	}
 }
+
+// TestOutdatedDisk guards against the loss of a committed entry when a voter
+// comes back with an older copy of its disk: its vote must not count.
+func TestOutdatedDisk(t *testing.T) {
+	s := scripted(3)
+	a, b, c := s.machines[0], s.machines[1], s.machines[2]
+	s.elect(t, 2, noLimit, a, b, c)
+	older := c.disk
+	for range 2 {
+		s.start(c)
+		a.node.startRound()
+		s.settle(noLimit, a, b, c)
+	}
+	if p, _ := b.node.Group().Peer(c.disk.id); p.Boot != c.disk.boot {
+		t.Fatalf("recorded boot count %d, want %d", p.Boot, c.disk.boot)
+	}
+	index, err := a.node.Propose([]byte("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.settle(noLimit, a, c)
+	if a.node.Commit() != index {
+		t.Fatalf("committed %d, want %d", a.node.Commit(), index)
+	}
+	c.disk = older
+	s.start(c)
+	b.node.startVote()
+	s.settle(noLimit, b, c)
+	if b.node.IsLeader() || len(b.node.votes) != 1 {
+		t.Fatalf("the vote of an outdated disk counts: %v", b.node.votes)
+	}
+}
