--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -81,6 +81,12 @@
 	failWeight = 0.15
 	// minStreak failures in a row are the least evidence for a quarantine.
 	minStreak = 3
+	// longStreak failures in a row are enough by themselves where the others
+	// mostly succeed. The average decays between rare failures.
+	longStreak = 6
+	// failMemory is the time in which the failure rate decays by a factor of e.
+	// Without it an upstream that failed once would be avoided for ever.
+	failMemory = 30 * time.Second
 	// failExcess is by how much the failure rate must exceed that of the service.
 	failExcess = 0.35
 	// probeFirst and probeMax bound the time between probes in quarantine. A
@@ -140,16 +146,30 @@
 	c.reindex(u)
 }
 
+// forgetFailures lets the failure rates of upstreams in service decay.
+func (c *Core) forgetFailures(s *service) {
+	for _, u := range s.ups {
+		if u.failRate == 0 || u.health == Quarantined {
+			continue
+		}
+		u.failRate -= u.failRate * sweepInterval.Seconds() / failMemory.Seconds()
+		if u.failRate < 0.01 {
+			u.failRate = 0
+		}
+		c.reindex(u)
+	}
+}
+
 // deservesQuarantine compares u with the rest of its service.
 func (c *Core) deservesQuarantine(u *upstream) bool {
 	s := u.svc
 	if u.health == Recovering && u.streak > 0 {
 		return s.quar < c.quarantineLimit(s)
 	}
-	if u.streak < minStreak || u.failRate < s.othersFailRate(u)+failExcess {
-		return false
-	}
-	return s.quar < c.quarantineLimit(s)
+	others := s.othersFailRate(u)
+	bad := u.streak >= minStreak && u.failRate >= others+failExcess
+	bad = bad || u.streak >= longStreak && others < failExcess
+	return bad && s.quar < c.quarantineLimit(s)
 }
 
 // quarantineLimit is the number of upstreams of a service that may be in quarantine.
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -87,6 +87,7 @@
 	c.sweepAt = now + sweepInterval
 	for _, s := range c.svcOrder {
 		c.recenter(s)
+		c.forgetFailures(s)
 		s.fair.divide(int(s.capacity() * rateUnit))
 	}
 	for _, u := range c.upOrder {
