--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -80,6 +80,7 @@
 	maybeRan bool
 
 	offset   offset  // run time of this job's tasks
+	ratio    float64 // run time of its tasks relative to the service's average
 	declared float64 // seconds, zero if unknown
 
 	// Fair sharing.
@@ -270,6 +271,7 @@
 	j.arrived = q.arrived
 	j.queue = q.team(j.team, c.cfg.Teams[j.team].Quota)
 	j.pos = -1
+	j.setRatio()
 	j.due, _ = j.svc.plan(now, j.deadline, j.queue, len(j.tasks), j.svc.taskWork(seconds(j.declared)))
 	j.deadlineTimer = c.timers.add(j.deadline, &timer{kind: deadlineTimer, job: j})
 }
--- a/dispatch/deadlines.go
+++ b/dispatch/deadlines.go
@@ -53,7 +53,7 @@
 	if s.work.mean == 0 || s.capacity() <= 0 {
 		return j.due
 	}
-	rest := seconds(urgency * float64(j.waiting) * s.work.mean * j.ratio() / s.capacity())
+	rest := seconds(urgency * float64(j.waiting) * s.work.mean * j.ratio / s.capacity())
 	return j.due - rest
 }
 
--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -201,8 +201,9 @@
 const maxWalk = 24
 
 // find returns the first job in the order, at most maxWalk jobs in, that accepts
-// the position of its last waiting task in the queue of the service. The order
-// is that of the heaps' arrays, which is close to the order of service.
+// the position of its last waiting task in the queue of the service. The last job
+// considered stands for the rest of the queue. The order is that of the heaps'
+// arrays, which is close to the order of service.
 func (q *fairQueue) find(accept func(j *job, position float64) bool) *job {
 	walked := 0
 	for _, t := range q.heap {
@@ -214,9 +215,13 @@
 				return j
 			}
 			walked++
-			if walked >= maxWalk {
-				return nil
+			if walked < maxWalk {
+				continue
 			}
+			if accept(j, float64(q.waiting)) {
+				return j
+			}
+			return nil
 		}
 	}
 	return nil
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -367,6 +367,7 @@
 	if j != nil {
 		j.offset.sum += x - s.work.log - u.speed.log
 		j.offset.n++
+		j.setRatio()
 	}
 }
 
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -70,11 +70,10 @@
 	}
 	queued := u.queueCost(ahead)
 	j := s.fair.find(func(j *job, position float64) bool {
-		ratio := j.ratio()
 		if u == j.tasks[j.peek()].avoid {
 			return false
 		}
-		return ratio*u.slow+queued <= (impatience*position+ratio*busy)/rate+latency
+		return j.ratio*u.slow+queued <= (impatience*position+j.ratio*busy)/rate+latency
 	})
 	if j == nil {
 		return nil, nil, false
@@ -129,18 +128,15 @@
 // backlog is the number of tasks beyond the slots of u.
 func (u *upstream) backlog() int { return max(u.others+u.held-u.slots(), 0) }
 
-// ratio is the run time of this job's tasks relative to the service's average.
-// Declared run times are often wrong, so half of their logarithm is believed.
-func (j *job) ratio() float64 {
-	s := j.svc
-	if s.work.mean <= 0 {
-		return 1
-	}
+// setRatio updates the run time of this job's tasks relative to the service's
+// average. Declared run times are often wrong, so half of their logarithm is
+// believed.
+func (j *job) setRatio() {
 	prior := 0.0
-	if j.declared > 0 {
-		prior = math.Log(j.declared/s.work.mean) / 2
+	if j.declared > 0 && j.svc.work.mean > 0 {
+		prior = math.Log(j.declared/j.svc.work.mean) / 2
 	}
-	return min(max(math.Exp(j.offset.value(prior)), 1.0/ratioLimit), ratioLimit)
+	j.ratio = min(max(math.Exp(j.offset.value(prior)), 1.0/ratioLimit), ratioLimit)
 }
 
 // start places a task on u and puts the start into the next message.
