--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -11,7 +11,8 @@
 // the speed that their quota guarantees come first, then those that exceed it
 // least. Speed counts rather than slots, since slots differ in speed. Between
 // equal teams, and within a team, the job with the fewest tasks under way goes
-// first, so that a job of many long tasks doesn't hold up small ones. A team or
+// first, then the one with the fewest left, so that a job of many long tasks
+// doesn't hold up small ones. A team or
 // job that wants less than its share leaves the rest to the others. Past use is
 // not held against a team: it may have used what was idle.
 type fairQueue struct {
@@ -72,6 +73,9 @@
 	if a.sent != b.sent {
 		return a.sent < b.sent
 	}
+	if a.waiting != b.waiting {
+		return a.waiting < b.waiting
+	}
 	return a.arrived < b.arrived
 }
 func (h jobHeap) Swap(i, k int) {
@@ -182,6 +186,7 @@
 		return
 	}
 	j.svc.fair.count(j, j.waiting-1, j.waiting)
+	j.svc.fair.underWay(j, 0, 0)
 }
 
 // head returns the job whose task is next, or nil. In the team that is next, a
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -324,7 +324,7 @@
 	// optimism is how many standard errors an upstream's run time is taken to
 	// be below its estimate. Placement avoids upstreams that seem slow, so an
 	// estimate that is too high by chance would never be corrected.
-	optimism = 0.5
+	optimism = 0.3
 	// spreadWeight is the weight of a sample in the variance of residuals.
 	spreadWeight = 0.01
 	// speedPrior delays the first samples, which would carry the task's own
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -17,7 +17,7 @@
 	// impatience scales the expected wait for a faster upstream. Later arrivals
 	// may go first, so a task waits longer than its position says; at 70 % load
 	// 1.5 gives a mean response time 2 % below that of 1.
-	impatience = 1.5
+	impatience = 1.7
 	// ratioLimit bounds how far a job's tasks are taken to differ from the
 	// service's average, since declared run times are often wrong by this factor.
 	ratioLimit = 10
