--- a/dispatch/decision_test.go
+++ b/dispatch/decision_test.go
@@ -138,6 +138,10 @@
 		{"capacity", func(s *JobSpec) { s.Service = "none" }, nil, verdict.Infeasible, false},
 		{"stale", nil, func(f *fixture) { f.SetCurrent(false) }, verdict.Stale, true},
 		{"no upstream", nil, func(f *fixture) { f.Disconnected(f.now, 1); f.Disconnected(f.now, 2) }, verdict.NoUpstream, true},
+		{"slots used by another entry", nil, func(f *fixture) {
+			f.Report(f.now, wire.Report{Upstream: 1, Credit: 1, Running: 8})
+			f.Report(f.now, wire.Report{Upstream: 2, Credit: 1, Running: 8})
+		}, "", false},
 		{"team limit", nil, func(f *fixture) { f.job(1, "a", 1995, time.Hour) }, verdict.OverQuota, true},
 		{"own work too long", func(s *JobSpec) { s.Tasks = 1000; s.Deadline = 2 * time.Second }, nil, verdict.Overloaded, true},
 		{"queue too long", func(s *JobSpec) { s.Deadline = 3 * time.Second },
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -310,7 +310,9 @@
 	w := indexed{in: true, bucket: u.bucket, busy: float64(busy), rate: float64(busy) / u.slow}
 	if u.usable() && u.health != Quarantined {
 		w.fails = u.failRate
-		w.slots = max(min(slots-u.others, u.credit), 0)
+		// An agent grants more once it sees the need, so credit counts even
+		// while others use all slots.
+		w.slots = max(min(slots-u.others, u.credit), min(u.credit, 1), 0)
 		w.usable = float64(w.slots) / u.slow
 	}
 	s.busy.add(w.bucket, w.busy)
