--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -33,6 +33,7 @@
 			a.running = true
 		}
 	}
+	u.reportAt = now
 	u.credit = r.Credit
 	if r.Held >= u.held {
 		u.confirmed = now
--- a/dispatch/deadlines.go
+++ b/dispatch/deadlines.go
@@ -10,8 +10,10 @@
 	// urgency is the multiple of the shortest possible time for a job's waiting
 	// tasks at which the job becomes urgent. Several jobs may be urgent at once.
 	urgency = 2.0
-	// planShare is the part of the time to the deadline in which a job is planned
-	// to end. Run times vary, so work planned up to the deadline often misses it.
+	// planShare is the part of a job's slack that may pass before its last task
+	// starts, or all but reserveFixed and reserveShare of it if that is more. Run
+	// times vary, so work planned up to the deadline often misses it. Larger
+	// reserves raise the goodput of a burst but leave teams without queued work.
 	planShare    = 0.25
 	reserveFixed = 1500 * time.Millisecond
 	reserveShare = 0.4
--- a/dispatch/decision_test.go
+++ b/dispatch/decision_test.go
@@ -297,6 +297,26 @@
 	}
 }
 
+// TestOldReport guards against tasks that wait until their deadline for an
+// upstream that other entries have left, after the report of it was lost.
+func TestOldReport(t *testing.T) {
+	f := newFixture(1)
+	f.learn(0.1, 1)
+	f.Report(f.now, wire.Report{Upstream: 1, Credit: 9, Running: 9})
+	f.job(1, "a", 1, time.Minute)
+	if starts := f.tick(); len(starts) != 0 {
+		t.Fatalf("starts at a full upstream: %+v", starts)
+	}
+	started := 0
+	for range 40 {
+		f.now += sweepInterval
+		started += len(f.tick()[1])
+	}
+	if started != 1 {
+		t.Fatalf("%d starts within 4 s, want 1", started)
+	}
+}
+
 // TestRetryBudget guards against retries that multiply the load of a failure.
 func TestRetryBudget(t *testing.T) {
 	f := newFixture(11)
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -33,10 +33,11 @@
 	blocked   time.Duration // no new work until then
 	backoff   time.Duration // last block, doubled by the next
 
-	credit int
-	held   int // attempts without an answer
-	others int // tasks of other entries there
-	queued int // tasks queued there for all entries
+	credit   int
+	held     int           // attempts without an answer
+	others   int           // tasks of other entries there
+	queued   int           // tasks queued there for all entries
+	reportAt time.Duration // last report
 	// confirmed is when a report last accounted for all attempts here.
 	confirmed time.Duration
 
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -91,6 +91,7 @@
 		s.fair.divide(int(s.capacity() * rateUnit))
 	}
 	for _, u := range c.upOrder {
+		c.doubtOthers(now, u)
 		if u.gone || len(u.attempts) == 0 {
 			continue
 		}
@@ -99,6 +100,21 @@
 	}
 }
 
+// othersAge is the age of a report above which the tasks of other entries that
+// it shows are no longer believed. Agents correct a wrong view within 200 ms.
+const othersAge = 3 * time.Second
+
+// doubtOthers opens an upstream that an old report shows as full. If the message
+// that would have corrected it was lost, tasks would wait for it for ever; if it
+// is full, the agent refuses one start.
+func (c *Core) doubtOthers(now time.Duration, u *upstream) {
+	if u.connected && u.others > 0 && now-u.reportAt > othersAge {
+		u.others = 0
+		u.reportAt = now
+		c.reindex(u)
+	}
+}
+
 // resendLost repeats starts that the agent has not confirmed for a long time.
 func (c *Core) resendLost(now time.Duration, u *upstream) {
 	if !u.connected {
