--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -11,7 +11,8 @@
 // the speed that their quota guarantees come first, then those that exceed it
 // least. Speed counts rather than slots, since slots differ in speed. Between
 // equal teams, and within a team, the job with the fewest tasks under way goes
-// first, so that a job of many long tasks doesn't hold up small ones. A team or
+// first, then the one with the fewest left, so that a job of many long tasks
+// doesn't hold up small ones. A team or
 // job that wants less than its share leaves the rest to the others. Past use is
 // not held against a team: it may have used what was idle.
 type fairQueue struct {
@@ -72,6 +73,9 @@
 	if a.sent != b.sent {
 		return a.sent < b.sent
 	}
+	if a.waiting != b.waiting {
+		return a.waiting < b.waiting
+	}
 	return a.arrived < b.arrived
 }
 func (h jobHeap) Swap(i, k int) {
@@ -182,6 +186,7 @@
 		return
 	}
 	j.svc.fair.count(j, j.waiting-1, j.waiting)
+	j.svc.fair.underWay(j, 0, 0)
 }
 
 // head returns the job whose task is next, or nil. In the team that is next, a
@@ -201,8 +206,9 @@
 const maxWalk = 24
 
 // find returns the first job in the order, at most maxWalk jobs in, that accepts
-// the position of its last waiting task in the queue of the service. The order
-// is that of the heaps' arrays, which is close to the order of service.
+// the position of its last waiting task in the queue of the service. The last job
+// considered stands for the rest of the queue. The order is that of the heaps'
+// arrays, which is close to the order of service.
 func (q *fairQueue) find(accept func(j *job, position float64) bool) *job {
 	walked := 0
 	for _, t := range q.heap {
@@ -214,9 +220,13 @@
 				return j
 			}
 			walked++
-			if walked >= maxWalk {
-				return nil
+			if walked < maxWalk {
+				continue
+			}
+			if accept(j, float64(q.waiting)) {
+				return j
 			}
+			return nil
 		}
 	}
 	return nil
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -33,10 +33,11 @@
 	blocked   time.Duration // no new work until then
 	backoff   time.Duration // last block, doubled by the next
 
-	credit int
-	held   int // attempts without an answer
-	others int // tasks of other entries there
-	queued int // tasks queued there for all entries
+	credit   int
+	held     int           // attempts without an answer
+	others   int           // tasks of other entries there
+	queued   int           // tasks queued there for all entries
+	reportAt time.Duration // last report
 	// confirmed is when a report last accounted for all attempts here.
 	confirmed time.Duration
 
@@ -81,6 +82,12 @@
 	failWeight = 0.15
 	// minStreak failures in a row are the least evidence for a quarantine.
 	minStreak = 3
+	// longStreak failures in a row are enough by themselves where the others
+	// mostly succeed. The average decays between rare failures.
+	longStreak = 6
+	// failMemory is the time in which the failure rate decays by a factor of e.
+	// Without it an upstream that failed once would be avoided for ever.
+	failMemory = 30 * time.Second
 	// failExcess is by how much the failure rate must exceed that of the service.
 	failExcess = 0.35
 	// probeFirst and probeMax bound the time between probes in quarantine. A
@@ -140,16 +147,30 @@
 	c.reindex(u)
 }
 
+// forgetFailures lets the failure rates of upstreams in service decay.
+func (c *Core) forgetFailures(s *service) {
+	for _, u := range s.ups {
+		if u.failRate == 0 || u.health == Quarantined {
+			continue
+		}
+		u.failRate -= u.failRate * sweepInterval.Seconds() / failMemory.Seconds()
+		if u.failRate < 0.01 {
+			u.failRate = 0
+		}
+		c.reindex(u)
+	}
+}
+
 // deservesQuarantine compares u with the rest of its service.
 func (c *Core) deservesQuarantine(u *upstream) bool {
 	s := u.svc
 	if u.health == Recovering && u.streak > 0 {
 		return s.quar < c.quarantineLimit(s)
 	}
-	if u.streak < minStreak || u.failRate < s.othersFailRate(u)+failExcess {
-		return false
-	}
-	return s.quar < c.quarantineLimit(s)
+	others := s.othersFailRate(u)
+	bad := u.streak >= minStreak && u.failRate >= others+failExcess
+	bad = bad || u.streak >= longStreak && others < failExcess
+	return bad && s.quar < c.quarantineLimit(s)
 }
 
 // quarantineLimit is the number of upstreams of a service that may be in quarantine.
@@ -308,7 +329,7 @@
 	// optimism is how many standard errors an upstream's run time is taken to
 	// be below its estimate. Placement avoids upstreams that seem slow, so an
 	// estimate that is too high by chance would never be corrected.
-	optimism = 0.5
+	optimism = 0.3
 	// spreadWeight is the weight of a sample in the variance of residuals.
 	spreadWeight = 0.01
 	// speedPrior delays the first samples, which would carry the task's own
@@ -351,6 +372,7 @@
 	if j != nil {
 		j.offset.sum += x - s.work.log - u.speed.log
 		j.offset.n++
+		j.setRatio()
 	}
 }
 
