--- /dev/null
+++ b/consensus/schedules_test.go
@@ -0,0 +1,192 @@
+package consensus
+
+import (
+	"flag"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+)
+
+var schedules = flag.Int("schedules", 300, "number of random schedules in TestSchedules")
+
+const (
+	scheduleTicks = 400
+	healTicks     = 200 // 10 s
+)
+
+// randomFaults picks the faults of a schedule by its seed.
+func randomFaults(seed uint64) faults {
+	f := faults{maxDelay: []int{0, 2, 8, 40}[seed%4]}
+	f.loss = []float64{0, 0.02, 0.2}[seed/4%3]
+	f.duplicate = []float64{0, 0.1}[seed/12%2]
+	f.crash = []float64{0.0005, 0.003, 0.01}[seed/2%3]
+	f.cut = []float64{0.0005, 0.003, 0.01}[seed/5%3]
+	f.longCut = []float64{0.05, 0.5}[seed/3%2]
+	f.operator = []float64{0, 0.005, 0.05}[seed/7%3]
+	f.freeze = []float64{0, 0.001, 0.004}[seed/11%3]
+	f.crashVoter = []float64{0, 0.3}[seed/13%2]
+	f.slow = []uint64{2, 20}[seed/17%2]
+	f.wipe = 0.3
+	f.down = []int{1, 30}[seed/3%2]
+	return f
+}
+
+// runSchedule returns the violation that the schedule shows, or "".
+func runSchedule(seed uint64, f faults) (s *sim, found string) {
+	defer func() {
+		if r := recover(); r != nil {
+			found = fmt.Sprint(r)
+		}
+	}()
+	s = newSim(seed, 3+2*int(seed%2), f)
+	for range scheduleTicks * unitsPerTick {
+		s.step()
+	}
+	s.heal()
+	if !s.clients.linearizable(s.now + 1) {
+		fail("history is not linearizable")
+	}
+	return s, ""
+}
+
+// heal ends all faults and checks that the group works again: the loss of a
+// minority must never be lasting.
+func (s *sim) heal() {
+	s.quiet = true
+	s.cut = map[[2]string]uint64{}
+	s.faults.maxDelay = min(s.faults.maxDelay, 4)
+	s.faults.slow = 0
+	for _, m := range s.machines {
+		if m.node == nil {
+			s.start(m)
+		}
+	}
+	for range healTicks * unitsPerTick {
+		s.step()
+	}
+	m := s.leader()
+	if m == nil {
+		fail("no leader %d ticks after all faults have ended", healTicks)
+	}
+	for _, o := range s.machines {
+		// 20 ticks are the 1 s after which a client leaves a node as outdated.
+		_, member := m.node.Group().Peer(o.disk.id)
+		if age := o.node.Now() - o.node.ConfirmedTick(); member && !s.dead[o.disk.id] && age > 20 {
+			fail("%s was last confirmed %d ticks ago", o.name, age)
+		}
+	}
+	if last := len(s.check.committed) - 1; int(m.state.Index) < last-5 {
+		fail("the leader has applied index %d of %d", m.state.Index, last)
+	}
+}
+
+// TestSchedules guards against lost commits, two leaders, diverging logs and
+// stale reads under random loss, delay, duplication, crashes, partitions,
+// membership changes and lost disks. -schedules sets how many are run.
+func TestSchedules(t *testing.T) {
+	count := *schedules
+	if testing.Short() {
+		count = min(count, 60)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	elections, commits := 0, 0
+	next := uint64(0)
+	for range min(4, runtime.GOMAXPROCS(0)) {
+		wg.Go(func() {
+			for {
+				mu.Lock()
+				seed := next
+				next++
+				mu.Unlock()
+				if seed >= uint64(count) {
+					return
+				}
+				s, found := runSchedule(seed, randomFaults(seed))
+				if found != "" {
+					t.Errorf("seed %d: %s", seed, found)
+				}
+				mu.Lock()
+				elections += s.check.elections
+				commits += len(s.check.committed)
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	t.Logf("%d schedules, %d elections, %d commits", count, elections, commits)
+	if commits < 20*count {
+		t.Errorf("only %d commits: the schedules test too little", commits)
+	}
+}
+
+// TestChecksNotice guards against checks that can't fail: each broken contract
+// must be noticed, and none without a break under the same faults.
+func TestChecksNotice(t *testing.T) {
+	tests := []struct {
+		name  string
+		limit uint64 // schedules
+		set   func(*faults)
+	}{
+		{"messages sent before the sync", 400, func(f *faults) { f.sendFirst = true }},
+		{"emptied disk under the same id", 400, func(f *faults) { f.reuseID, f.wipe = true, 0.3 }},
+		{"reads without a quorum", 400, func(f *faults) { f.localReads = true }},
+		{"", 40, func(f *faults) { f.wipe = 0.3 }},
+	}
+	for _, test := range tests {
+		found := ""
+		for seed := uint64(0); seed < test.limit && found == ""; seed++ {
+			// Slow syncs and fast restarts make the breaks matter more often.
+			f := faults{maxDelay: 10, loss: 0.3, duplicate: 0.3, crash: 0.06, crashVoter: 0.5}
+			f.down, f.slow, f.cut, f.longCut = 1, 40, 0.003, 0.05
+			test.set(&f)
+			_, found = runSchedule(seed, f)
+			t.Logf("%s: seed %d: %s", test.name, seed, found)
+		}
+		if (found != "") != (test.name != "") {
+			t.Errorf("%q: found %q in %d schedules", test.name, found, test.limit)
+		}
+	}
+}
+
+// TestVoteSurvivesRestart guards against two leaders in a term: a voter that
+// restarts must refuse another candidate of the term. Without the vote in the
+// hard state the check of election safety has to notice two leaders.
+func TestVoteSurvivesRestart(t *testing.T) {
+	for _, forget := range []bool{false, true} {
+		s := newSim(1, 3, faults{})
+		a, b, voter := s.machines[0], s.machines[1], s.machines[2]
+		request := func(m *machine) Message {
+			m.node.startVote()
+			out := m.node.Ready().Messages
+			return out[slices.IndexFunc(out, func(o Message) bool { return o.To == voter.disk.id })]
+		}
+		answer := func(m Message) Message {
+			voter.node.Step(m)
+			rd := voter.node.Ready()
+			voter.disk.write(rd, 0)
+			return rd.Messages[0]
+		}
+		first, second := request(a), request(b)
+		a.node.Step(answer(first))
+		if forget {
+			voter.disk.hard.Vote = ""
+		}
+		s.start(voter)
+		b.node.Step(answer(second))
+		if !a.node.IsLeader() || b.node.IsLeader() != forget {
+			t.Fatalf("vote forgotten: %v, second leader: %v", forget, b.node.IsLeader())
+		}
+		found := func() (found any) {
+			defer func() { found = recover() }()
+			s.check.node(a)
+			s.check.node(b)
+			return nil
+		}()
+		if (found != nil) != forget {
+			t.Fatalf("vote forgotten: %v, found: %v", forget, found)
+		}
+	}
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -302,17 +302,17 @@
 	u.slow = math.Exp(log)
 }
 
-// addWeight adds u to the sums of its service.
+// addWeight adds u to the sums of its service. An upstream that other entries
+// fill still counts as one slot, since its agent shares credit by demand, and
+// demand shows only when work is admitted.
 func (c *Core) addWeight(u *upstream) {
 	s := u.svc
 	slots := u.slots()
 	busy := min(slots, u.held)
 	w := indexed{in: true, bucket: u.bucket, busy: float64(busy), rate: float64(busy) / u.slow}
-	if u.usable() && u.health != Quarantined {
+	if u.serving() && u.health != Quarantined {
 		w.fails = u.failRate
-		// An agent grants more once it sees the need, so credit counts even
-		// while others use all slots.
-		w.slots = max(min(slots-u.others, u.credit), min(u.credit, 1), 0)
+		w.slots = max(min(slots-u.others, u.credit), min(u.credit, 1))
 		w.usable = float64(w.slots) / u.slow
 	}
 	s.busy.add(w.bucket, w.busy)
--- a/wire/control.go
+++ b/wire/control.go
@@ -32,6 +32,7 @@
 	Verdict  verdict.Verdict `json:"verdict,omitempty"`
 	Reason   verdict.Reason  `json:"reason,omitempty"`
 	Admitted int64           `json:"at"`            // Unix milliseconds
+	Deadline int64           `json:"dl,omitempty"`  // Unix milliseconds, zero if the caller set none
 	Ended    int64           `json:"end,omitempty"` // Unix milliseconds, zero while open
 }
 
@@ -44,6 +45,7 @@
 	KeyTime  int64           `json:"kt,omitempty"` // Unix milliseconds, zero if the caller sent none
 	BodyHash string          `json:"hash,omitempty"`
 	Tasks    int             `json:"n"`
+	Deadline int64           `json:"dl,omitempty"` // Unix milliseconds
 	// Nonce names this attempt. A repeated attempt with the same nonce returns
 	// the first result, so a lost reply does not look like a duplicate.
 	Nonce string `json:"nonce"`
@@ -86,6 +88,9 @@
 // JobQuery asks any control node for the record of a job.
 type JobQuery struct {
 	Job ids.Job `json:"job"`
+	// Team and Key name the job when Job is zero.
+	Team ids.Team `json:"team,omitempty"`
+	Key  string   `json:"key,omitempty"`
 }
 
 // Leave ends an incarnation at its own wish.
@@ -188,19 +193,6 @@
 	Addr string   `json:"addr"`
 }
 
-// Renewals carries the lease renewals that a follower has seen to the leader.
-type Renewals struct {
-	Items []Renewal `json:"r"`
-}
-
-// Renewal is one member's latest renewal at a follower.
-type Renewal struct {
-	Incarnation ids.Incarnation `json:"i"`
-	Have        ids.Version     `json:"v"`
-	AgeMS       int64           `json:"a"`
-	Draining    bool            `json:"d,omitempty"`
-}
-
 // Limits of requests, shared by all parts.
 const (
 	MaxTasksPerJob = 10_000
