--- a/agent/run.go
+++ b/agent/run.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/runner"
 	"github.com/baobabshore/baobabshore/settings"
-	"github.com/baobabshore/baobabshore/verdict"
 )
 
 // drainTimeout bounds a drain. It is above the longest task and its lingering call.
@@ -22,28 +21,12 @@
 	if err != nil {
 		return err
 	}
-	var running atomic.Pointer[Agent]
-	pages, err := ops.New(ops.Options{
-		Addr: s.Ops, Prefix: "baobab_agent", Token: sec.Token, TLS: sec.TLS,
-		Ready: func() error { return ready(running.Load()) },
-		Dump:  func() any { return dumpOf(running.Load()) },
+	pages := ops.Options{Addr: s.Ops, Prefix: "baobab_agent", Token: sec.Token, TLS: sec.TLS}
+	return runner.Serve(ctx, pages, drainTimeout, func(ctx context.Context, scope tally.Scope) (runner.Service, error) {
+		o := FromSettings(s, sec)
+		o.Scope = scope
+		return Start(ctx, o)
 	})
-	if err != nil {
-		return err
-	}
-	defer pages.Close()
-	o := FromSettings(s, sec)
-	o.Scope = pages.Scope()
-	a, err := Start(ctx, o)
-	if err != nil {
-		return errors.Wrap(err, "start")
-	}
-	running.Store(a)
-	defer a.Close()
-	<-ctx.Done()
-	dctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	return a.Drain(dctx)
 }
 
 // FromSettings returns the options of a daemon.
@@ -57,17 +40,3 @@
 		Session: ControlGroup(s.Control, sec, counters),
 	}
 }
-
-func ready(a *Agent) error {
-	if a == nil {
-		return verdict.Refuse(verdict.Stale, "the agent is registering")
-	}
-	return a.Ready()
-}
-
-func dumpOf(a *Agent) any {
-	if a == nil {
-		return nil
-	}
-	return a.Dump()
-}
--- a/entry/run.go
+++ b/entry/run.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync/atomic"
 	"time"
 
-	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/runner"
 	"github.com/baobabshore/baobabshore/settings"
-	"github.com/baobabshore/baobabshore/verdict"
 )
 
 // drainTimeout bounds a drain. All jobs have passed their deadline by then.
@@ -23,28 +22,12 @@
 	if err != nil {
 		return err
 	}
-	var running atomic.Pointer[Entry]
-	pages, err := ops.New(ops.Options{
-		Addr: s.Ops, Prefix: "baobab_entry", Token: sec.Token, TLS: sec.TLS,
-		Ready: func() error { return ready(running.Load()) },
-		Dump:  func() any { return dumpOf(running.Load()) },
+	pages := ops.Options{Addr: s.Ops, Prefix: "baobab_entry", Token: sec.Token, TLS: sec.TLS}
+	return runner.Serve(ctx, pages, drainTimeout, func(ctx context.Context, scope tally.Scope) (runner.Service, error) {
+		o := FromSettings(s, sec)
+		o.Scope = scope
+		return Start(ctx, o)
 	})
-	if err != nil {
-		return err
-	}
-	defer pages.Close()
-	o := FromSettings(s, sec)
-	o.Scope = pages.Scope()
-	e, err := Start(ctx, o)
-	if err != nil {
-		return errors.Wrap(err, "start")
-	}
-	running.Store(e)
-	defer e.Close()
-	<-ctx.Done()
-	dctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-	defer cancel()
-	return e.Drain(dctx)
 }
 
 // FromSettings returns the options of a daemon.
@@ -63,17 +46,3 @@
 		AnswerBytes: int64(s.Limits.AnswerBytes),
 	}
 }
-
-func ready(e *Entry) error {
-	if e == nil {
-		return verdict.Refuse(verdict.Stale, "the entry is registering")
-	}
-	return e.Ready()
-}
-
-func dumpOf(e *Entry) any {
-	if e == nil {
-		return nil
-	}
-	return e.Dump()
-}
