--- a/executor/credit_test.go
+++ b/executor/credit_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/baobabshore/baobabshore/wire"
 )
 
 // TestTradeoffSetsTheDelayOfCorrections guards against a setting without effect:
@@ -17,9 +19,10 @@
 		c.Connected(0, e1)
 		c.Connected(0, e2)
 		c.Tick(0)
-		send(c, e1, start(0, 1, 1)) // the only slot is taken, which e2 doesn't know
-		at := c.Tick(0).NextTick
-		if got := at.Round(time.Millisecond); got != tc.delay {
+		const taken = time.Second // when the only slot is taken, which e2 doesn't know
+		c.Receive(taken, wire.Exchange{Entry: e1, Starts: []wire.Start{start(0, 1, 1)}})
+		at := c.Tick(taken).NextTick
+		if got := (at - taken).Round(time.Millisecond); got != tc.delay {
 			t.Errorf("tradeoff %v: correction due after %v instead of %v", tc.tradeoff, got, tc.delay)
 		}
 		told := false
