--- a/control/serve.go
+++ b/control/serve.go
@@ -237,41 +237,6 @@
 	return wire.Empty{}, nil
 }
 
-type found struct {
-	rec wire.JobRecord
-	err *verdict.Error
-}
-
-func (n *Node) serveJob(ctx context.Context, _ *rpc.Conn, p wire.JobQuery) (wire.JobRecord, error) {
-	r, err := ask(ctx, n, func(c *core) found {
-		if e := c.readable(); e != nil {
-			return found{err: e}
-		}
-		if p.Job == 0 {
-			rec, ok := c.state.JobByKey(p.Team, p.Key)
-			if !ok {
-				return found{err: verdict.Refuse(verdict.UnknownJob, "no job of team %q has this key", p.Team)}
-			}
-			return found{rec: rec}
-		}
-		if c.state.Index() < uint64(p.Job) {
-			return found{err: verdict.Refuse(verdict.Stale, "node %s has not reached job %d", c.opt.Node, p.Job)}
-		}
-		rec, ok := c.state.Job(p.Job)
-		if !ok {
-			return found{err: verdict.Refuse(verdict.UnknownJob, "job %d has no record", p.Job)}
-		}
-		return found{rec: rec}
-	})
-	if err != nil {
-		return wire.JobRecord{}, err
-	}
-	if r.err != nil {
-		return wire.JobRecord{}, r.err
-	}
-	return r.rec, nil
-}
-
 type got struct {
 	reply wire.GetReply
 	err   *verdict.Error
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -99,6 +99,10 @@
 	if r := call(t, entries[1], "POST", "/v1/services/s/y", "", headerTeam, "t", headerKey, "one"); r.status != 200 {
 		t.Errorf("keyed request: %v", r)
 	}
+	// An id beyond the log is unknown, not a record that is still to arrive.
+	if r := call(t, entries[0], "GET", "/v1/jobs/1099511627776", ""); r.status != 404 || r.header.Get(headerReason) != "unknown-job" {
+		t.Errorf("job of the future: %v", r)
+	}
 	if err := entries[0].Drain(t.Context()); err != nil {
 		t.Errorf("drain: %v", err)
 	}
