entry: look up the key before any refusal of a submission

A resubmission that was refused as draining, infeasible or stale, or for an unknown service or team, was told not-run although its first submission may have run. Only no-upstream, over-quota and overloaded looked the key up, and a failed lookup was not mentioned.

Every refusal of a submission with a key now looks the key up and answers with the first submission's state. Accepted submissions make no lookup; TestRefusalLooksUpTheKey counts them, and fails for draining, infeasible, overloaded and stale before.

--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -25,6 +25,10 @@
 	sessions []*fakeSession
 	// lose drops the reply of the next admission after its record is made.
 	lose bool
+	// noQuorum refuses reads and admissions.
+	noQuorum bool
+	// lookups counts the questions for keys.
+	lookups int
 }
 
 func newFakeControl(c settings.Cluster) *fakeControl {
@@ -172,6 +176,9 @@
 	c := s.control
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.noQuorum {
+		return wire.AdmitResult{}, verdict.Refuse(verdict.NoQuorum, "no leader")
+	}
 	name := string(item.Team) + "/" + item.Key
 	if id, ok := c.keys[name]; ok && item.Key != "" {
 		rec := *c.jobs[id]
@@ -218,6 +225,10 @@
 	c := s.control
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lookups++
+	if c.noQuorum {
+		return wire.JobRecord{}, verdict.Refuse(verdict.NoQuorum, "no leader")
+	}
 	if id, ok := c.keys[string(team)+"/"+key]; ok {
 		return *c.jobs[id], nil
 	}
@@ -250,3 +261,12 @@
 	track(t, a)
 	return a
 }
+
+// setNoQuorum sets whether the group is without a quorum and returns the number
+// of lookups of keys so far.
+func (c *fakeControl) setNoQuorum(v bool) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.noQuorum = v
+	return c.lookups
+}
--- /dev/null
+++ b/entry/refuse_test.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"strings"
+	"testing"
+)
+
+// with adds a member to the JSON of a job.
+func with(job, member string) string { return strings.Replace(job, "{", "{"+member+",", 1) }
+
+// Guards against a resubmission that is told not-run because new work is
+// refused, although its first submission ran, and against a refusal that hides
+// that its key could not be checked.
+func TestRefusalLooksUpTheKey(t *testing.T) {
+	s := newSystem(t, testCluster(), 2, Options{})
+	first := jobOf(t, call(t, s.entries[0], "POST", "/v1/jobs?wait=30s", jobJSON("k", 2)))
+	if n := s.control.setNoQuorum(false); n != 0 {
+		t.Errorf("%d lookups for an accepted submission", n)
+	}
+	e := s.entries[1]
+	session := s.control.session(e.life.Load().self)
+	for _, tc := range []struct {
+		reason, member string
+		set            func(on bool)
+		checked        bool // with a quorum
+	}{
+		{"draining", `"deadline_ms":30000`, e.draining.Store, true},
+		{"infeasible", `"run_time_ms":3600000`, func(bool) {}, true},
+		{"overloaded", `"run_time_ms":290000,"deadline_ms":100`, func(bool) {}, true},
+		{"stale", `"deadline_ms":30000`, session.setStale, false},
+	} {
+		for _, quorum := range []bool{true, false} {
+			checked := quorum && tc.checked
+			s.control.setNoQuorum(!quorum)
+			tc.set(true)
+			again := call(t, e, "POST", "/v1/jobs?wait=30s", with(jobJSON("k", 2), tc.member))
+			fresh := call(t, e, "POST", "/v1/jobs", with(jobJSON("other", 2), tc.member))
+			single := call(t, e, "POST", "/v1/jobs", with(jobJSON("", 2), tc.member))
+			tc.set(false)
+			if checked && (again.status != 200 || jobOf(t, again).ID != first.ID) {
+				t.Errorf("%s: resubmission: %v", tc.reason, again)
+			}
+			if !checked && !strings.Contains(string(again.body), uncheckedKey) {
+				t.Errorf("%s without a look at the key: %v", tc.reason, again)
+			}
+			for _, r := range []reply{fresh, single} {
+				if r.header.Get(headerReason) != tc.reason || r.header.Get(headerVerdict) != "not-run" {
+					t.Errorf("%s: new work: %v", tc.reason, r)
+				}
+			}
+			if told := strings.Contains(string(fresh.body), uncheckedKey); told == checked {
+				t.Errorf("%s: new work with a key, checked %v: %v", tc.reason, checked, fresh)
+			}
+			if strings.Contains(string(single.body), uncheckedKey) {
+				t.Errorf("%s: work without a key: %v", tc.reason, single)
+			}
+		}
+	}
+	s.control.setNoQuorum(true)
+	if r := call(t, e, "POST", "/v1/jobs", jobJSON("k", 2)); r.status != 503 || !strings.Contains(string(r.body), uncheckedKey) {
+		t.Errorf("admission without a quorum: %v", r)
+	}
+	s.checkOnce(t)
+}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -16,11 +16,7 @@
 func (l *life) submit(ctx context.Context, s submission, w watch) (wire.JobStatus, *verdict.Error) {
 	arrived := l.loop.Now()
 	if err := l.precheck(s, arrived); err != nil {
-		if rec, ok := l.known(ctx, s, err); ok {
-			return l.duplicate(ctx, rec, s, arrived, w)
-		}
-		l.entry.metrics.refused.Inc(1)
-		return wire.JobStatus{}, err
+		return l.refuse(ctx, s, arrived, w, err)
 	}
 	actx, cancel := context.WithTimeout(ctx, min(l.entry.opts.AdmitTimeout, s.Deadline))
 	defer cancel()
@@ -30,7 +26,9 @@
 	})
 	switch {
 	case err != nil:
-		return wire.JobStatus{}, verdict.From(err)
+		return wire.JobStatus{}, s.unchecked(verdict.From(err))
+	case r.Err != nil && r.Err.Reason == verdict.Fenced:
+		return l.refuse(ctx, s, arrived, w, r.Err) // it comes before the look at the key
 	case r.Err != nil:
 		l.entry.metrics.refused.Inc(1)
 		return wire.JobStatus{}, r.Err
@@ -47,23 +45,6 @@
 	return st, nil
 }
 
-// known returns the record of a submission that is refused for lack of capacity
-// although it was admitted before: the refusal concerns new work only.
-func (l *life) known(ctx context.Context, s submission, refused *verdict.Error) (wire.JobRecord, bool) {
-	if s.Key == "" {
-		return wire.JobRecord{}, false
-	}
-	switch refused.Reason {
-	case verdict.NoUpstream, verdict.OverQuota, verdict.Overloaded:
-	default:
-		return wire.JobRecord{}, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, l.entry.opts.AdmitTimeout)
-	defer cancel()
-	rec, err := l.session.JobByKey(ctx, s.Team, s.Key)
-	return rec, err == nil
-}
-
 // precheck refuses what need not be recorded first.
 func (l *life) precheck(s submission, arrived time.Duration) *verdict.Error {
 	if err := l.entry.refusal(l); err != nil {
