dispatch: end work that no upstream can run after a bounded wait

A single request that was accepted just before the last upstream of its service drained or was lost waited for its deadline, 30 s, and a job for up to an hour.

A system in Tick notes since when tasks of a service wait without a serving upstream. After 5 s single requests and jobs of which nothing has started end as not-run, no-upstream; the entry has the control group confirm the end of a job first, as for all doubtful outcomes. Jobs with started tasks get 30 s, since their failure wastes results and can't be repeated under the same key. Jobs are ended only while the view is current. Upstreams that are full or in quarantine count as serving.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -57,8 +57,10 @@
 	work   estimate // normalized run time of tasks, in seconds
 	held   int      // attempts without an answer
 	fair   fairQueue
-	quar   int        // upstreams in quarantine
-	aheads []*attempt // attempts placed as look-ahead, not yet answered
+	quar   int // upstreams in quarantine
+
+	stranded stranding
+	aheads   []*attempt // attempts placed as look-ahead, not yet answered
 }
 
 // job is the table row of a job or, when single is set, of a single request.
@@ -206,6 +208,7 @@
 func (c *Core) Tick(now time.Duration) Output {
 	c.runTimers(now)
 	c.sweep(now)
+	c.endStranded(now)
 	c.recallQueued(now)
 	c.placeWaiting(now)
 	out := Output{Claims: c.claims, Finished: c.finished}
--- a/entry/system_test.go
+++ b/entry/system_test.go
@@ -164,3 +164,10 @@
 		t.Errorf("%d requests started without a free slot", n)
 	}
 }
+
+// open returns the number of jobs and requests at the core.
+func (s *system) open(l *life) int {
+	n := 0
+	l.loop.Call(func(time.Duration) { n = l.core.Open() })
+	return n
+}
