controlstate: keep ended jobs in compact rows

Cause: at the configured maxima (300,000 records, 200,000 tombstones) the tables took 160.8 MB of live heap; a control daemon may use 32 MB.

Change: an ended job is a row of 80 bytes without pointers in chunks, found by job, key and nonce through indexes of 4 bytes a slot. Owner, epoch, team, service, state, verdict and reason are interned together. The maxima are now 200,000 records (at most 10,000 of them open) and 100,000 plain keys. jobs.max_open is 10,000 by default and at most. Tests follow the new maxima; TestMemoryAtTheConfiguredMaxima also fills the open jobs, which is stricter.

--- a/controlstate/changes.go
+++ b/controlstate/changes.go
@@ -188,7 +188,7 @@
 	}
 	for _, job := range slices.Sorted(maps.Keys(t.jobs)) {
 		r, ok := s.jobs.rows[job]
-		if ok && r.isOpen() && r.Owner == row.Incarnation {
+		if ok && r.Owner == row.Incarnation {
 			c.Assigned = append(c.Assigned, assignment(r))
 		}
 	}
--- a/controlstate/config.go
+++ b/controlstate/config.go
@@ -140,7 +140,8 @@
 		if err != nil || n < 1 {
 			return verdict.Refuse(verdict.BadRequest, "setting %s: %q is not a positive number", p.Key, p.Value)
 		}
-		l.maxOpen = n
+		// An older configuration may hold a limit that settings refuse now.
+		l.maxOpen = min(n, settings.MaxOpenJobs)
 	}
 	return nil
 }
--- a/controlstate/jobs.go
+++ b/controlstate/jobs.go
@@ -11,12 +11,13 @@
 
 const (
 	// maxRecords bounds the job records, open and ended. Admissions beyond it
-	// are refused.
-	maxRecords = 300_000
+	// are refused. At 96 bytes for each ended record, with its share of the
+	// indexes, and 500 bytes for each open one, they take 24 MB of the 32 MB of a
+	// control daemon.
+	maxRecords = 200_000
 	// keptRecords is the number above which ended records without a key are
 	// dropped before their retention ends, the oldest first. Only records with
-	// a key carry a promise about resubmission. At about 510 bytes each the kept
-	// ones stay below 32 MB.
+	// a key carry a promise about resubmission.
 	keptRecords = 50_000
 	// overdue is how long after the longest deadline an open job is ended by
 	// the tables, because its owner never reported its end.
@@ -33,6 +34,15 @@
 	wire.JobRecord
 	KeyTime int64  `json:"kt,omitempty"` // Unix milliseconds
 	Nonce   string `json:"nonce"`
+	hash    keyHash
+}
+
+// newJobRow sets the hash of the row's key.
+func newJobRow(r jobRow) *jobRow {
+	if r.Key != "" {
+		r.hash = hashKey(r.Team, r.Key)
+	}
+	return &r
 }
 
 // Ownership names the job at its present epoch.
@@ -43,21 +53,14 @@
 // plainKey reports whether the row's key is one that needs a tombstone.
 func (r *jobRow) plainKey() bool { return r.Key != "" && r.KeyTime == 0 }
 
-type jobKey struct {
-	team ids.Team
-	key  string
-}
-
 type jobTable struct {
-	rows     map[ids.Job]*jobRow
-	byKey    map[jobKey]ids.Job
+	rows     map[ids.Job]*jobRow // open jobs
+	byKey    map[keyHash]ids.Job
 	byNonce  map[string]ids.Job
-	byOwner  map[ids.Incarnation]map[ids.Job]struct{} // open jobs
-	admitted []ids.Job                                // open jobs in increasing order, and some that have ended
-	ended    []ids.Job                                // in the order of their ends
-	open     int
-	plain    int // rows with a plain key
-	keyless  int // ended rows without a key
+	byOwner  map[ids.Incarnation]map[ids.Job]struct{}
+	admitted []ids.Job // open jobs in increasing order, and some that have ended
+	ended    endedTable
+	plain    int // open and ended rows with a plain key
 	// keyFloor is the latest creation time of a key whose record has been
 	// dropped. Keys up to it stay refused even if the retention is raised later.
 	keyFloor int64
@@ -66,37 +69,30 @@
 func newJobTable() jobTable {
 	return jobTable{
 		rows:    map[ids.Job]*jobRow{},
-		byKey:   map[jobKey]ids.Job{},
+		byKey:   map[keyHash]ids.Job{},
 		byNonce: map[string]ids.Job{},
 		byOwner: map[ids.Incarnation]map[ids.Job]struct{}{},
+		ended:   newEndedTable(),
 	}
 }
 
+// len returns the number of records, open and ended.
+func (t *jobTable) len() int { return len(t.rows) + t.ended.len() }
+
+// add enters the row of an open job.
 func (t *jobTable) add(r *jobRow) {
 	t.rows[r.Job] = r
 	t.byNonce[r.Nonce] = r.Job
 	if r.Key != "" {
-		t.byKey[jobKey{r.Team, r.Key}] = r.Job
+		t.byKey[r.hash] = r.Job
 	}
 	if r.plainKey() {
 		t.plain++
 	}
-	if !r.isOpen() {
-		t.addEnded(r)
-		return
-	}
-	t.open++
 	t.admitted = append(t.admitted, r.Job)
 	t.own(r.Owner, r.Job)
 }
 
-func (t *jobTable) addEnded(r *jobRow) {
-	t.ended = append(t.ended, r.Job)
-	if r.Key == "" {
-		t.keyless++
-	}
-}
-
 func (t *jobTable) own(inc ids.Incarnation, job ids.Job) {
 	if t.byOwner[inc] == nil {
 		t.byOwner[inc] = map[ids.Job]struct{}{}
@@ -117,24 +113,53 @@
 	t.own(to, r.Job)
 }
 
+// end replaces an open job's row by a compact one.
 func (t *jobTable) end(r *jobRow, state wire.JobState, v verdict.Verdict, reason verdict.Reason, now int64) {
 	r.State, r.Verdict, r.Reason, r.Ended = state, v, reason, now
-	t.open--
 	t.disown(r.Owner, r.Job)
-	t.addEnded(r)
-}
-
-func (t *jobTable) remove(r *jobRow) {
 	delete(t.rows, r.Job)
 	delete(t.byNonce, r.Nonce)
 	if r.Key != "" {
-		delete(t.byKey, jobKey{r.Team, r.Key})
-	} else {
-		t.keyless--
+		delete(t.byKey, r.hash)
 	}
-	if r.plainKey() {
-		t.plain--
+	t.ended.add(t.ended.compact(r))
+}
+
+// find returns the record of a job.
+func (t *jobTable) find(job ids.Job) (wire.JobRecord, bool) {
+	if r, ok := t.rows[job]; ok {
+		return r.JobRecord, true
 	}
+	if r, ok := t.ended.findJob(job); ok {
+		return t.ended.record(r), true
+	}
+	return wire.JobRecord{}, false
+}
+
+// findKey returns the record of a submission with its key.
+func (t *jobTable) findKey(team ids.Team, key string) (wire.JobRecord, bool) {
+	h := hashKey(team, key)
+	if job, ok := t.byKey[h]; ok {
+		return t.rows[job].JobRecord, true
+	}
+	r, ok := t.ended.findKey(h)
+	if !ok {
+		return wire.JobRecord{}, false
+	}
+	rec := t.ended.record(r)
+	rec.Key = key
+	return rec, true
+}
+
+// findNonce returns the record of an admission.
+func (t *jobTable) findNonce(nonce string) (wire.JobRecord, bool) {
+	if job, ok := t.byNonce[nonce]; ok {
+		return t.rows[job].JobRecord, true
+	}
+	if r, ok := t.ended.findNonce(nonce); ok {
+		return t.ended.record(r), true
+	}
+	return wire.JobRecord{}, false
 }
 
 // oldestOpen returns the lowest ids of open jobs.
@@ -142,7 +167,7 @@
 	o := oldestJobs{service: map[ids.Service]ids.Job{}}
 	for _, job := range t.admitted {
 		r, ok := t.rows[job]
-		if !ok || !r.isOpen() {
+		if !ok {
 			continue
 		}
 		if o.any == 0 {
@@ -159,8 +184,8 @@
 	if !s.members.isLive(it.Owner, wire.KindEntry) {
 		return refused(verdict.Refuse(verdict.Fenced, "entry incarnation %d is not live", it.Owner))
 	}
-	if job, ok := s.jobs.byNonce[it.Nonce]; ok {
-		return s.repeated(s.jobs.rows[job], it)
+	if rec, ok := s.jobs.findNonce(it.Nonce); ok {
+		return repeated(rec, it)
 	}
 	if e := checkAdmit(it); e != nil {
 		return refused(e)
@@ -170,16 +195,16 @@
 			return r
 		}
 	}
-	if s.jobs.open >= s.config.limits.maxOpen {
-		return refused(verdict.Refuse(verdict.Overloaded, "%d jobs are open", s.jobs.open).After(overloadWait))
+	if n := len(s.jobs.rows); n >= s.config.limits.maxOpen {
+		return refused(verdict.Refuse(verdict.Overloaded, "%d jobs are open", n).After(overloadWait))
 	}
-	if len(s.jobs.rows) >= maxRecords {
+	if s.jobs.len() >= maxRecords {
 		return refused(verdict.Refuse(verdict.Overloaded, "%d job records are kept", maxRecords).After(overloadWait))
 	}
-	r := &jobRow{JobRecord: wire.JobRecord{
+	r := newJobRow(jobRow{JobRecord: wire.JobRecord{
 		Job: ids.Job(s.index), Epoch: 1, Owner: it.Owner, Team: it.Team, Service: it.Service,
 		Key: it.Key, BodyHash: it.BodyHash, Tasks: it.Tasks, State: wire.JobOpen, Admitted: s.now, Deadline: it.Deadline,
-	}, KeyTime: it.KeyTime, Nonce: it.Nonce}
+	}, KeyTime: it.KeyTime, Nonce: it.Nonce})
 	s.jobs.add(r)
 	o := r.Ownership()
 	return wire.AdmitResult{Admitted: &o}
@@ -188,23 +213,21 @@
 func refused(e *verdict.Error) wire.AdmitResult { return wire.AdmitResult{Err: e} }
 
 // repeated answers an admission whose nonce has a record already.
-func (s *State) repeated(r *jobRow, it wire.AdmitItem) wire.AdmitResult {
-	if r.Owner != it.Owner {
-		return refused(verdict.Refuse(verdict.Fenced, "job %d belongs to incarnation %d", r.Job, r.Owner))
+func repeated(rec wire.JobRecord, it wire.AdmitItem) wire.AdmitResult {
+	if rec.Owner != it.Owner {
+		return refused(verdict.Refuse(verdict.Fenced, "job %d belongs to incarnation %d", rec.Job, rec.Owner))
 	}
-	o := r.Ownership()
-	return wire.AdmitResult{Admitted: &o}
+	return wire.AdmitResult{Admitted: &wire.Ownership{Job: rec.Job, Epoch: rec.Epoch}}
 }
 
 // resubmitted answers an admission by what is known of its key. done is false
 // when the key is new.
 func (s *State) resubmitted(it wire.AdmitItem) (_ wire.AdmitResult, done bool) {
-	if job, ok := s.jobs.byKey[jobKey{it.Team, it.Key}]; ok {
-		r := s.jobs.rows[job]
-		if r.BodyHash != it.BodyHash {
-			return refused(verdict.Refuse(verdict.KeyReuse, "job %d has the same key and another body", job)), true
+	if rec, ok := s.jobs.findKey(it.Team, it.Key); ok {
+		if !rec.HasBody(it.BodyHash) {
+			return refused(verdict.Refuse(verdict.KeyReuse, "job %d has the same key and another body", rec.Job)), true
 		}
-		rec := r.JobRecord
+		rec.BodyHash = it.BodyHash
 		return wire.AdmitResult{Duplicate: &rec}, true
 	}
 	if s.tombs.has(hashKey(it.Team, it.Key)) {
@@ -249,7 +272,7 @@
 func (s *State) complete(c wire.Complete) {
 	for _, it := range c.Items {
 		r, ok := s.jobs.rows[it.Job]
-		if !ok || it.Epoch != r.Epoch || !r.isOpen() {
+		if !ok || it.Epoch != r.Epoch {
 			continue
 		}
 		switch it.State {
@@ -271,34 +294,34 @@
 	return r.Admitted+l.deadline+overdue.Milliseconds() < now
 }
 
-// expires returns when an ended row may be dropped, in Unix milliseconds. It is
-// after the time from which the key's creation time alone refuses the key.
-func (r *jobRow) expires(l limits) int64 { return max(r.Ended, r.KeyTime) + l.retention }
-
 func (t *jobTable) due(now int64, l limits) bool {
 	for _, job := range t.admitted {
-		if r, ok := t.rows[job]; ok && r.isOpen() {
+		if r, ok := t.rows[job]; ok {
 			if r.isOverdue(now, l) {
 				return true
 			}
 			break
 		}
 	}
-	if len(t.ended) > 0 && t.rows[t.ended[0]].expires(l) < now {
+	if t.ended.len() > 0 && t.ended.rows.nth(0).expires(l) < now {
 		return true
 	}
-	return len(t.rows) > keptRecords && t.keyless > 0
+	return t.crowded()
 }
 
+// crowded reports whether records without a key have to make room.
+func (t *jobTable) crowded() bool { return t.len() > keptRecords && t.ended.keyless > 0 }
+
 // endOverdueJobs ends open jobs that no owner can still be working on, and
 // drops ended jobs from the list of admissions.
 func (s *State) endOverdueJobs() {
 	s.jobs.admitted = slices.DeleteFunc(s.jobs.admitted, func(job ids.Job) bool {
 		r, ok := s.jobs.rows[job]
-		if ok && r.isOpen() && r.isOverdue(s.now, s.config.limits) {
+		if ok && r.isOverdue(s.now, s.config.limits) {
 			s.endJob(r, wire.JobFailed, verdict.MayHaveRun, verdict.DeadlinePassed)
+			return true
 		}
-		return !ok || !r.isOpen()
+		return !ok
 	})
 }
 
@@ -310,30 +333,29 @@
 // much as is kept.
 func (s *State) forgetJobs() {
 	l := s.config.limits
-	kept, n := 0, 0
-	for ; n < len(s.jobs.ended); n++ {
-		r := s.jobs.rows[s.jobs.ended[n]]
-		crowded := len(s.jobs.rows) > keptRecords && s.jobs.keyless > 0
-		if r.Ended+l.retention >= s.now && !crowded {
+	t := &s.jobs.ended
+	n := 0
+	for ; n < t.len(); n++ {
+		r := t.rows.nth(n)
+		crowded := s.jobs.crowded()
+		if r.ended+l.retention >= s.now && !crowded {
 			break
 		}
-		if r.expires(l) >= s.now && !(crowded && r.Key == "") {
-			s.jobs.ended[kept] = r.Job
-			kept++
-			continue
+		if r.expires(l) < s.now || crowded && r.keyless() {
+			s.forgetJob(t.rows.pos(n))
 		}
-		s.forgetJob(r)
 	}
-	copy(s.jobs.ended[n-kept:n], s.jobs.ended[:kept])
-	s.jobs.ended = s.jobs.ended[n-kept:]
+	t.drop(n)
 }
 
-func (s *State) forgetJob(r *jobRow) {
-	s.jobs.remove(r)
+func (s *State) forgetJob(pos uint32) {
+	r := *s.jobs.ended.rows.at(pos)
+	s.jobs.ended.unindex(pos)
 	if r.plainKey() {
-		s.tombs.add(hashKey(r.Team, r.Key), s.now)
+		s.jobs.plain--
+		s.tombs.add(r.key, s.now)
 	}
-	if r.Key != "" {
-		s.jobs.keyFloor = max(s.jobs.keyFloor, r.KeyTime)
+	if !r.keyless() {
+		s.jobs.keyFloor = max(s.jobs.keyFloor, r.keyTime)
 	}
 }
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -21,7 +21,9 @@
 	Pairs     []wire.SourcePair `json:"pairs"`
 	Commands  []commandRow      `json:"commands"`
 	Members   []memberRow       `json:"members"`
-	Jobs      []jobRow          `json:"jobs"` // open ones by id, then ended ones in the order of their ends
+	Jobs      []jobRow          `json:"jobs"`    // open ones by id
+	Ended     []byte            `json:"ended"`   // endedBytes for each, in the order of their ends
+	Origins   []origin          `json:"origins"` // of ended jobs
 	KeyFloor  int64             `json:"key_floor"`
 	Tombs     []byte            `json:"tombs"` // tombBytes for each: hash, then time in big endian
 	LogFloor  uint64            `json:"log_floor"`
@@ -46,14 +48,14 @@
 	}
 	out.Jobs = make([]jobRow, 0, len(s.jobs.rows))
 	for _, job := range s.jobs.admitted {
-		if r, ok := s.jobs.rows[job]; ok && r.isOpen() {
+		if r, ok := s.jobs.rows[job]; ok {
 			out.Jobs = append(out.Jobs, *r)
 		}
 	}
-	for _, job := range s.jobs.ended {
-		out.Jobs = append(out.Jobs, *s.jobs.rows[job])
-	}
-	for _, t := range s.tombs.order {
+	out.Ended, out.Origins = s.jobs.ended.encode()
+	out.Tombs = make([]byte, 0, s.tombs.len()*tombBytes)
+	for i := range s.tombs.len() {
+		t := s.tombs.rows.nth(i)
 		out.Tombs = append(out.Tombs, t.hash[:]...)
 		out.Tombs = binary.BigEndian.AppendUint64(out.Tombs, uint64(t.at))
 	}
@@ -91,9 +93,15 @@
 		s.members.add(&in.Members[i])
 	}
 	for _, r := range in.Jobs {
-		s.jobs.add(&r) // a copy, so that a dropped row does not keep the others
+		s.restoreJob(newJobRow(r)) // a copy, so that a dropped row does not keep the others
+	}
+	if err := s.jobs.restore(in.Ended, in.Origins); err != nil {
+		return nil, err
 	}
 	s.jobs.keyFloor = in.KeyFloor
+	if len(in.Tombs)/tombBytes > maxQueue {
+		return nil, errors.New("control state snapshot: the key table is too long")
+	}
 	for row := range slices.Chunk(in.Tombs, tombBytes) {
 		if len(row) != tombBytes {
 			return nil, errors.New("control state snapshot: the key table is cut off")
@@ -103,6 +111,19 @@
 	return s, nil
 }
 
+// restoreJob enters a row, which has ended only in snapshots of versions that
+// kept whole rows of ended jobs.
+func (s *State) restoreJob(r *jobRow) {
+	if r.isOpen() {
+		s.jobs.add(r)
+		return
+	}
+	s.jobs.ended.add(s.jobs.ended.compact(r))
+	if r.plainKey() {
+		s.jobs.plain++
+	}
+}
+
 func (s *State) restoreConfig(in snapshot) error {
 	pairs := make([]wire.Pair, 0, len(in.Pairs))
 	for _, p := range in.Pairs {
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -28,7 +28,6 @@
 		commands: newCommandTable(),
 		members:  newMemberTable(),
 		jobs:     newJobTable(),
-		tombs:    newTombTable(),
 	}
 }
 
@@ -123,26 +122,19 @@
 	return ok && r.SelfDrain
 }
 
-// Job returns the record of a job.
+// Job returns the record of a job. That of an ended one has no key and a short
+// hash of the body, as wire.JobRecord.HasBody expects it.
 func (s *State) Job(job ids.Job) (wire.JobRecord, bool) {
-	r, ok := s.jobs.rows[job]
-	if !ok {
-		return wire.JobRecord{}, false
-	}
-	return r.JobRecord, true
+	return s.jobs.find(job)
 }
 
 // JobByKey returns the record of a submission.
 func (s *State) JobByKey(team ids.Team, key string) (wire.JobRecord, bool) {
-	job, ok := s.jobs.byKey[jobKey{team, key}]
-	if !ok {
-		return wire.JobRecord{}, false
-	}
-	return s.Job(job)
+	return s.jobs.findKey(team, key)
 }
 
 // OpenJobs returns the number of open jobs.
-func (s *State) OpenJobs() int { return s.jobs.open }
+func (s *State) OpenJobs() int { return len(s.jobs.rows) }
 
 // apply answers an operator's command, a repeated one with the first answer.
 func (s *State) apply(a wire.Apply) wire.ApplyReply {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -165,7 +165,7 @@
 	switch {
 	case rec.Owner != l.self:
 		return wire.Empty{}, verdict.Refuse(verdict.UnknownJob, "job %d has another owner", b.Job)
-	case s.BodyHash != rec.BodyHash:
+	case !rec.HasBody(s.BodyHash):
 		return wire.Empty{}, verdict.Refuse(verdict.KeyReuse, "job %d has another body", b.Job)
 	case rec.State == wire.JobOpen:
 		l.supply(rec, s, l.loop.Now())
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -102,7 +102,7 @@
 // duplicate answers a resubmission with the state of the first submission, and
 // hands over the bodies if the owner lacks them.
 func (l *life) duplicate(ctx context.Context, rec wire.JobRecord, s submission, arrived time.Duration, w watch) (wire.JobStatus, *verdict.Error) {
-	if rec.BodyHash != s.BodyHash || rec.Tasks != len(s.Tasks) || rec.Service != s.Service {
+	if !rec.HasBody(s.BodyHash) || rec.Tasks != len(s.Tasks) || rec.Service != s.Service {
 		return wire.JobStatus{}, verdict.Refuse(verdict.KeyReuse, "the key belongs to job %d, which has another body", rec.Job)
 	}
 	if rec.State != wire.JobOpen {
--- a/settings/cluster.go
+++ b/settings/cluster.go
@@ -48,6 +48,11 @@
 	QuarantineShare float64 `yaml:"quarantine_share" range:"0..1" unit:"largest share of a service's upstreams in quarantine"`
 }
 
+// MaxOpenJobs is the largest value of Jobs.MaxOpen. An open job takes about 500
+// bytes at each control node, and 10,000 of them 5 MB of the 32 MB that a control
+// daemon may use.
+const MaxOpenJobs = 10_000
+
 // Jobs sets what is kept of jobs.
 type Jobs struct {
 	// Retention is how long a job's record and answer are kept after its end.
@@ -57,8 +62,8 @@
 	// MaxDeadline bounds the deadline that a caller may ask for. Agents delete
 	// rows 1 h 10 min after they were made, so it is at most 1 h.
 	MaxDeadline Duration `yaml:"max_deadline" range:"1s..1h" unit:"longest deadline that a caller may ask for"`
-	// MaxOpen bounds the open jobs of the whole system.
-	MaxOpen int `yaml:"max_open" range:"1..10000000" unit:"open jobs of the whole system"`
+	// MaxOpen bounds the open jobs of the whole system, to at most MaxOpenJobs.
+	MaxOpen int `yaml:"max_open" range:"1..10000" unit:"open jobs of the whole system"`
 }
 
 // Duration is a time span written as in Go, for example "1h" or "500ms".
@@ -77,7 +82,7 @@
 			Retention:          Duration(time.Hour),
 			TombstoneRetention: Duration(168 * time.Hour),
 			MaxDeadline:        Duration(time.Hour),
-			MaxOpen:            100_000,
+			MaxOpen:            MaxOpenJobs,
 		},
 	}
 }
--- a/wire/control.go
+++ b/wire/control.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
@@ -36,6 +38,28 @@
 	Ended    int64           `json:"end,omitempty"` // Unix milliseconds, zero while open
 }
 
+// BodyID identifies the body of a job by 16 bytes. It is zero without a body hash.
+type BodyID [16]byte
+
+// BodyIDOf returns the short form of a body hash.
+func BodyIDOf(bodyHash string) BodyID {
+	if bodyHash == "" {
+		return BodyID{}
+	}
+	sum := sha256.Sum256([]byte(bodyHash))
+	return BodyID(sum[:16])
+}
+
+// HasBody reports whether a job has the body with the given hash. The record of
+// an ended job may hold the BodyID of the hash in hexadecimal instead of it.
+func (r JobRecord) HasBody(bodyHash string) bool {
+	if r.BodyHash == bodyHash {
+		return true
+	}
+	id := BodyIDOf(bodyHash)
+	return r.State != JobOpen && r.BodyHash == hex.EncodeToString(id[:])
+}
+
 // AdmitItem asks for the record of one job.
 type AdmitItem struct {
 	Owner    ids.Incarnation `json:"owner"`
