controlstate: hold an hour of records in the memory of a control daemon

Cause: 200,000 records are 46 min of the 72 admissions/s of the design scale, below the retention of 1 h.

--- a/controlstate/ended.go
+++ b/controlstate/ended.go
@@ -4,8 +4,6 @@
 	"encoding/hex"
 	"math"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
@@ -17,9 +15,8 @@
 	job     ids.Job
 	key     keyHash
 	body    wire.BodyID
-	nonce   uint64 // hash of the nonce
-	keyTime int64  // Unix milliseconds
-	ended   int64  // Unix milliseconds
+	keyTime int64 // Unix milliseconds
+	ended   int64 // Unix milliseconds
 	// admitted and deadline count in milliseconds before and after ended. They
 	// only inform and stop at the limits of their types, weeks away.
 	admitted uint32
@@ -49,14 +46,11 @@
 // the time from which the key's creation time alone refuses the key.
 func (r *endedRow) expires(l limits) int64 { return max(r.ended, r.keyTime) + l.retention }
 
-func hashNonce(nonce string) uint64 { return xxhash.Sum64String(nonce) }
-
 // endedTable holds ended jobs in the order of their ends.
 type endedTable struct {
 	rows    queue[endedRow]
 	byJob   index
 	byKey   index
-	byNonce index
 	origins interned[origin]
 	keyless int // rows without a key
 }
@@ -65,14 +59,13 @@
 
 func (t *endedTable) len() int { return t.rows.len() }
 
-func (t *endedTable) jobAt(pos uint32) uint64   { return indexHash(t.rows.at(pos).job) }
-func (t *endedTable) keyAt(pos uint32) uint64   { return indexHash(t.rows.at(pos).key) }
-func (t *endedTable) nonceAt(pos uint32) uint64 { return indexHash(t.rows.at(pos).nonce) }
+func (t *endedTable) jobAt(pos uint32) uint64 { return indexHash(t.rows.at(pos).job) }
+func (t *endedTable) keyAt(pos uint32) uint64 { return indexHash(t.rows.at(pos).key) }
 
 // compact returns the row of an ended job.
 func (t *endedTable) compact(r *jobRow) endedRow {
 	row := endedRow{
-		job: r.Job, key: r.hash, body: wire.BodyIDOf(r.BodyHash), nonce: hashNonce(r.Nonce),
+		job: r.Job, key: r.hash, body: wire.BodyIDOf(r.BodyHash),
 		keyTime: r.KeyTime, ended: r.Ended, tasks: uint32(r.Tasks), deadline: noDeadline,
 		admitted: uint32(min(max(r.Ended-r.Admitted, 0), math.MaxUint32)),
 		origin: t.origins.add(origin{
@@ -90,7 +83,6 @@
 func (t *endedTable) add(row endedRow) {
 	pos := t.rows.push(row)
 	t.byJob.add(indexHash(row.job), pos, t.jobAt)
-	t.byNonce.add(indexHash(row.nonce), pos, t.nonceAt)
 	if row.keyless() {
 		t.keyless++
 	} else {
@@ -103,7 +95,6 @@
 func (t *endedTable) unindex(pos uint32) {
 	r := t.rows.at(pos)
 	t.byJob.remove(indexHash(r.job), pos, t.jobAt)
-	t.byNonce.remove(indexHash(r.nonce), pos, t.nonceAt)
 	if r.keyless() {
 		t.keyless--
 	} else {
@@ -128,7 +119,6 @@
 			continue
 		}
 		t.byJob.move(indexHash(r.job), from, to)
-		t.byNonce.move(indexHash(r.nonce), from, to)
 		if !r.keyless() {
 			t.byKey.move(indexHash(r.key), from, to)
 		}
@@ -148,12 +138,6 @@
 	return t.row(pos, ok)
 }
 
-func (t *endedTable) findNonce(nonce string) (*endedRow, bool) {
-	h := hashNonce(nonce)
-	pos, ok := t.byNonce.find(indexHash(h), func(pos uint32) bool { return t.rows.at(pos).nonce == h })
-	return t.row(pos, ok)
-}
-
 func (t *endedTable) row(pos uint32, ok bool) (*endedRow, bool) {
 	if !ok {
 		return nil, false
--- a/controlstate/ended_snapshot.go
+++ b/controlstate/ended_snapshot.go
@@ -9,7 +9,7 @@
 )
 
 // endedBytes is the length of a row of an ended job in a snapshot.
-const endedBytes = 80
+const endedBytes = 72
 
 // encode returns the rows in order, and the origins that they refer to in the
 // order in which the rows first name them.
@@ -33,7 +33,6 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(r.job))
 	b = append(b, r.key[:]...)
 	b = append(b, r.body[:]...)
-	b = binary.BigEndian.AppendUint64(b, r.nonce)
 	b = binary.BigEndian.AppendUint64(b, uint64(r.keyTime))
 	b = binary.BigEndian.AppendUint64(b, uint64(r.ended))
 	b = binary.BigEndian.AppendUint32(b, r.admitted)
@@ -46,9 +45,9 @@
 func parseEnded(b []byte) endedRow {
 	be := binary.BigEndian
 	r := endedRow{
-		job: ids.Job(be.Uint64(b)), nonce: be.Uint64(b[40:]), keyTime: int64(be.Uint64(b[48:])),
-		ended: int64(be.Uint64(b[56:])), admitted: be.Uint32(b[64:]), deadline: int32(be.Uint32(b[68:])),
-		origin: be.Uint32(b[72:]), tasks: be.Uint32(b[76:]),
+		job: ids.Job(be.Uint64(b)), keyTime: int64(be.Uint64(b[40:])),
+		ended: int64(be.Uint64(b[48:])), admitted: be.Uint32(b[56:]), deadline: int32(be.Uint32(b[60:])),
+		origin: be.Uint32(b[64:]), tasks: be.Uint32(b[68:]),
 	}
 	copy(r.key[:], b[8:])
 	copy(r.body[:], b[24:])
--- a/controlstate/jobs.go
+++ b/controlstate/jobs.go
@@ -11,13 +11,13 @@
 
 const (
 	// maxRecords bounds the job records, open and ended. Admissions beyond it
-	// are refused. At 96 bytes for each ended record, with its share of the
-	// indexes, and 500 bytes for each open one, they take 24 MB of the 32 MB of a
-	// control daemon.
-	maxRecords = 200_000
+	// are refused. At 85 bytes for each ended record, with its share of the
+	// indexes, and 510 bytes for each open one, of which there are at most
+	// settings.MaxOpenJobs, they take 26 MB of the 32 MB of a control daemon.
+	maxRecords = 260_000
 	// keptRecords is the number above which ended records without a key are
 	// dropped before their retention ends, the oldest first. Only records with
-	// a key carry a promise about resubmission.
+	// a key carry a promise about resubmission, and need the room.
 	keptRecords = 50_000
 	// overdue is how long after the longest deadline an open job is ended by
 	// the tables, because its owner never reported its end.
@@ -60,7 +60,8 @@
 	byOwner  map[ids.Incarnation]map[ids.Job]struct{}
 	admitted []ids.Job // open jobs in increasing order, and some that have ended
 	ended    endedTable
-	plain    int // open and ended rows with a plain key
+	nonces   nonceTable // of ended jobs
+	plain    int        // open and ended rows with a plain key
 	// keyFloor is the latest creation time of a key whose record has been
 	// dropped. Keys up to it stay refused even if the retention is raised later.
 	keyFloor int64
@@ -89,6 +90,10 @@
 	if r.plainKey() {
 		t.plain++
 	}
+	if len(t.admitted) > 2*len(t.rows)+chunkRows {
+		// Between two ticks many jobs may end.
+		t.admitted = slices.DeleteFunc(t.admitted, func(job ids.Job) bool { return t.rows[job] == nil })
+	}
 	t.admitted = append(t.admitted, r.Job)
 	t.own(r.Owner, r.Job)
 }
@@ -122,7 +127,12 @@
 	if r.Key != "" {
 		delete(t.byKey, r.hash)
 	}
+	t.addEnded(r)
+}
+
+func (t *jobTable) addEnded(r *jobRow) {
 	t.ended.add(t.ended.compact(r))
+	t.nonces.add(nonceRow{hashNonce(r.Nonce), r.Job})
 }
 
 // find returns the record of a job.
@@ -156,10 +166,11 @@
 	if job, ok := t.byNonce[nonce]; ok {
 		return t.rows[job].JobRecord, true
 	}
-	if r, ok := t.ended.findNonce(nonce); ok {
-		return t.ended.record(r), true
+	job, ok := t.nonces.find(nonce)
+	if !ok {
+		return wire.JobRecord{}, false
 	}
-	return wire.JobRecord{}, false
+	return t.find(job)
 }
 
 // oldestOpen returns the lowest ids of open jobs.
@@ -346,6 +357,7 @@
 		}
 	}
 	t.drop(n)
+	s.jobs.nonces.forget(t)
 }
 
 func (s *State) forgetJob(pos uint32) {
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -23,6 +23,7 @@
 	Members   []memberRow       `json:"members"`
 	Jobs      []jobRow          `json:"jobs"`    // open ones by id
 	Ended     []byte            `json:"ended"`   // endedBytes for each, in the order of their ends
+	Nonces    []byte            `json:"nonces"`  // nonceBytes for each, of ended jobs
 	Origins   []origin          `json:"origins"` // of ended jobs
 	KeyFloor  int64             `json:"key_floor"`
 	Tombs     []byte            `json:"tombs"` // tombBytes for each: hash, then time in big endian
@@ -52,6 +53,7 @@
 			out.Jobs = append(out.Jobs, *r)
 		}
 	}
+	out.Nonces = s.jobs.nonces.encode()
 	out.Ended, out.Origins = s.jobs.ended.encode()
 	out.Tombs = make([]byte, 0, s.tombs.len()*tombBytes)
 	for i := range s.tombs.len() {
@@ -98,6 +100,9 @@
 	if err := s.jobs.restore(in.Ended, in.Origins); err != nil {
 		return nil, err
 	}
+	if err := s.jobs.nonces.restore(in.Nonces); err != nil {
+		return nil, err
+	}
 	s.jobs.keyFloor = in.KeyFloor
 	if len(in.Tombs)/tombBytes > maxQueue {
 		return nil, errors.New("control state snapshot: the key table is too long")
@@ -118,7 +123,7 @@
 		s.jobs.add(r)
 		return
 	}
-	s.jobs.ended.add(s.jobs.ended.compact(r))
+	s.jobs.addEnded(r)
 	if r.plainKey() {
 		s.jobs.plain++
 	}
--- a/settings/flat_test.go
+++ b/settings/flat_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -87,3 +88,12 @@
 		t.Errorf("no pairs: %v %v", c, err)
 	}
 }
+
+// Guards against a limit of open jobs for which control nodes have no memory.
+func TestMaxOpenIsBounded(t *testing.T) {
+	for n, ok := range map[int]bool{MaxOpenJobs: true, MaxOpenJobs + 1: false} {
+		if _, err := FromPairs([]wire.Pair{{Key: "jobs.max_open", Value: fmt.Sprint(n)}}); (err == nil) != ok {
+			t.Errorf("max_open %d: %v", n, err)
+		}
+	}
+}
