dispatch: balance teams over all entries

Cause: Agents divide their slots evenly between entries with need.

Change: A start names its team, and a report splits the tasks of other entries by team. No message is added.

TestQuota wanted 6 of the 9 tasks held (eight running, one in look-ahead) for three quarters, where 6.75 is exact. It now wants the nearest whole number, 7, at each of the last 20 steps instead of only the last one.

--- a/bench/process.go
+++ b/bench/process.go
@@ -222,6 +222,7 @@
 	up         *upstream
 	start, end time.Duration // end is zero while it runs
 	work       time.Duration // at speed 1
+	speed      float64       // of the upstream when the run began
 }
 
 // run starts a task on the upstream beside the agent.
@@ -244,7 +245,7 @@
 	u.running++
 	c.check.ran(u, st, t, s)
 	c.acct.ran(p.inc, st.Key)
-	r := &span{sub: s, key: st.Key, up: u, start: c.now, work: s.Work[t.Index]}
+	r := &span{sub: s, key: st.Key, up: u, start: c.now, work: s.Work[t.Index], speed: u.speed / u.slow}
 	p.running[st.Key] = r
 	c.spans = append(c.spans, r)
 	c.tracef("agent %d runs %v try %d (submission %d task %d)", p.inc, st.Key, st.Try, t.Sub, t.Index)
--- a/bench/targets.go
+++ b/bench/targets.go
@@ -24,6 +24,7 @@
 	steadyLength = 120 * time.Second
 	burstSeeds   = 5
 	wasteSeeds   = 2 // for each kind of fault
+	quotaSeeds   = 6
 	targetSeed   = 1 // of targets that one run decides
 	// burstSlack is how much the mean lag may differ before and after the burst
 	// and still count as normal. The lag of equal loads varies by this much.
@@ -95,20 +96,33 @@
 	return share(r.SingleStarts, singles)
 }
 
-// quotaDeviation is the largest relative deviation of a team from its share while
-// two teams with quotas 3 and 1 both ask for more than they get.
-func quotaDeviation(d Deployment) float64 {
+// quotaOptions let two teams with quotas 3 and 1 ask for 1.25 times the capacity
+// each, so that both always ask for more than their share.
+func quotaOptions(d Deployment) Options {
 	l := Load{Base: 2.5, Length: 40 * time.Second, Deadline: 10 * time.Second}
-	r := Run(Options{Deployment: d, Load: l, Seed: targetSeed, Quotas: []int{3, 1}})
-	var work [teams]float64
-	sum := 0.0
-	for i := range work {
-		work[i] = r.workIn(warmup, l.Length, func(s *Submission) bool { return s.Team == i })
-		sum += work[i]
+	return Options{Deployment: d, Load: l, Quotas: []int{3, 1}}
+}
+
+// quotaDeviation is the largest relative deviation of a team from its share of
+// the work, in the worst of several runs.
+func quotaDeviation(d Deployment) float64 {
+	o := quotaOptions(d)
+	row := runSeeds(o, quotaSeeds, nil)
+	worst := 0.0
+	for _, r := range row.Results {
+		worst = max(worst, r.deviation(o.Load.Length, [teams]float64{0.75, 0.25}))
 	}
+	return worst
+}
+
+// deviation is the largest relative deviation of a team from the given shares of
+// the work. Work rather than slot time counts, since slots differ in speed by 4.
+func (r *Result) deviation(to time.Duration, shares [teams]float64) float64 {
+	all := r.workIn(warmup, to, func(*Submission) bool { return true })
 	worst := 0.0
-	for i, share := range [teams]float64{0.75, 0.25} {
-		worst = max(worst, work[i]/sum/share-1, 1-work[i]/sum/share)
+	for i, share := range shares {
+		part := r.workIn(warmup, to, func(s *Submission) bool { return s.Team == i }) / all
+		worst = max(worst, part/share-1, 1-part/share)
 	}
 	return worst
 }
@@ -132,13 +146,14 @@
 }
 
 // workIn is the work, in seconds at speed 1, that upstreams did in the window
-// for the submissions that f selects.
+// for the submissions that f selects: time in a slot multiplied by its speed. A
+// run that was aborted counts up to its abortion only.
 func (r *Result) workIn(from, to time.Duration, f func(*Submission) bool) float64 {
 	sum := 0.0
 	for _, s := range r.spans {
 		overlap := min(s.end, to) - max(s.start, from)
 		if overlap > 0 && f(s.sub) {
-			sum += s.work.Seconds() * float64(overlap) / float64(s.end-s.start)
+			sum += overlap.Seconds() * s.speed
 		}
 	}
 	return sum
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -42,6 +42,7 @@
 		c.mark(u) // a leaving agent waits for its acknowledgements
 	}
 	u.others = max(r.Running+r.Queued-r.Held, 0)
+	c.setElsewhere(u, r.Others)
 	u.queued = r.Queued
 	u.draining = r.Draining || u.member.Draining
 	u.down = r.Down
--- a/dispatch/decision_test.go
+++ b/dispatch/decision_test.go
@@ -215,15 +215,16 @@
 		f.now += sweepInterval
 		f.answer(1, starts[0], verdict.Ran, 200, "")
 		starts = append(starts[1:], f.tick()[1]...)
-	}
-	b := 0
-	for _, st := range starts {
-		if st.Key.Job == 2 {
-			b++
+		b := 0
+		for _, st := range starts {
+			if st.Key.Job == 2 {
+				b++
+			}
+		}
+		// The whole number next to three quarters of what both hold.
+		if want := (3*len(starts) + 2) / 4; i >= 20 && b != want {
+			t.Fatalf("step %d: team b with three quarters of the quota holds %d of %d tasks, want %d", i, b, len(starts), want)
 		}
-	}
-	if b != 6 {
-		t.Fatalf("team b with three quarters of the quota holds %d of %d slots", b, len(starts))
 	}
 }
 
--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/wire"
 )
 
 // fairQueue orders the waiting jobs of a service. Teams within the part of
@@ -25,15 +26,17 @@
 
 // teamQueue holds the waiting jobs of a team.
 type teamQueue struct {
-	quota   int
-	rate    int // work done for it each second, in thousandths of an average slot
-	part    int // rate that the quota guarantees, set by each sweep
-	jobs    jobHeap
-	urgent  urgentHeap
-	waiting int
-	pos     int
-	sizes   sizeTable
-	due     dueTable
+	quota     int
+	rate      int     // work done for it each second, in thousandths of an average slot
+	elsewhere int     // rate of other entries for the team by the latest reports
+	surplus   float64 // part of it that exceeds the team's share there, averaged
+	part      int     // rate that the quota guarantees here, set by each sweep
+	jobs      jobHeap
+	urgent    urgentHeap
+	waiting   int
+	pos       int
+	sizes     sizeTable
+	due       dueTable
 }
 
 type teamHeap []*teamQueue
@@ -98,23 +101,63 @@
 
 func (q *fairQueue) init() { q.teams = map[ids.Team]*teamQueue{} }
 
-// excess is the rate of the team beyond its guaranteed part.
-func (t *teamQueue) excess() int { return max(t.rate-t.part, 0) }
+// excess is the rate of the team beyond its guaranteed part. Half
+// a slot is added: a freed slot rarely fits the gap that it leaves, and without
+// that a team with a small part takes it for any gap and gets more than its part.
+func (t *teamQueue) excess() int { return max(t.rate+rateUnit/2-t.part, 0) }
+
+// surplusTime is the time constant, in sweeps, with which the surplus of a team
+// at other entries is averaged. Below saturation the surplus fluctuates around
+// zero: at 70 % load the mean response time was 1.124 times the omniscient one
+// with 10 sweeps, 1.103 to 1.113 times with 100.
+const surplusTime = 100
 
-// divide sets the parts of the teams that have tasks, of the given rate.
+// divide sets the parts of the teams that have tasks, of the given rate. A team
+// without tasks at another entry gets the share that it leaves there at this one.
 func (q *fairQueue) divide(rate int) {
-	quotas := 0
+	quotas, elsewhere := 0, 0
 	for _, t := range q.teams {
-		if t.rate+t.waiting > 0 {
+		if t.rate+t.elsewhere+t.waiting > 0 {
 			quotas += t.quota
 		}
+		elsewhere += t.elsewhere
 	}
 	for _, t := range q.teams {
-		t.part = rate * t.quota / max(quotas, 1)
+		surplus := t.elsewhere - elsewhere*t.quota/max(quotas, 1)
+		if t.rate+t.elsewhere+t.waiting == 0 {
+			surplus = 0
+		}
+		t.surplus += (float64(surplus) - t.surplus) / surplusTime
+		t.part = rate*t.quota/max(quotas, 1) - int(t.surplus)
 	}
 	heap.Init(&q.heap)
 }
 
+// teamWork is the rate of an upstream for a team and other entries.
+type teamWork struct {
+	team *teamQueue
+	rate int
+}
+
+// setElsewhere records the tasks that u holds for other entries. Teams that are
+// not configured here have no share. The order of teams changes with the next
+// sweep only.
+func (c *Core) setElsewhere(u *upstream, list []wire.TeamTasks) {
+	for _, w := range u.elsewhere {
+		w.team.elsewhere -= w.rate
+	}
+	u.elsewhere = u.elsewhere[:0]
+	for _, t := range list {
+		cfg, ok := c.cfg.Teams[t.Team]
+		if !ok || t.Tasks <= 0 {
+			continue
+		}
+		w := teamWork{u.svc.fair.team(t.Team, cfg.Quota), int(float64(t.Tasks) * rateUnit / u.slow)}
+		w.team.elsewhere += w.rate
+		u.elsewhere = append(u.elsewhere, w)
+	}
+}
+
 // team returns the queue of a team and creates it if needed.
 func (q *fairQueue) team(name ids.Team, quota int) *teamQueue {
 	t := q.teams[name]
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -33,11 +33,13 @@
 	blocked   time.Duration // no new work until then
 	backoff   time.Duration // last block, doubled by the next
 
-	credit   int
-	held     int           // attempts without an answer
-	others   int           // tasks of other entries there
-	queued   int           // tasks queued there for all entries
-	reportAt time.Duration // last report
+	credit int
+	held   int // attempts without an answer
+	others int // tasks of other entries there
+	queued int // tasks queued there for all entries
+	// elsewhere is the work of teams there for other entries.
+	elsewhere []teamWork
+	reportAt  time.Duration // last report
 	// confirmed is when a report last accounted for all attempts here.
 	confirmed time.Duration
 
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -107,6 +107,7 @@
 	u.gone = true
 	u.connected = false
 	u.mailbox = mailbox{}
+	c.setElsewhere(u, nil)
 	if u.health == Quarantined {
 		u.leaveQuarantine()
 	}
@@ -179,6 +180,7 @@
 	u.connected = false
 	u.mailbox.clear()
 	u.credit = 0
+	c.setElsewhere(u, nil)
 	c.decide(now, "suspect", u.inc, ids.TaskKey{}, "disconnected")
 	c.reindex(u)
 	for _, a := range slices.Clone(u.attempts) {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -201,6 +201,7 @@
 		Key:      a.job.keyOf(a.index),
 		Epoch:    a.job.epoch,
 		Try:      a.try,
+		Team:     a.job.team,
 		Method:   spec.Method,
 		Path:     spec.Path,
 		Headers:  spec.Headers,
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -110,6 +110,7 @@
 func (c *Core) doubtOthers(now time.Duration, u *upstream) {
 	if u.connected && u.others > 0 && now-u.reportAt > othersAge {
 		u.others = 0
+		c.setElsewhere(u, nil)
 		u.reportAt = now
 		c.reindex(u)
 	}
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -35,7 +35,7 @@
 		return
 	}
 	c.running--
-	r.owner.holding--
+	r.owner.hold(r.team, -1)
 	if a.Verdict == verdict.NotRun {
 		reason := a.Reason
 		if reason == "" {
--- a/executor/cancel.go
+++ b/executor/cancel.go
@@ -106,8 +106,8 @@
 		r.answer = &wire.Answer{Key: r.key, Try: r.try, Verdict: verdict.NotRun, Reason: verdict.Recalled}
 	}
 	if r.state == wire.TaskRunning && old != s {
-		old.holding--
-		s.holding++
+		old.hold(r.team, -1)
+		s.hold(r.team, 1)
 	}
 	r.owner = s
 }
--- a/executor/core.go
+++ b/executor/core.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -42,6 +43,7 @@
 	epoch    ids.Epoch
 	try      uint32
 	owner    *session
+	team     ids.Team
 	state    wire.TaskState
 	start    wire.Start // emptied once the task is handed to the upstream
 	made     time.Duration
@@ -71,7 +73,8 @@
 	entry      ids.Incarnation
 	connected  bool
 	demand     int
-	holding    int // rows queued or running
+	holding    int              // rows queued or running
+	teams      []wire.TeamTasks // the same rows by team, in order of name
 	credit     int
 	sentCredit int           // credit in the last report
 	sentOthers int           // tasks of other entries in the last report
@@ -181,6 +184,42 @@
 	return s
 }
 
+// hold changes the number of queued and running rows of a team.
+func (s *session) hold(team ids.Team, n int) {
+	s.holding += n
+	s.teams = addTasks(s.teams, team, n)
+}
+
+// addTasks adds n tasks of a team to a list in order of name. A team without
+// tasks is left out.
+func addTasks(list []wire.TeamTasks, team ids.Team, n int) []wire.TeamTasks {
+	at, found := slices.BinarySearchFunc(list, team, func(t wire.TeamTasks, name ids.Team) int {
+		return cmp.Compare(t.Team, name)
+	})
+	if !found {
+		list = slices.Insert(list, at, wire.TeamTasks{Team: team})
+	}
+	list[at].Tasks += n
+	if list[at].Tasks == 0 {
+		return slices.Delete(list, at, at+1)
+	}
+	return list
+}
+
+// othersOf counts the tasks of the entries other than that of s by team.
+func (c *Core) othersOf(s *session) []wire.TeamTasks {
+	var list []wire.TeamTasks
+	for _, o := range c.order {
+		if o == s {
+			continue
+		}
+		for _, t := range o.teams {
+			list = addTasks(list, t.Team, t.Tasks)
+		}
+	}
+	return list
+}
+
 // dropSessions forgets entries that have been expired and hold nothing here.
 func (c *Core) dropSessions() {
 	c.order = slices.DeleteFunc(c.order, func(s *session) bool {
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -273,6 +274,30 @@
 	}
 }
 
+// TestTasksOfOthers guards against reports that show the tasks of other entries
+// under the wrong team, or after they have ended or changed their owner.
+func TestTasksOfOthers(t *testing.T) {
+	c := newTest(2)
+	of := func(st wire.Start, team ids.Team) wire.Start { st.Team = team; return st }
+	first, second, third := of(start(0, 1, 1), "b"), of(start(1, 1, 1), "a"), of(start(2, 1, 1), "b")
+	check := func(step string, to ids.Incarnation, want ...wire.TeamTasks) {
+		t.Helper()
+		if got := c.othersOf(c.session(to)); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", step, got, want)
+		}
+	}
+	send(c, e1, first, second, third)
+	check("two running, one queued", e2, wire.TeamTasks{Team: "a", Tasks: 1}, wire.TeamTasks{Team: "b", Tasks: 2})
+	check("own tasks", e1)
+	c.Receive(0, wire.Exchange{Entry: e1, Recalls: []wire.Recall{{Key: third.Key, Epoch: 1, Try: 1}}})
+	check("recalled", e2, wire.TeamTasks{Team: "a", Tasks: 1}, wire.TeamTasks{Team: "b", Tasks: 1})
+	c.Finished(0, wire.Answer{Key: first.Key, Verdict: verdict.Ran, Status: 200})
+	check("ended", e2, wire.TeamTasks{Team: "a", Tasks: 1})
+	c.Claim(0, wire.Claim{Entry: e2, Ownership: wire.Ownership{Job: job7, Epoch: 2}})
+	check("claimed", e2)
+	check("former owner", e1, wire.TeamTasks{Team: "a", Tasks: 1})
+}
+
 // TestRetention guards against rows deleted while a start could still arrive, or
 // by an agent that may not know that the former owner is expired.
 func TestRetention(t *testing.T) {
--- a/executor/start.go
+++ b/executor/start.go
@@ -47,7 +47,7 @@
 	} else {
 		r.withdraw()
 	}
-	r.epoch, r.try, r.owner = st.Epoch, st.Try, s
+	r.epoch, r.try, r.owner, r.team = st.Epoch, st.Try, s, st.Team
 	r.acked, r.answer, r.resends = false, nil, 0
 	if reason != "" {
 		c.refuse(r, reason)
@@ -56,7 +56,7 @@
 	r.state = wire.TaskQueued
 	r.start = st
 	r.deadline = now + time.Duration(st.BudgetMS)*time.Millisecond
-	s.holding++
+	s.hold(r.team, 1)
 	c.queued++
 	c.queue = append(c.queue, r)
 }
@@ -204,7 +204,7 @@
 // unqueue takes a queued row out of the counts.
 func (c *Core) unqueue(r *row) {
 	c.queued--
-	r.owner.holding--
+	r.owner.hold(r.team, -1)
 }
 
 // refuseQueued answers everything that waits with not-run.
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -90,6 +90,7 @@
 		Held:     s.holding,
 		Running:  c.running,
 		Queued:   c.queued,
+		Others:   c.othersOf(s),
 		Draining: c.draining,
 		Down:     c.down,
 	}
--- a/wire/task.go
+++ b/wire/task.go
@@ -48,7 +48,9 @@
 	// Try numbers the placements of the task by its owner, from 1. An agent that
 	// has refused or returned a try accepts only a later one, so a delayed copy
 	// of the start can't run.
-	Try     uint32   `json:"y,omitempty"`
+	Try uint32 `json:"y,omitempty"`
+	// Team that the task is run for. Agents tell other entries of it.
+	Team    ids.Team `json:"g,omitempty"`
 	Method  string   `json:"m"`
 	Path    string   `json:"p"`
 	Headers []Header `json:"h,omitempty"`
@@ -112,14 +114,22 @@
 	// queued and running together.
 	Credit int `json:"c"`
 	// Held is how many tasks of this entry are queued or running there now.
-	Held     int  `json:"h,omitempty"`
-	Running  int  `json:"n"` // tasks running for all entries
-	Queued   int  `json:"q"` // tasks queued for all entries
-	Draining bool `json:"d,omitempty"`
+	Held    int `json:"h,omitempty"`
+	Running int `json:"n"` // tasks running for all entries
+	Queued  int `json:"q"` // tasks queued for all entries
+	// Others splits the tasks of other entries, queued and running, by team.
+	Others   []TeamTasks `json:"o,omitempty"`
+	Draining bool        `json:"d,omitempty"`
 	// Down is set while the agent can't reach its upstream.
 	Down bool `json:"x,omitempty"`
 }
 
+// TeamTasks is a number of tasks of one team.
+type TeamTasks struct {
+	Team  ids.Team `json:"g"`
+	Tasks int      `json:"n"`
+}
+
 // Hello is the first request of an entry on a connection to an agent.
 type Hello struct {
 	Entry ids.Incarnation `json:"e"`
