dispatch: plan deadlines with the measured tail of run times

Cause: in a burst most of the lost work was that of jobs of 10 to 800 tasks that had started all tasks and whose one long task (2 to 8 s) passed the deadline. The longest of n tasks was estimated from an exponential tail, which is far too short, so such jobs were admitted and placed on slow upstreams late in their deadline.

Change: a service keeps a histogram of normalized run times. Admission and the planned end of a job use its quantile at 1 - 1/(2n) as the longest of n tasks. A task is not placed on an upstream below typical speed if the longest waiting task of its job (quantile at 1 - 1/(8n)) would miss the deadline there.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -55,10 +55,15 @@
 
 	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
-	held   int      // attempts without an answer
+	tail   tailTable
+	held   int // attempts without an answer
 	fair   fairQueue
 	quar   int        // upstreams in quarantine
 	aheads []*attempt // attempts placed as look-ahead, not yet answered
+
+	// Set by each sweep.
+	typical float64                   // slowness of a typical slot
+	longest [maxMagnitude + 1]float64 // run time of the longest task by the magnitude of the number of tasks, in seconds
 }
 
 // job is the table row of a job or, when single is set, of a single request.
--- a/dispatch/deadlines.go
+++ b/dispatch/deadlines.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"math/bits"
 	"time"
 )
@@ -59,12 +58,6 @@
 	return j.due - rest
 }
 
-// lastTask is the expected time that the longest of n tasks runs, for run times
-// with an exponential tail.
-func (s *service) lastTask(n int, work float64) time.Duration {
-	return seconds(work * s.meanSlowness() * (1 + math.Log(float64(max(n, 1)))))
-}
-
 // urgentHeap has the job that becomes urgent first on top.
 type urgentHeap []*job
 
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -369,6 +369,7 @@
 	u.speed.n++
 	work := run * math.Exp(-u.speed.log)
 	s.work.add(work, workFloor)
+	s.tail.add(work)
 	if j != nil {
 		j.offset.sum += x - s.work.log - u.speed.log
 		j.offset.n++
@@ -385,4 +386,5 @@
 	}
 	sample := run*math.Exp(-u.speed.log) + s.work.mean
 	s.work.mean += workFloor * (sample - s.work.mean)
+	s.tail.add(sample)
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -51,7 +51,9 @@
 // choose returns the next task to start and its upstream, the fastest one that is
 // open. A task waits instead if a slot of a faster upstream is expected to serve
 // it sooner, given its position in the queue; the upstream then goes to the first
-// job further back that is better off with it. It returns nil when all should wait.
+// job further back that is better off with it. A job that is likely to miss its
+// deadline on a slow upstream leaves it to others. It returns nil when all should
+// wait.
 func (c *Core) choose(now time.Duration, s *service) (*job, *upstream, bool) {
 	head, urgent := s.fair.head(now)
 	if head == nil {
@@ -66,12 +68,12 @@
 		wait, latency = bucketCount, s.roundTrip()
 	}
 	rate, busy := s.rate.below(wait), s.busy.below(wait)
-	if rate < minRate || urgent {
+	if rate < minRate || urgent && head.endsOn(now, u) {
 		return head, u, ahead
 	}
 	queued := u.queueCost(ahead)
 	j := s.fair.find(func(j *job, position float64) bool {
-		if u == j.tasks[j.peek()].avoid {
+		if u == j.tasks[j.peek()].avoid || !j.endsOn(now, u) {
 			return false
 		}
 		return j.ratio*u.slow+queued <= (impatience*position+j.ratio*busy)/rate+latency
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -88,6 +88,7 @@
 	for _, s := range c.svcOrder {
 		c.recenter(s)
 		c.forgetFailures(s)
+		s.setLongest()
 		s.fair.divide(int(s.capacity() * rateUnit))
 	}
 	for _, u := range c.upOrder {
