settings: give the test of max_open a whole configuration

Cause: TestMaxOpenIsBounded failed, since a configuration without teams and services is refused for any limit.

Change: the test starts from the defaults with one service and one team.

--- a/settings/flat_test.go
+++ b/settings/flat_test.go
@@ -1,7 +1,6 @@
 package settings
 
 import (
-	"fmt"
 	"reflect"
 	"testing"
 	"time"
@@ -92,7 +91,10 @@
 // Guards against a limit of open jobs for which control nodes have no memory.
 func TestMaxOpenIsBounded(t *testing.T) {
 	for n, ok := range map[int]bool{MaxOpenJobs: true, MaxOpenJobs + 1: false} {
-		if _, err := FromPairs([]wire.Pair{{Key: "jobs.max_open", Value: fmt.Sprint(n)}}); (err == nil) != ok {
+		c := Defaults()
+		c.Services["web"], c.Teams["acme"] = DefaultService(), DefaultTeam()
+		c.Jobs.MaxOpen = n
+		if _, err := FromPairs(Flatten(c)); (err == nil) != ok {
 			t.Errorf("max_open %d: %v", n, err)
 		}
 	}
