--- a/dispatch/tail.go
+++ b/dispatch/tail.go
@@ -8,10 +8,10 @@
 
 const (
 	// planTail and placeTail divide the share of tasks that may run longer than
-	// the expected longest of n tasks, 1/n. With 1 the longest of most jobs runs
-	// longer than that; the margin grows slowly, since few tasks run very long.
-	planTail  = 2
-	placeTail = 8
+	// the expected longest of n tasks, 1/n. Larger values refuse and hold back
+	// more work, and take large jobs' teams further from their share.
+	planTail  = 1
+	placeTail = 4
 	// tailBuckets and tailPerOctave cover run times from tailLeast seconds up
 	// over a range of 2^20 at a resolution of 19 %.
 	tailBuckets   = 80
