--- a/devcluster/report.go
+++ b/devcluster/report.go
@@ -117,7 +117,7 @@
 		fmt.Fprintf(d.out, "  %-8s sent %6d (%.2f), received %6d (%.2f)\n", role, sent, perTask(sent, tasks), received, perTask(received, tasks))
 	}
 	fmt.Fprintf(d.out, "Admission of a job, which precedes its first start, took %d ms (mean of %d).\n", d.admission().Milliseconds(), len(d.admissions))
-	fmt.Fprintf(d.out, "A configuration change was acknowledged by every member after %d ms: each fetches it within 1 s, acknowledges it with its next renewal 1 s later, and a follower passes that on within 0.5 s.\n",
+	fmt.Fprintf(d.out, "A configuration change was acknowledged by every member after %d ms: each fetches it within 1.5 s, acknowledges it with its next renewal, and a follower passes that on within 0.5 s.\n",
 		d.configTook.Milliseconds())
 }
 
