--- a/agent/agent.go
+++ b/agent/agent.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -105,7 +106,7 @@
 		l.session.Close()
 		a.nonce = member.NewNonce()
 		for a.register(a.ctx) != nil {
-			if !sleep(a.ctx, a.opts.ProbeInterval) {
+			if !clock.Sleep(a.ctx, a.opts.ProbeInterval) {
 				return
 			}
 		}
@@ -223,14 +224,3 @@
 }
 
 func (a *Agent) dump(context.Context, *rpc.Conn, wire.Empty) (any, error) { return a.Dump(), nil }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/agent/life.go
+++ b/agent/life.go
@@ -7,6 +7,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/eventloop"
 	"github.com/baobabshore/baobabshore/executor"
 	"github.com/baobabshore/baobabshore/ids"
@@ -162,7 +163,7 @@
 	klog.Warningf("agent: Upstream %s can't be reached.", l.opts.Upstream)
 	l.metrics.setDown(true)
 	l.loop.Post(func(now time.Duration) { l.core.SetDown(now, true) })
-	for sleep(l.ctx, l.opts.ProbeInterval) {
+	for clock.Sleep(l.ctx, l.opts.ProbeInterval) {
 		if l.upstream.probe() {
 			klog.Infof("agent: Upstream %s can be reached again.", l.opts.Upstream)
 			l.down.Store(false)
@@ -177,7 +178,7 @@
 // false when ctx ends before.
 func (l *life) waitCalls(ctx context.Context) bool {
 	for l.calls.Load() > 0 {
-		if !sleep(ctx, quiescePoll) {
+		if !clock.Sleep(ctx, quiescePoll) {
 			return false
 		}
 	}
@@ -197,7 +198,7 @@
 		if !l.loop.Call(func(time.Duration) { idle = l.core.Idle() }) || idle {
 			return nil
 		}
-		if !sleep(ctx, quiescePoll) {
+		if !clock.Sleep(ctx, quiescePoll) {
 			klog.Warningf("agent: Some answers were not acknowledged; their entries are lost or slow.")
 			return nil
 		}
--- a/ctl/config.go
+++ b/ctl/config.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/settings"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -179,7 +180,7 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, pollInterval) {
+		if !clock.Sleep(ctx, pollInterval) {
 			return &exit{ExitUnknown, fmt.Errorf("version %d is in force, but only %d of %d members had it in time; see baobabctl status",
 				r.ConfigVer, report.Holding, report.Live)}
 		}
@@ -295,15 +296,3 @@
 	}
 	w.Flush()
 }
-
-// sleep pauses for d and reports whether ctx still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/entry/ends.go
+++ b/entry/ends.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -48,7 +49,7 @@
 			l.entry.jobs.setRecorded(j)
 			return
 		}
-		if !pause(l.ctx, completePause) {
+		if !clock.Sleep(l.ctx, completePause) {
 			return
 		}
 	}
@@ -89,20 +90,8 @@
 		if err != nil || rec.Epoch > j.epoch || rec.Epoch == j.epoch && rec.State != wire.JobOpen {
 			return rec, err
 		}
-		if !pause(ctx, readBackPause) {
+		if !clock.Sleep(ctx, readBackPause) {
 			return rec, ctx.Err()
 		}
 	}
 }
-
-// pause waits and returns false when ctx ends before.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"k8s.io/klog/v2"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -120,7 +121,7 @@
 		l.end()
 		nonce := member.NewNonce()
 		for e.register(e.ctx, nonce) != nil {
-			if !pause(e.ctx, registerPause) {
+			if !clock.Sleep(e.ctx, registerPause) {
 				return
 			}
 		}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -6,6 +6,7 @@
 
 	"k8s.io/klog/v2"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/dispatch"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -181,7 +182,7 @@
 		if l := e.life.Load(); !l.hasEnded() {
 			return l
 		}
-		if !pause(ctx, quiescePoll) {
+		if !clock.Sleep(ctx, quiescePoll) {
 			return nil
 		}
 	}
--- a/member/servers.go
+++ b/member/servers.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
@@ -172,7 +173,7 @@
 		case stepNext:
 			s.skip()
 		}
-		if !pause(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return giveUp(unknown, method, v)
 		}
 	}
@@ -190,7 +191,7 @@
 		if afterFailure(v, wire.LeaderHint{}) == stepReturn {
 			return v
 		}
-		if !pause(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return giveUp(false, method, v)
 		}
 	}
@@ -210,14 +211,3 @@
 	}
 	return h
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/member/session.go
+++ b/member/session.go
@@ -15,6 +15,7 @@
 	"github.com/go-faster/errors"
 	"k8s.io/klog/v2"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -136,7 +137,7 @@
 		if s.View().Version >= ids.Version(s.inc) {
 			return false, nil
 		}
-		if !pause(ctx, retryPause) {
+		if !clock.Sleep(ctx, retryPause) {
 			return false, verdict.Refuse(verdict.NoQuorum, "no control node served the first view").After(time.Second)
 		}
 	}
