--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -69,6 +69,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { a.Close() })
+		track(t, a)
 	}
 	var entries []*Entry
 	for i := range 2 {
@@ -80,6 +81,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { e.Close() })
+		track(t, e)
 		entries = append(entries, e)
 	}
 	sys := &system{entries: entries}
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -233,6 +233,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { e.Close() })
+	track(t, e)
 	return e
 }
 
@@ -246,5 +247,6 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { a.Close() })
+	track(t, a)
 	return a
 }
--- a/entry/life.go
+++ b/entry/life.go
@@ -21,7 +21,7 @@
 	entry   *Entry
 	self    ids.Incarnation
 	session Session
-	loop    *eventloop.Loop
+	loop    *coreLoop
 	core    *dispatch.Core
 
 	agents   map[ids.Incarnation]*agentConn
@@ -54,7 +54,7 @@
 	def := settings.Defaults()
 	l.jobs.Store(&def)
 	l.ctx, l.cancel = context.WithCancel(context.Background())
-	l.loop = eventloop.New(e.opts.TickMin, l.tick)
+	l.loop = &coreLoop{Loop: eventloop.New(e.opts.TickMin, l.tick), refresh: l.refresh}
 	return l
 }
 
@@ -161,8 +161,11 @@
 		After(defaultRetryAfter)
 }
 
+// refresh tells the core whether the view is current.
+func (l *life) refresh() { l.core.SetCurrent(l.session.Current(time.Now())) }
+
 func (l *life) tick(now time.Duration) time.Duration {
-	l.core.SetCurrent(l.session.Current(time.Now()))
+	l.refresh()
 	out := l.core.Tick(now)
 	for _, e := range out.Send {
 		if a := l.agents[e.To]; a != nil {
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -71,7 +71,6 @@
 	}
 	var refused *verdict.Error
 	ok := l.loop.Call(func(now time.Duration) {
-		l.core.SetCurrent(l.session.Current(time.Now()))
 		refused = l.core.Admit(now, s.spec(arrived))
 	})
 	if !ok {
@@ -388,7 +387,6 @@
 	r := &request{key: ids.RequestOf(l.self, l.seq.Add(1)), done: make(chan struct{})}
 	var refused *verdict.Error
 	ok := l.loop.Call(func(now time.Duration) {
-		l.core.SetCurrent(l.session.Current(time.Now()))
 		refused = l.core.Request(now, dispatch.Request{
 			Key: r.key, Team: s.Team, Service: s.Service, Spec: s.Tasks[0],
 			Idempotent: s.Idempotent, Deadline: now + s.Deadline,
