--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,12 +73,16 @@
 	s, err := a.opts.Session(ctx, wire.Registration{
 		Kind: wire.KindAgent, Node: a.opts.Node, Addr: a.opts.Advertise,
 		Region: a.opts.Region, Domain: a.opts.Domain, Service: a.opts.Service,
-		Slots: a.opts.Slots, Connections: a.opts.Connections, Nonce: a.nonce,
+		Slots: a.opts.Slots, Connections: a.opts.Connections, Capacity: a.opts.Capacity, Nonce: a.nonce,
 	})
 	if err != nil {
 		return errors.Wrap(err, "register")
 	}
 	l := newLife(a.opts, a.upstream, a.metrics, s)
+	if err := l.openWorker(ctx); err != nil {
+		s.Close()
+		return errors.Wrap(err, "take over the worker")
+	}
 	l.start()
 	a.life.Store(l)
 	return nil
--- a/agent/life.go
+++ b/agent/life.go
@@ -26,6 +26,7 @@
 	loop     *eventloop.Loop
 	core     *executor.Core
 	metrics  *metrics
+	worker   Worker // nil for an upstream over HTTP
 
 	peers   map[ids.Incarnation]*peer
 	timeout time.Duration // of one task, from the configuration
@@ -43,7 +44,7 @@
 		peers: map[ids.Incarnation]*peer{}, timeout: o.TaskTimeout,
 		core: executor.New(executor.Config{
 			Self: s.Incarnation(), Slots: o.Slots, Connections: o.Connections,
-			LookAhead: o.LookAhead, AnswerBytes: o.AnswerBytes,
+			LookAhead: o.LookAhead, AnswerBytes: o.AnswerBytes, Capacity: o.Capacity,
 		}),
 	}
 	l.ctx, l.cancel = context.WithCancel(context.Background())
@@ -51,6 +52,19 @@
 	return l
 }
 
+// openWorker takes over the worker if the upstream is one.
+func (l *life) openWorker(ctx context.Context) error {
+	if l.opts.Worker == nil {
+		return nil
+	}
+	w, err := l.opts.Worker(ctx, l.self, func(a wire.Answer) {
+		l.metrics.ended(a, l.calls.Add(-1))
+		l.loop.Post(func(now time.Duration) { l.core.Finished(now, a) })
+	})
+	l.worker = w
+	return err
+}
+
 func (l *life) start() {
 	l.loop.Start()
 	l.loop.Post(l.applyView)
@@ -64,6 +78,9 @@
 	for _, p := range l.peers { // the owner of peers has ended
 		p.conn.Close()
 	}
+	if l.worker != nil {
+		l.worker.Close()
+	}
 }
 
 // follow passes changes of the view on to the loop.
@@ -100,6 +117,11 @@
 	for _, s := range out.Run {
 		l.run(s)
 	}
+	if l.worker != nil {
+		for _, key := range out.Abort {
+			l.worker.Abort(key)
+		}
+	}
 	for _, e := range out.Send {
 		if p := l.peers[e.To]; p != nil {
 			p.send(e.Report)
@@ -135,6 +157,11 @@
 // run starts the call of a task. When its time is up, the answer is given as
 // may-have-run, and the slot stays taken until the call has ended.
 func (l *life) run(s wire.Start) {
+	if l.worker != nil {
+		l.calls.Add(1)
+		l.worker.Run(s)
+		return
+	}
 	limit := l.timeout
 	if b := time.Duration(s.BudgetMS) * time.Millisecond; b > 0 {
 		limit = min(limit, b)
--- a/agent/options.go
+++ b/agent/options.go
@@ -4,6 +4,7 @@
 package agent
 
 import (
+	"context"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -14,6 +15,21 @@
 	"github.com/baobabshore/baobabshore/wire"
 )
 
+// Worker runs sized tasks.
+type Worker interface {
+	// Run begins a task. Its answer goes to the function given to OpenWorker.
+	Run(s wire.Start)
+	// Abort asks for the end of a task. The answer tells when it has ended.
+	Abort(key ids.TaskKey)
+	// Lost is closed when the worker's life is over or belongs to another agent.
+	Lost() <-chan struct{}
+	Close()
+}
+
+// OpenWorker takes over the worker for an incarnation. It returns once nothing
+// of an earlier one runs there. ended receives each answer once.
+type OpenWorker func(ctx context.Context, self ids.Incarnation, ended func(wire.Answer)) (Worker, error)
+
 // Options sets up an agent. Zero values of the bounds and times stand for the
 // defaults of withDefaults.
 type Options struct {
@@ -28,7 +44,12 @@
 	Upstream string
 	// Slots and Connections are registered as the size of the upstream.
 	Slots, Connections int
-	Security           rpc.Security
+	// Capacity is that of a worker, which runs sized tasks. Zero for an upstream
+	// with slots.
+	Capacity wire.Resources
+	// Worker opens the worker beside the agent. Nil for an upstream over HTTP.
+	Worker   OpenWorker
+	Security rpc.Security
 	// Counters counts the messages with entries, nil for none.
 	Counters *rpc.Counters
 	// Session opens the session with the control group.
--- a/control/lookup.go
+++ b/control/lookup.go
@@ -42,12 +42,8 @@
 		case time.Since(arrived) > missWait:
 			return wire.JobRecord{}, verdict.Refuse(verdict.Stale, "no confirmation in %v that the record is missing", missWait).After(time.Second)
 		}
-		select {
-		case <-ctx.Done():
-			return wire.JobRecord{}, verdict.Refuse(verdict.NoQuorum, "the call was given up")
-		case <-n.ctx.Done():
-			return wire.JobRecord{}, verdict.Refuse(verdict.Draining, "the node stops")
-		case <-time.After(missPoll):
+		if e := n.pause(ctx, missPoll); e != nil {
+			return wire.JobRecord{}, e
 		}
 	}
 }
--- a/control/serve.go
+++ b/control/serve.go
@@ -239,24 +239,54 @@
 }
 
 type got struct {
-	reply wire.GetReply
-	err   *verdict.Error
+	reply       wire.GetReply
+	err         *verdict.Error
+	unconfirmed bool // waiting may help
 }
 
-func (n *Node) serveGet(ctx context.Context, _ *rpc.Conn, _ wire.Get) (wire.GetReply, error) {
-	r, err := ask(ctx, n, func(c *core) got {
-		if e := c.readable(); e != nil {
-			return got{err: e}
+// serveGet returns the configuration that the node holds. A confirmed read waits
+// until a leader has vouched for the tables since the call arrived.
+func (n *Node) serveGet(ctx context.Context, _ *rpc.Conn, p wire.Get) (wire.GetReply, error) {
+	arrived := time.Now()
+	for {
+		r, err := ask(ctx, n, func(c *core) got { return c.getConfig(p, arrived) })
+		switch {
+		case err != nil:
+			return wire.GetReply{}, err
+		case r.err == nil:
+			return r.reply, nil
+		case !r.unconfirmed || time.Since(arrived) > missWait:
+			return wire.GetReply{}, r.err
+		}
+		if e := n.pause(ctx, confirmPoll); e != nil {
+			return wire.GetReply{}, e
 		}
-		return got{reply: c.state.Configuration()}
-	})
-	if err != nil {
-		return wire.GetReply{}, err
 	}
-	if r.err != nil {
-		return wire.GetReply{}, r.err
+}
+
+// confirmPoll is the time between two looks whether a read has been confirmed.
+const confirmPoll = 20 * time.Millisecond
+
+func (c *core) getConfig(p wire.Get, arrived time.Time) got {
+	if e := c.readable(); e != nil {
+		return got{err: e, unconfirmed: p.Confirmed}
+	}
+	if p.Confirmed && c.confirmed.Before(arrived) {
+		return got{err: verdict.Refuse(verdict.Stale, "no leader has confirmed the configuration"), unconfirmed: true}
+	}
+	return got{reply: c.state.Configuration()}
+}
+
+// pause waits, unless the call is given up or the node stops before.
+func (n *Node) pause(ctx context.Context, d time.Duration) *verdict.Error {
+	select {
+	case <-ctx.Done():
+		return verdict.Refuse(verdict.NoQuorum, "the call was given up")
+	case <-n.ctx.Done():
+		return verdict.Refuse(verdict.Draining, "the node stops")
+	case <-time.After(d):
+		return nil
 	}
-	return r.reply, nil
 }
 
 func (n *Node) serveStatus(ctx context.Context, _ *rpc.Conn, p wire.Status) (wire.StatusReply, error) {
--- a/controlstate/config.go
+++ b/controlstate/config.go
@@ -13,12 +13,14 @@
 )
 
 const (
-	maxPairs     = 5_000
+	maxPairs     = 20_000
 	maxPairBytes = 4 << 10
 	// maxConfigBytes bounds a configuration, which travels in one log record and
 	// may travel in one reply to a renewal. A record of 3 MB holds up heartbeats
 	// for longer than the leader's lease.
-	maxConfigBytes = 256 << 10
+	maxConfigBytes = 512 << 10
+	// maxSourceBytes bounds the operator's text, which is kept beside the settings.
+	maxSourceBytes = 512 << 10
 	maxIDBytes     = 128
 	// commandRetention is how long the answer to an operator's command is kept
 	// for a repetition.
@@ -42,6 +44,10 @@
 	by      string
 	pairs   map[string]wire.SourcePair
 	limits  limits
+	// revision and source are the operator's number and text of the
+	// configuration, zero and empty if none came with it.
+	revision uint64
+	source   []byte
 }
 
 func newConfigTable() configTable {
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -19,6 +19,8 @@
 	Command   string            `json:"command"`
 	By        string            `json:"by,omitempty"`
 	Pairs     []wire.SourcePair `json:"pairs"`
+	Revision  uint64            `json:"revision,omitempty"`
+	Source    []byte            `json:"source,omitempty"`
 	Commands  []commandRow      `json:"commands"`
 	Members   []memberRow       `json:"members"`
 	Jobs      []jobRow          `json:"jobs"`    // open ones by id
@@ -42,6 +44,7 @@
 		Index: s.index, Now: s.now,
 		ConfigVer: s.config.version, Command: s.config.command, By: s.config.by,
 		Pairs: s.config.sorted(), Commands: slices.Clone(s.commands.order),
+		Revision: s.config.revision, Source: s.config.source,
 		KeyFloor: s.jobs.keyFloor, LogFloor: s.log.floor, Log: slices.Clone(s.log.records),
 	}
 	for _, inc := range s.members.order {
@@ -140,5 +143,6 @@
 		return errors.Wrap(e, "control state snapshot")
 	}
 	s.config.version, s.config.command, s.config.by, s.config.limits = in.ConfigVer, in.Command, in.By, l
+	s.config.revision, s.config.source = in.Revision, in.Source
 	return nil
 }
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -87,6 +87,8 @@
 		ConfigVer: s.config.version,
 		CommandID: s.config.command,
 		Pairs:     s.config.sorted(),
+		Revision:  s.config.revision,
+		Source:    s.config.source,
 	}
 }
 
@@ -138,6 +140,9 @@
 
 // apply answers an operator's command, a repeated one with the first answer.
 func (s *State) apply(a wire.Apply) wire.ApplyReply {
+	if a.Revision > 0 {
+		return s.revise(a)
+	}
 	if r, ok := s.commands.find(a.CommandID); ok {
 		r.Repeated = true
 		return r
@@ -164,11 +169,37 @@
 		r.Err = e
 		return r
 	}
-	keys := s.config.replace(a, limits)
+	s.replaceConfig(a, limits)
+	r.ConfigVer = s.config.version
+	r.Winner = s.config.command
+	return r
+}
+
+// replaceConfig puts the settings in force and lets the members know.
+func (s *State) replaceConfig(a wire.Apply, l limits) {
+	keys := s.config.replace(a, l)
 	if len(keys) > 0 {
 		s.log.config(s.index, keys)
 	}
-	r.ConfigVer = s.config.version
-	r.Winner = s.config.command
+	s.config.revision, s.config.source = a.Revision, a.Source
+}
+
+// revise applies a configuration that carries the operator's own revision. The
+// highest revision wins, so a command that is repeated or arrives late changes
+// nothing and needs no remembered answer.
+func (s *State) revise(a wire.Apply) wire.ApplyReply {
+	r := wire.ApplyReply{Index: ids.Version(s.index)}
+	if a.Revision > s.config.revision {
+		limits, e := checkPairs(a.Pairs)
+		if e == nil && len(a.Source) > maxSourceBytes {
+			e = verdict.Refuse(verdict.BadRequest, "the source text is longer than %d bytes", maxSourceBytes)
+		}
+		if e != nil {
+			r.Err = e
+		} else {
+			s.replaceConfig(a, limits)
+		}
+	}
+	r.ConfigVer, r.Revision = s.config.version, s.config.revision
 	return r
 }
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -34,6 +34,7 @@
 		}
 	}
 	u.reportAt = now
+	u.heard(now, r.ClockMS)
 	u.credit = r.Credit
 	if r.Held >= u.held {
 		u.confirmed = now
@@ -102,8 +103,12 @@
 	c.countRefusal(ans.Reason)
 	c.decide(now, "refused", u.inc, ans.Key, string(ans.Reason))
 	switch ans.Reason {
-	case verdict.Recalled:
+	case verdict.Recalled, verdict.Superseded:
 	case verdict.Fenced, verdict.Canceled:
+		if j.batch != nil {
+			c.block(now, u, blockLong)
+			break
+		}
 		c.fail(now, j, wire.JobFailed, verdict.Unknown(ans.Reason, "upstream %d knows a newer owner of the job or of this entry", u.inc))
 		return
 	case verdict.NoCredit, verdict.DeadlinePassed:
@@ -148,6 +153,10 @@
 	j.done++
 	if j.done == len(j.tasks) {
 		c.complete(now, j)
+		return
+	}
+	if j.batch != nil {
+		c.releaseSteps(j, a.index)
 	}
 }
 
@@ -155,6 +164,10 @@
 // unknown. The job fails whole; a single request may be retried.
 func (c *Core) taskFailed(now time.Duration, u *upstream, a *attempt, ans *wire.Answer) {
 	j := a.job
+	if j.batch != nil {
+		c.batchTaskFailed(now, u, a, ans)
+		return
+	}
 	if ans.Reason != verdict.AnswerExpired && ans.Reason != verdict.Fenced {
 		c.blame(now, u, j, ans)
 	}
@@ -236,7 +249,7 @@
 	c.timers.cancel(a.hedgeTimer)
 	m := &a.up.mailbox
 	if a.job.single {
-		m.aborts = append(m.aborts, a.job.key)
+		m.aborts = append(m.aborts, a.job.keyOf(a.index))
 	} else {
 		m.cancel(wire.Ownership{Job: a.job.id, Epoch: a.job.epoch})
 	}
--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -45,6 +45,34 @@
 	Deadline   time.Duration
 }
 
+// Step is a part of a batch: equal tasks that may run at the same time.
+type Step struct {
+	Tasks int
+	// After lists earlier steps, by position, all of whose tasks must be done first.
+	After []int
+	Spec  wire.TaskSpec // Name and Size included
+	// RunTime is the declared run time of one task, zero if unknown.
+	RunTime time.Duration
+}
+
+// Batch is a job without a record: its caller waits for the answer and repeats
+// the whole after a lost one. Its tasks run at most once at a time. A task that
+// failed or was stopped is started again.
+type Batch struct {
+	// Key is that of the first task. The others follow it by index.
+	Key     ids.TaskKey
+	Team    ids.Team
+	Service ids.Service
+	Steps   []Step
+	// Name returns the name of a task at its worker.
+	Name func(step, index int) string
+	// Attempts is how often one task may fail, 1 or more.
+	Attempts int
+	// Target is the time by which the answer should be there, Deadline the time
+	// after which nobody waits for it.
+	Target, Deadline time.Duration
+}
+
 // Envelope is a message to the agent with the given incarnation.
 type Envelope struct {
 	To       ids.Incarnation
--- /dev/null
+++ b/dispatch/batchadmit.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/baobabshore/baobabshore/verdict"
+)
+
+// admitBatch decides whether a batch can be taken in. It does not ask for a
+// current view: a batch has no record that another entry could hold.
+func (c *Core) admitBatch(now time.Duration, b Batch) *verdict.Error {
+	if _, ok := c.cfg.Services[b.Service]; !ok {
+		return verdict.Refuse(verdict.UnknownService, "service %q is not configured", b.Service)
+	}
+	s := c.service(b.Service)
+	tasks := 0
+	for _, st := range b.Steps {
+		tasks += st.Tasks
+	}
+	switch {
+	case tasks > maxTasks:
+		return verdict.Refuse(verdict.Infeasible, "%d tasks exceed the maximum of %d", tasks, maxTasks)
+	case b.Deadline <= now:
+		return verdict.Refuse(verdict.DeadlinePassed, "the deadline passed %v ago", now-b.Deadline)
+	case s.capacity() <= 0:
+		return verdict.Refuse(verdict.NoUpstream, "no worker of service %s is usable now", b.Service).After(noUpstreamRetry)
+	case !s.anyHolds(b):
+		return verdict.Refuse(verdict.Infeasible, "no worker of service %s is large enough for a task", b.Service)
+	}
+	return s.onTime(now, b, tasks)
+}
+
+// anyHolds reports whether each step fits some worker by itself.
+func (s *service) anyHolds(b Batch) bool {
+	for _, st := range b.Steps {
+		fits := false
+		for _, u := range s.ups {
+			if fits = u.sized() && u.member.Capacity.Holds(st.Spec.Size); fits {
+				break
+			}
+		}
+		if !fits {
+			return false
+		}
+	}
+	return true
+}
+
+// onTime refuses a batch that the work before it makes late. While workers are
+// saturated a batch that ends late takes the room of one that would be on time.
+func (s *service) onTime(now time.Duration, b Batch, tasks int) *verdict.Error {
+	own := b.work()
+	if own <= 0 || s.work.n < learntAfter {
+		return nil
+	}
+	scale := s.declaredScale()
+	ahead := 0.0
+	for _, t := range s.fair.heap {
+		for _, j := range t.jobs {
+			ahead += float64(j.waiting) * j.declared
+		}
+	}
+	room := s.openSlots()
+	if ahead == 0 && room >= tasks {
+		return nil
+	}
+	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / s.capacity())
+	end := now + wait + time.Duration(scale*float64(b.chain()))
+	if end <= b.Target {
+		return nil
+	}
+	return verdict.Refuse(verdict.Overloaded, "the answer is expected %v after its time", end-b.Target).
+		After(clampRetry(wait))
+}
+
+// work is the declared run time of all tasks, in seconds.
+func (b Batch) work() float64 {
+	sum := 0.0
+	for _, st := range b.Steps {
+		sum += float64(st.Tasks) * st.RunTime.Seconds()
+	}
+	return sum
+}
+
+// declaredScale is the ratio of run times on an upstream of slowness 1 to the
+// declared ones.
+func (s *service) declaredScale() float64 {
+	return math.Exp(s.work.log - s.declared)
+}
+
+// openSlots counts the tasks that would start at once.
+func (s *service) openSlots() int {
+	n := 0
+	for _, u := range s.ups {
+		if u.usable() && u.health != Quarantined {
+			n += max(min(u.credit-u.held, u.slots()-u.others-u.held), 0)
+		}
+	}
+	return n
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -34,6 +34,7 @@
 	tokens     float64                      // retry budget
 	hedges     float64                      // hedge budget
 	sweepAt    time.Duration
+	leaseAt    time.Duration // next pass over the leases at workers
 	msgs       Messages
 	ring       decisionRing
 }
@@ -53,6 +54,9 @@
 	busy        fenwick     // busy slots by cost bucket
 	rate        fenwick     // completions per unit of work by cost bucket
 
+	sizes    sizeEstimate // of sized tasks
+	declared float64      // moving average of the logarithm of declared run times of batches
+
 	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
 	tail   tailTable
@@ -79,6 +83,7 @@
 	due      time.Duration // when the last task should have started
 	single   bool
 	idem     bool
+	batch    *batch // nil for all but batches
 	ended    bool
 
 	tasks    []task
@@ -86,7 +91,7 @@
 	sent     int // attempts without an answer
 	maybeRan bool
 
-	offset   offset  // run time of this job's tasks
+	offset   offset  // run time of this job's tasks, for jobs other than batches
 	ratio    float64 // run time of its tasks relative to the service's average
 	declared float64 // seconds, zero if unknown
 
@@ -213,6 +218,7 @@
 func (c *Core) Tick(now time.Duration) Output {
 	c.runTimers(now)
 	c.sweep(now)
+	c.renewLeases(now)
 	c.endStranded(now)
 	c.recallQueued(now)
 	c.placeWaiting(now)
@@ -227,7 +233,7 @@
 func (c *Core) nextTick(now time.Duration) time.Duration {
 	next := c.timers.first()
 	if len(c.attempts) > 0 || c.waiting() > 0 {
-		next = earliest(next, c.sweepAt)
+		next = earliest(earliest(next, c.sweepAt), c.leaseAt)
 	}
 	if next != 0 && next <= now {
 		next = now + time.Millisecond
@@ -264,7 +270,7 @@
 // keyOf returns the key of a task of j.
 func (j *job) keyOf(index int) ids.TaskKey {
 	if j.single {
-		return j.key
+		return ids.TaskKey{Entry: j.key.Entry, Index: j.key.Index + uint64(index)}
 	}
 	return ids.TaskOf(j.id, index)
 }
--- a/dispatch/fairshare.go
+++ b/dispatch/fairshare.go
@@ -73,6 +73,9 @@
 func (h jobHeap) Len() int           { return len(h) }
 func (h jobHeap) Less(i, k int) bool { return h.less(h[i], h[k]) }
 func (jobHeap) less(a, b *job) bool {
+	if a.batch != nil && b.batch != nil {
+		return a.batch.before(b.batch)
+	}
 	if a.sent != b.sent {
 		return a.sent < b.sent
 	}
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -40,6 +40,15 @@
 	// elsewhere is the work of teams there for other entries.
 	elsewhere []teamWork
 	reportAt  time.Duration // last report
+
+	// For workers.
+	clockMS int64         // the agent's clock at clockAt
+	clockAt time.Duration // zero until a report has carried the clock
+	heardAt time.Duration // last message or connection
+	lostAt  time.Duration // when the connection was lost
+	mailAt  time.Duration // last message to the agent
+	silent  bool          // has not answered for silentAfter
+	renew   bool          // the lease of the tasks there is to be renewed
 	// confirmed is when a report last accounted for all attempts here.
 	confirmed time.Duration
 
@@ -109,7 +118,7 @@
 // taken to be at fault and the first upstream is cleared.
 func (c *Core) blame(now time.Duration, u *upstream, j *job, ans *wire.Answer) {
 	switch {
-	case j.single || j.blamed == nil || j.blamed == u:
+	case j.single && j.batch == nil || j.blamed == nil || j.blamed == u:
 		j.blamed = u
 		j.blames++
 		c.failed(now, u, string(ans.Reason))
@@ -258,6 +267,9 @@
 
 // slots is the number of tasks that run at once on u.
 func (u *upstream) slots() int {
+	if u.sized() {
+		return u.member.Capacity.Count(u.svc.sizes.typical(), maxSizedTasks)
+	}
 	n := u.member.Slots
 	if u.member.Connections > 0 {
 		n = min(n, u.member.Connections)
@@ -274,7 +286,7 @@
 // serving reports whether u counts towards the capacity of its service. A block
 // after a refusal is too short to refuse new work for.
 func (u *upstream) serving() bool {
-	return u.connected && !u.gone && !u.draining && !u.down
+	return u.connected && !u.gone && !u.draining && !u.down && !u.silent
 }
 
 // block keeps new work away from u for a moment after a refusal. The wait
@@ -359,7 +371,7 @@
 		ref = x
 	}
 	if j != nil {
-		ref += j.offset.value(0)
+		ref += j.expectedOffset()
 	}
 	e := x - ref - u.speed.log
 	s.spread += spreadWeight * (e*e - s.spread)
@@ -371,6 +383,11 @@
 	u.speed.n++
 	work := run * math.Exp(-u.speed.log)
 	s.work.add(work, workFloor)
+	if j != nil && j.batch != nil {
+		s.learnDeclared(j)
+		j.setRatio()
+		return
+	}
 	s.tail.add(work)
 	if j != nil {
 		j.offset.sum += x - s.work.log - u.speed.log
--- a/dispatch/mail.go
+++ b/dispatch/mail.go
@@ -60,9 +60,11 @@
 	var send []Envelope
 	for _, u := range c.mail {
 		u.marked = false
-		if !u.connected || u.gone || u.mailbox.empty() {
+		if !u.connected || u.gone || u.mailbox.empty() && !u.renew {
 			continue
 		}
+		u.renew = false
+		u.mailAt = now
 		m := &u.mailbox
 		send = append(send, Envelope{To: u.inc, Exchange: wire.Exchange{
 			Entry:   c.cfg.Self,
@@ -73,6 +75,8 @@
 			Acks:    m.acks,
 			Ended:   m.ended,
 			Demand:  u.svc.fair.waiting,
+
+			ValidUntilMS: u.validUntilMS(now),
 		}})
 		u.mailbox = mailbox{}
 		c.msgs.Envelopes++
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -127,6 +127,8 @@
 	c.drop(a)
 	switch {
 	case a.orphan:
+	case a.job.batch != nil:
+		c.batchTaskFailed(now, u, a, lostAnswer(a))
 	case a.job.single:
 		c.requestFailed(now, u, a, &wire.Answer{
 			Key: a.job.key, Verdict: verdict.MayHaveRun, Reason: verdict.UpstreamLost,
@@ -162,6 +164,7 @@
 	}
 	u.connected = true
 	u.confirmed = 0
+	u.heardAt = now
 	for _, a := range u.attempts {
 		c.resend(now, a)
 	}
@@ -178,6 +181,7 @@
 		return
 	}
 	u.connected = false
+	u.lostAt = now
 	u.mailbox.clear()
 	u.credit = 0
 	c.setElsewhere(u, nil)
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -135,6 +135,10 @@
 // average. Declared run times are often wrong, so half of their logarithm is
 // believed.
 func (j *job) setRatio() {
+	if j.batch != nil {
+		j.ratio = min(max(math.Exp(j.expectedOffset()), 1.0/ratioLimit), ratioLimit)
+		return
+	}
 	prior := 0.0
 	if j.declared > 0 && j.svc.work.mean > 0 {
 		prior = math.Log(j.declared/j.svc.work.mean) / 2
@@ -178,6 +182,9 @@
 		j.visit(u)
 	}
 	c.attempts[attemptKey{j.keyOf(a.index), u.inc}] = a
+	if u.sized() && c.leaseAt == 0 {
+		c.leaseAt = a.sentAt + leasePass
+	}
 	c.reindex(u)
 }
 
@@ -209,6 +216,8 @@
 		Headers:  spec.Headers,
 		Body:     spec.Body,
 		BudgetMS: (a.job.deadline - now).Milliseconds(),
+		Name:     spec.Name,
+		Size:     spec.Size,
 	}
 }
 
@@ -268,7 +277,7 @@
 	if u.aheadA.in {
 		s.ahead.remove(&u.aheadA, aheadPlace)
 	}
-	if u.gone || !u.connected || u.down {
+	if u.gone || !u.connected || u.down || u.silent {
 		return
 	}
 	u.price()
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -68,7 +68,7 @@
 // setHedgeTimer plans the hedge of an idempotent request.
 func (c *Core) setHedgeTimer(now time.Duration, a *attempt) {
 	j := a.job
-	if !j.single || !j.idem || a.isHedge || c.cfg.Tradeoff <= 0 || j.svc.work.n < learntAfter {
+	if !j.single || j.batch != nil || !j.idem || a.isHedge || c.cfg.Tradeoff <= 0 || j.svc.work.n < learntAfter {
 		return
 	}
 	factor := hedgeSlow - (hedgeSlow-hedgeFast)*c.cfg.Tradeoff
--- /dev/null
+++ b/entry/batch.go
@@ -0,0 +1,92 @@
+package entry
+
+import (
+	"net"
+	"time"
+
+	"github.com/baobabshore/baobabshore/dispatch"
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+)
+
+// batchTeam is the team of all batches: they are ordered by the time at which
+// their answers are due, not by shares.
+const batchTeam ids.Team = "batches"
+
+// Batch is a job without a record, whose caller waits for the answer.
+type Batch struct {
+	Service  ids.Service
+	Steps    []dispatch.Step
+	Name     func(step, index int) string // of a task at its worker
+	Attempts int
+	// Target and Deadline are times from now: by when the answer should be
+	// there, and after which nobody waits for it.
+	Target, Deadline time.Duration
+}
+
+// RunBatch runs a batch and returns when all its tasks are done. conn is the
+// caller's connection, nil if it isn't to be watched. The verdict of an error
+// tells whether a task may have run.
+func (e *Entry) RunBatch(b Batch, conn net.Conn) *verdict.Error {
+	begin := time.Now()
+	err := e.runBatch(b, conn)
+	v := verdict.Ran
+	if err != nil {
+		v = err.Verdict
+	}
+	e.metrics.requestEnded(v, time.Since(begin))
+	return err
+}
+
+func (e *Entry) runBatch(b Batch, conn net.Conn) *verdict.Error {
+	l := e.life.Load()
+	switch {
+	case e.draining.Load():
+		return verdict.Refuse(verdict.Draining, "the entry is leaving").After(defaultRetryAfter)
+	case l.hasEnded():
+		return verdict.Refuse(verdict.Stale, "the entry is registering again").After(defaultRetryAfter)
+	}
+	r, err := l.startBatch(b)
+	if err != nil {
+		return err
+	}
+	// The core ends the batch at its deadline, so this wait only bounds a fault.
+	w := watch{until: time.Now().Add(b.Deadline + e.opts.SuspectAfter), conn: conn}
+	switch w.wait(r.done, e.ctx.Done()) {
+	case waitDone:
+	case waitLimit:
+		l.abort(r)
+		return verdict.Unknown(verdict.DeadlinePassed, "no answer before the deadline")
+	default:
+		l.abort(r)
+		return verdict.Unknown(verdict.Canceled, "nobody waits for the batch any more")
+	}
+	if r.lost != nil {
+		return r.lost
+	}
+	return r.out.Err
+}
+
+// startBatch passes a batch to the core.
+func (l *life) startBatch(b Batch) (*request, *verdict.Error) {
+	tasks := 0
+	for _, s := range b.Steps {
+		tasks += s.Tasks
+	}
+	span := uint64(max(tasks, 1))
+	r := &request{key: ids.RequestOf(l.self, l.seq.Add(span)-span+1), done: make(chan struct{})}
+	var refused *verdict.Error
+	ok := l.loop.Call(func(now time.Duration) {
+		refused = l.core.Batch(now, dispatch.Batch{
+			Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name,
+			Attempts: b.Attempts, Target: now + b.Target, Deadline: now + b.Deadline,
+		})
+		if refused == nil {
+			l.requests[r.key] = r
+		}
+	})
+	if !ok {
+		return nil, verdict.Refuse(verdict.Stale, "the entry is registering again").After(defaultRetryAfter)
+	}
+	return r, refused
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -40,7 +40,8 @@
 	jobs     *table
 	metrics  *metrics
 	life     atomic.Pointer[life]
-	draining atomic.Bool
+	leaving  atomic.Bool // asks for no further callers
+	draining atomic.Bool // refuses new work
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -151,6 +152,9 @@
 
 // Ready returns why the entry takes no new work, or nil.
 func (e *Entry) Ready() error {
+	if e.leaving.Load() {
+		return verdict.Refuse(verdict.Draining, "the entry is leaving")
+	}
 	if err := e.refusal(e.life.Load()); err != nil {
 		return err
 	}
@@ -173,9 +177,11 @@
 // Drain refuses new work, finishes the jobs in progress, and leaves the control
 // group. It returns earlier when ctx ends. Close must still be called.
 func (e *Entry) Drain(ctx context.Context) error {
+	e.leaving.Store(true)
+	klog.Infof("entry: Draining.")
+	clock.Sleep(ctx, e.opts.Grace)
 	e.draining.Store(true)
 	l := e.life.Load()
-	klog.Infof("entry: Draining.")
 	l.session.SetDraining(true)
 	if err := l.waitIdle(ctx); err != nil {
 		return err
--- a/entry/http.go
+++ b/entry/http.go
@@ -26,7 +26,7 @@
 
 func (e *Entry) httpServer() *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler:                       e.handle,
+		Handler:                       e.handler(),
 		ErrorHandler:                  refuseMalformed,
 		Concurrency:                   e.opts.Connections,
 		ReadBufferSize:                e.opts.HeaderBytes,
@@ -63,6 +63,14 @@
 	}
 }
 
+// handler returns the interface for callers.
+func (e *Entry) handler() fasthttp.RequestHandler {
+	if e.opts.Handler == nil {
+		return e.handle
+	}
+	return e.opts.Handler(e)
+}
+
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
 	defer func() {
 		if p := recover(); p != nil {
--- a/entry/life.go
+++ b/entry/life.go
@@ -27,8 +27,9 @@
 	agents   map[ids.Incarnation]*agentConn
 	requests map[ids.TaskKey]*request
 
-	seq  atomic.Uint64                    // of single requests
-	jobs atomic.Pointer[settings.Cluster] // configuration in force
+	seq    atomic.Uint64                    // of single requests
+	jobs   atomic.Pointer[settings.Cluster] // configuration in force
+	queues atomic.Pointer[queueTable]
 
 	ctx    context.Context // ends with the life
 	cancel context.CancelFunc
@@ -104,6 +105,7 @@
 		klog.Errorf("entry: Configuration %d is not usable: %v.", v.ConfigVer, err)
 	} else {
 		l.jobs.Store(&c)
+		l.queues.Store(newQueueTable(v.ConfigVer, c.Queues))
 		l.core.SetConfig(dispatch.FromCluster(c))
 	}
 	l.core.SetUpstreams(now, v.Members)
--- a/entry/options.go
+++ b/entry/options.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 	"github.com/uber-go/tally/v4"
+	"github.com/valyala/fasthttp"
 
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/rpc"
@@ -54,6 +55,12 @@
 	AnswerBytes int64
 	// AdmitTimeout bounds the wait for a job's record.
 	AdmitTimeout time.Duration
+	// Handler makes the handler of the callers' listener. Nil stands for the
+	// project's own interface.
+	Handler func(*Entry) fasthttp.RequestHandler
+	// Grace is how long work is still taken in after Drain has begun. A balancer
+	// sends connections until it has seen twice that the entry is not ready.
+	Grace time.Duration
 	// TickMin is the least time between two ticks of the core.
 	TickMin time.Duration
 	// PingAfter is the silence of an agent with work after which it is asked
--- /dev/null
+++ b/entry/queues.go
@@ -0,0 +1,61 @@
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/settings"
+)
+
+// Queue is a queue with its name.
+type Queue struct {
+	settings.Queue
+	Name ids.Queue
+}
+
+// queueTable finds the queue of a request. It never changes.
+type queueTable struct {
+	version uint64 // of the configuration
+	hosts   map[string][]Queue
+}
+
+// newQueueTable orders the queues of each host with the longest prefixes first.
+func newQueueTable(version uint64, queues map[ids.Queue]settings.Queue) *queueTable {
+	t := &queueTable{version: version, hosts: map[string][]Queue{}}
+	for name, q := range queues {
+		t.hosts[q.Host] = append(t.hosts[q.Host], Queue{q, name})
+	}
+	for _, list := range t.hosts {
+		slices.SortFunc(list, func(a, b Queue) int {
+			if d := cmp.Compare(len(b.Prefix), len(a.Prefix)); d != 0 {
+				return d
+			}
+			return cmp.Compare(a.Prefix, b.Prefix)
+		})
+	}
+	return t
+}
+
+// find returns the queue of a request and the rest of its path.
+func (t *queueTable) find(host, path string) (Queue, string, bool) {
+	for _, q := range t.hosts[host] {
+		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
+			return q, rest, true
+		}
+	}
+	return Queue{}, "", false
+}
+
+// FindQueue returns the queue of a request, the rest of its path and the version
+// of the configuration that decided. A version of zero means that the entry has
+// no configuration yet.
+func (e *Entry) FindQueue(host, path string) (q Queue, rest string, version uint64, ok bool) {
+	t := e.life.Load().queues.Load()
+	if t == nil || t.version == 0 {
+		return Queue{}, "", 0, false
+	}
+	q, rest, ok = t.find(host, path)
+	return q, rest, t.version, ok
+}
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -35,6 +35,8 @@
 		return
 	}
 	c.running--
+	c.used = c.used.Sub(r.size)
+	delete(c.active, r.key)
 	r.owner.hold(r.team, -1)
 	if a.Verdict == verdict.NotRun {
 		reason := a.Reason
@@ -186,6 +188,9 @@
 	if r.state == wire.TaskRunning || r.state == wire.TaskQueued {
 		return false
 	}
+	if !r.size.IsZero() && r.acked {
+		return now-r.ackedAt >= sizedRetention
+	}
 	return r.acked && now-r.ackedAt >= endedRetention || now-r.made >= maxRetention
 }
 
--- a/executor/api.go
+++ b/executor/api.go
@@ -21,6 +21,9 @@
 	Connections int // connections at once to the upstream, at least Slots in use
 	// LookAhead is how many tasks may wait at the agent beyond the running ones.
 	LookAhead int
+	// Capacity is that of a worker, which runs sized tasks. Slots and Connections
+	// don't count then. Zero for an upstream with slots.
+	Capacity wire.Resources
 	// AnswerBytes bounds the memory of kept answers.
 	AnswerBytes int64
 }
--- a/executor/cancel.go
+++ b/executor/cancel.go
@@ -51,7 +51,7 @@
 			c.unqueue(r)
 			c.refuse(r, verdict.Canceled)
 		case wire.TaskRunning:
-			c.abort = append(c.abort, r.key)
+			c.abortRow(r)
 		}
 	}
 }
@@ -66,7 +66,7 @@
 		c.unqueue(r)
 		c.refuse(r, verdict.Canceled)
 	case r.state == wire.TaskRunning:
-		c.abort = append(c.abort, key)
+		c.abortRow(r)
 	}
 }
 
--- a/executor/core.go
+++ b/executor/core.go
@@ -33,6 +33,12 @@
 	lingering int
 	meanRun   time.Duration // moving average of run times, zero until known
 
+	// For a worker: what its tasks take.
+	used       wire.Resources // running tasks, those that are being stopped included
+	queuedSize wire.Resources
+	meanSize   wire.Resources // moving average of the sizes of tasks, zero until known
+	active     map[ids.TaskKey]*row
+
 	acked       []*row // ended rows in order of acknowledgement, bodies dropped first from the front
 	answerBytes int64
 	abort       []ids.TaskKey
@@ -57,6 +63,8 @@
 	sentAt   time.Duration // last transmission of the answer
 	resends  int
 	lingers  bool // the answer was given up, the call goes on
+	size     wire.Resources
+	aborted  bool // its end has been asked for
 }
 
 // job is what the table knows of a job beyond its rows.
@@ -87,8 +95,9 @@
 	answers    []*row        // answers to send
 	extra      []wire.Answer // answers that belong to no row of this entry
 	started    []ids.TaskKey
-	unacked    []*row // answers sent, in order of transmission
-	due        bool   // a report is to be sent even without answers
+	unacked    []*row        // answers sent, in order of transmission
+	due        bool          // a report is to be sent even without answers
+	validUntil time.Duration // end of the entry's lease for its sized tasks, zero for none
 }
 
 // New returns the core of an agent that has seen no view yet. It refuses all
@@ -100,6 +109,7 @@
 		jobs:     map[ids.Job]*job{},
 		live:     map[ids.Incarnation]bool{},
 		sessions: map[ids.Incarnation]*session{},
+		active:   map[ids.TaskKey]*row{},
 	}
 	c.SetTradeoff(DefaultTradeoff)
 	return c
@@ -168,6 +178,9 @@
 	s := c.session(entry)
 	s.connected = false
 	s.demand = 0
+	if s.validUntil > 0 {
+		s.validUntil = min(s.validUntil, now+reconnectGrace)
+	}
 }
 
 // session returns the session of an entry and creates it if needed.
@@ -236,5 +249,10 @@
 	})
 }
 
-// limit is the number of tasks that may run at once.
-func (c *Core) limit() int { return min(c.cfg.Slots, c.cfg.Connections) - c.lingering }
+// limit is the number of tasks that may run at once, an estimate for a worker.
+func (c *Core) limit() int {
+	if c.sized() {
+		return c.sizedLimit()
+	}
+	return min(c.cfg.Slots, c.cfg.Connections) - c.lingering
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -14,7 +14,11 @@
 	s := c.session(m.Entry)
 	s.connected = true
 	s.demand = m.Demand
+	valid := c.extendLease(now, s, m.ValidUntilMS)
 	for _, st := range m.Starts {
+		if !valid {
+			st.BudgetMS = 0
+		}
 		c.receiveStart(now, s, st)
 	}
 	for _, r := range m.Recalls {
@@ -55,10 +59,14 @@
 	}
 	r.state = wire.TaskQueued
 	r.start = st
+	r.size = st.Size
+	r.aborted = false
 	r.deadline = now + time.Duration(st.BudgetMS)*time.Millisecond
 	s.hold(r.team, 1)
 	c.queued++
+	c.queuedSize = c.queuedSize.Add(r.size)
 	c.queue = append(c.queue, r)
+	c.learnSize(r.size)
 }
 
 // reopenedBy reports whether st is a later placement of a task that this agent
@@ -104,13 +112,15 @@
 		return reason
 	}
 	switch {
-	case st.Key.IsRequest() && !c.current:
+	case st.Key.IsRequest() && !c.current && !c.sized():
 		return verdict.Stale
 	case c.draining:
 		return verdict.Draining
 	case c.down:
 		return verdict.NoUpstream
-	case c.queued+c.running >= c.limit()+c.cfg.LookAhead+c.overcommit():
+	case c.sized() && c.refusalOfSize(st) != "":
+		return c.refusalOfSize(st)
+	case !c.sized() && c.queued+c.running >= c.limit()+c.cfg.LookAhead+c.overcommit():
 		return verdict.NoCredit
 	case c.answerBytes >= c.cfg.AnswerBytes && c.cfg.AnswerBytes > 0:
 		return verdict.NoCredit
@@ -204,6 +214,7 @@
 // unqueue takes a queued row out of the counts.
 func (c *Core) unqueue(r *row) {
 	c.queued--
+	c.queuedSize = c.queuedSize.Sub(r.size)
 	r.owner.hold(r.team, -1)
 }
 
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -11,6 +11,7 @@
 // Tick runs the systems in order and returns what they decided.
 func (c *Core) Tick(now time.Duration) Output {
 	var out Output
+	lease := c.endLapsed(now)
 	deadline := c.expireQueued(now)
 	out.Run = c.runQueued(now)
 	out.Abort, c.abort = c.abort, nil
@@ -19,7 +20,7 @@
 	out.Send = c.report(now)
 	c.limitAnswers()
 	c.sweep(now)
-	out.NextTick = earliest(earliest(deadline, resend), c.creditDue())
+	out.NextTick = earliest(earliest(earliest(deadline, resend), c.creditDue()), lease)
 	if len(c.rows) > 0 {
 		out.NextTick = earliest(out.NextTick, c.lastSweep+sweepInterval)
 	}
@@ -49,22 +50,33 @@
 
 // runQueued fills free slots in order of arrival.
 func (c *Core) runQueued(now time.Duration) []wire.Start {
+	if c.sized() {
+		return c.runSized(now)
+	}
 	var run []wire.Start
 	for len(c.queue) > 0 && c.running < c.limit() {
 		r := c.queue[0]
 		c.queue = c.queue[1:]
-		c.queued--
-		c.running++
-		r.state = wire.TaskRunning
-		r.began = now
-		st := r.start
-		st.BudgetMS = (r.deadline - now).Milliseconds()
-		run = append(run, st)
-		r.start = wire.Start{}
+		run = append(run, c.begin(now, r))
 	}
 	return run
 }
 
+// begin moves a row that has left the queue to the running ones.
+func (c *Core) begin(now time.Duration, r *row) wire.Start {
+	c.queued--
+	c.queuedSize = c.queuedSize.Sub(r.size)
+	c.running++
+	c.used = c.used.Add(r.size)
+	c.active[r.key] = r
+	r.state = wire.TaskRunning
+	r.began = now
+	st := r.start
+	st.BudgetMS = (r.deadline - now).Milliseconds()
+	r.start = wire.Start{}
+	return st
+}
+
 // report builds one message for each entry that has something to learn.
 func (c *Core) report(now time.Duration) []Envelope {
 	var due []*session
@@ -94,6 +106,9 @@
 		Draining: c.draining,
 		Down:     c.down,
 	}
+	if c.sized() {
+		m.ClockMS = now.Milliseconds()
+	}
 	for _, r := range s.answers {
 		m.Answers = append(m.Answers, *r.answer)
 		r.sentAt = now
--- a/ids/ids.go
+++ b/ids/ids.go
@@ -15,6 +15,9 @@
 // Team names a group of callers with a quota.
 type Team string
 
+// Queue names a place at which callers hand in batches.
+type Queue string
+
 // Domain is the name of a failure domain.
 type Domain string
 
--- a/settings/check.go
+++ b/settings/check.go
@@ -49,8 +49,8 @@
 
 func checkCluster(c Cluster, r *report) {
 	checkValue(reflect.ValueOf(c), field{}, "", r)
-	if len(c.Teams) == 0 {
-		r.add("teams", "there is no team, so no caller could submit anything", "add a team, for example teams: {acme: {quota: 1}}")
+	if len(c.Teams) == 0 && len(c.Queues) == 0 {
+		r.add("teams", "there is no team and no queue, so no caller could submit anything", "add a team, for example teams: {acme: {quota: 1}}")
 	}
 	if len(c.Services) == 0 {
 		r.add("services", "there is no service, so nothing could run", "add a service, for example services: {web: {slots: 8}}")
@@ -59,9 +59,28 @@
 		s := c.Services[name]
 		checkConnections(s.Slots, s.Connections, "services."+string(name), r)
 	}
+	checkQueues(c, r)
 	checkJobs(c.Jobs, r)
 }
 
+// checkQueues refuses queues that lead nowhere or to the same place.
+func checkQueues(c Cluster, r *report) {
+	type place struct{ host, prefix string }
+	places := map[place]ids.Queue{}
+	for _, name := range sortedNames(c.Queues) {
+		q := c.Queues[name]
+		key := "queues." + string(name)
+		if _, ok := c.Services[q.Service]; !ok {
+			r.add(key+".service", fmt.Sprintf("there is no service %q", q.Service), "add the service, or name another one")
+		}
+		at := place{q.Host, q.Prefix}
+		if other, ok := places[at]; ok {
+			r.add(key+".prefix", fmt.Sprintf("queue %q has the same host and prefix", other), "change one of them")
+		}
+		places[at] = name
+	}
+}
+
 func checkJobs(j Jobs, r *report) {
 	if j.Retention < j.MaxDeadline {
 		r.add("jobs.retention", fmt.Sprintf("%s is below max_deadline (%s), so a key could be forgotten before its job must end", short(j.Retention), short(j.MaxDeadline)),
--- a/settings/cluster.go
+++ b/settings/cluster.go
@@ -16,6 +16,7 @@
 type Cluster struct {
 	Services map[ids.Service]Service `yaml:"services"`
 	Teams    map[ids.Team]Team       `yaml:"teams"`
+	Queues   map[ids.Queue]Queue     `yaml:"queues"`
 	Dispatch Dispatch                `yaml:"dispatch"`
 	Jobs     Jobs                    `yaml:"jobs"`
 }
@@ -38,6 +39,24 @@
 	MaxQueued int `yaml:"max_queued" range:"1..10000000" unit:"tasks that wait at one entry"`
 }
 
+// Queue is a place at which callers hand in batches. A request belongs to the
+// queue of its host with the longest prefix of its path.
+type Queue struct {
+	Host    string      `yaml:"host" form:"text" need:"true" unit:"host name in the caller's request"`
+	Prefix  string      `yaml:"prefix" form:"text" need:"true" unit:"first part of the path"`
+	Service ids.Service `yaml:"service" form:"name" need:"true" unit:"service whose workers run the tasks"`
+	// Priority orders the queues of a service, 0 first.
+	Priority int `yaml:"priority" range:"0..1000" unit:"rank among the queues of a service, 0 first"`
+	// Timeout bounds one request of a caller.
+	Timeout Duration `yaml:"timeout" range:"1ms..1h" unit:"time for one request"`
+	// Target and Stretch give the time by which an answer should be there: Stretch
+	// times the longest chain of tasks, and Target.
+	Target  Duration `yaml:"target" range:"0s..1h" unit:"time beyond the tasks' own, for an answer in time"`
+	Stretch float64  `yaml:"stretch" range:"1..1000" unit:"factor on the longest chain of tasks, for an answer in time"`
+	// Attempts is how often one task may fail.
+	Attempts int `yaml:"attempts" range:"1..1000" unit:"failures of one task after which its batch fails"`
+}
+
 // Dispatch tunes placement and retries.
 type Dispatch struct {
 	// Tradeoff is the balance from 0 (fewest messages) to 1 (fastest answers).
@@ -77,6 +96,7 @@
 	return Cluster{
 		Services: map[ids.Service]Service{},
 		Teams:    map[ids.Team]Team{},
+		Queues:   map[ids.Queue]Queue{},
 		Dispatch: Dispatch{Tradeoff: 0.5, RetryBudget: 0.1, QuarantineShare: 0.3},
 		Jobs: Jobs{
 			Retention:          Duration(time.Hour),
@@ -92,5 +112,10 @@
 	return Service{Slots: 8, Connections: 64, Timeout: Duration(30 * time.Second)}
 }
 
+// DefaultQueue returns the defaults of a queue.
+func DefaultQueue() Queue {
+	return Queue{Timeout: Duration(30 * time.Second), Target: Duration(time.Second), Stretch: 2, Attempts: 3}
+}
+
 // DefaultTeam returns the defaults of a team.
 func DefaultTeam() Team { return Team{Quota: 1, MaxQueued: 20_000} }
--- a/settings/field.go
+++ b/settings/field.go
@@ -143,6 +143,8 @@
 		v.Set(reflect.ValueOf(DefaultService()))
 	case reflect.TypeFor[Team]():
 		v.Set(reflect.ValueOf(DefaultTeam()))
+	case reflect.TypeFor[Queue]():
+		v.Set(reflect.ValueOf(DefaultQueue()))
 	}
 	return v
 }
--- a/settings/flat_test.go
+++ b/settings/flat_test.go
@@ -1,7 +1,9 @@
 package settings
 
 import (
+	"maps"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +32,24 @@
 	return Team{Quota: rapid.IntRange(1, 1_000_000).Draw(t, "quota"), MaxQueued: rapid.IntRange(1, 10_000_000).Draw(t, "max")}
 })
 
+func genQueues(t *rapid.T, services map[ids.Service]Service) map[ids.Queue]Queue {
+	names := rapid.SliceOfNDistinct(nameGen, 0, 3, rapid.ID).Draw(t, "queues")
+	out := map[ids.Queue]Queue{}
+	for _, name := range names {
+		out[ids.Queue(name)] = Queue{
+			Host:     rapid.SampledFrom([]string{"a.example", "b.example:8080"}).Draw(t, "host"),
+			Prefix:   "/" + name + "/",
+			Service:  rapid.SampledFrom(slices.Sorted(maps.Keys(services))).Draw(t, "service"),
+			Priority: rapid.IntRange(0, 1000).Draw(t, "priority"),
+			Timeout:  genDuration(time.Millisecond, time.Hour).Draw(t, "timeout"),
+			Target:   genDuration(0, time.Hour).Draw(t, "target"),
+			Stretch:  rapid.Float64Range(1, 1000).Draw(t, "stretch"),
+			Attempts: rapid.IntRange(1, 1000).Draw(t, "attempts"),
+		}
+	}
+	return out
+}
+
 var clusterGen = rapid.Custom(func(t *rapid.T) Cluster {
 	c := Cluster{
 		Services: rapid.MapOfN(rapid.Map(nameGen, func(s string) ids.Service { return ids.Service(s) }), serviceGen, 1, 4).Draw(t, "services"),
@@ -40,6 +60,7 @@
 			QuarantineShare: rapid.Float64Range(0, 1).Draw(t, "share") + 0,
 		},
 	}
+	c.Queues = genQueues(t, c.Services)
 	c.Jobs.MaxDeadline = genDuration(time.Second, time.Hour).Draw(t, "deadline")
 	c.Jobs.Retention = genDuration(max(time.Minute, time.Duration(c.Jobs.MaxDeadline)), 168*time.Hour).Draw(t, "retention")
 	c.Jobs.TombstoneRetention = genDuration(max(time.Hour, time.Duration(c.Jobs.Retention)), 8760*time.Hour).Draw(t, "tombstones")
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -74,6 +74,7 @@
 	NoCredit         Reason = "no-credit"         // beyond what the agent has granted
 	Fenced           Reason = "fenced"            // an owner with a newer epoch exists
 	Recalled         Reason = "recalled"          // taken back before its start
+	Superseded       Reason = "superseded"        // a later try of the task has been seen there
 	Canceled         Reason = "canceled"          // the caller canceled it
 	DeadlinePassed   Reason = "deadline-passed"   // too late for its deadline
 	UpstreamRefused  Reason = "upstream-refused"  // the upstream answered that it did not run
--- a/wire/control.go
+++ b/wire/control.go
@@ -130,6 +130,12 @@
 	CommandID string `json:"id"`
 	Pairs     []Pair `json:"pairs"`
 	By        string `json:"by,omitempty"` // who applied it, for the conflict message
+	// Revision is the operator's own number of the configuration, zero if there is
+	// none. One that is not above the revision in force is acknowledged and
+	// changes nothing, and Expect and CommandID don't count.
+	Revision uint64 `json:"rev,omitempty"`
+	// Source is the text that the operator sent, kept for reads.
+	Source []byte `json:"src,omitempty"`
 }
 
 // AnyVersion in Apply.Expect accepts whatever version is current.
@@ -142,16 +148,23 @@
 	Repeated  bool           `json:"repeated,omitempty"`
 	Err       *verdict.Error `json:"err,omitempty"`    // version-conflict and the like
 	Winner    string         `json:"winner,omitempty"` // command id that made the current version
+	Revision  uint64         `json:"rev,omitempty"`    // in force after the command
 }
 
 // Get asks for the configuration in force.
-type Get struct{}
+type Get struct {
+	// Confirmed asks for a configuration no older than the arrival of the call.
+	// Without it, one of the last StaleAfter may be returned.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
 
 // GetReply is the configuration with the origin of each value.
 type GetReply struct {
 	ConfigVer uint64       `json:"ver"`
 	CommandID string       `json:"id"`
 	Pairs     []SourcePair `json:"pairs"`
+	Revision  uint64       `json:"rev,omitempty"`
+	Source    []byte       `json:"src,omitempty"`
 }
 
 // SourcePair is a setting with the command that last changed it.
--- a/wire/member.go
+++ b/wire/member.go
@@ -26,6 +26,8 @@
 	Service     ids.Service `json:"service,omitempty"`
 	Slots       int         `json:"slots,omitempty"`
 	Connections int         `json:"connections,omitempty"`
+	// Capacity is that of a worker, which runs sized tasks. Slots don't count then.
+	Capacity Resources `json:"capacity,omitzero"`
 	// Weight is the relative size of an entry, 1 or more.
 	Weight int `json:"weight,omitempty"`
 	// Nonce is random for each process start. A repeated registration with the
--- a/wire/task.go
+++ b/wire/task.go
@@ -58,6 +58,10 @@
 	// BudgetMS is the time left for the task when the message was sent. The
 	// agent refuses the task when it can't start within it.
 	BudgetMS int64 `json:"t"`
+	// Name identifies a sized task at its worker, the same at all entries.
+	Name string `json:"w,omitempty"`
+	// Size is what a sized task takes of its worker, zero for a task that takes a slot.
+	Size Resources `json:"z,omitzero"`
 }
 
 // Recall names one try of a task that the entry takes back.
@@ -84,6 +88,10 @@
 	Ended []ids.Job `json:"z,omitempty"`
 	// Demand is how many tasks for this agent's service wait at the entry.
 	Demand int `json:"d"`
+	// ValidUntilMS is the time on the agent's clock until which the message may
+	// be acted on and the entry's sized tasks may run. Zero means no limit. It
+	// keeps a message that a partition held up from starting or prolonging work.
+	ValidUntilMS int64 `json:"v,omitempty"`
 }
 
 // Answer is the end of a task at an agent.
@@ -122,6 +130,8 @@
 	Draining bool        `json:"d,omitempty"`
 	// Down is set while the agent can't reach its upstream.
 	Down bool `json:"x,omitempty"`
+	// ClockMS is the agent's clock when the report was made, set by agents of workers.
+	ClockMS int64 `json:"t,omitempty"`
 }
 
 // TeamTasks is a number of tasks of one team.
@@ -200,6 +210,9 @@
 	Path    string   `json:"p"`
 	Headers []Header `json:"h,omitempty"`
 	Body    []byte   `json:"b,omitempty"`
+	// Name and Size are those of a sized task, as in Start.
+	Name string    `json:"w,omitempty"`
+	Size Resources `json:"z,omitzero"`
 }
 
 // Bodies hands the task bodies of a resubmission to the owner of the job. The
--- /dev/null
+++ b/worker/runner.go
@@ -0,0 +1,137 @@
+package worker
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/baobabshore/baobabshore/eventloop"
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// orderTimeout bounds one order, beyond the time that the worker may wait.
+	// The worker is on the same VM and answers within a few milliseconds.
+	orderTimeout = 150 * time.Millisecond
+	// tickMin is the least time between two ticks of the core.
+	tickMin = 200 * time.Microsecond
+)
+
+// Runner owns a Core and carries its orders out through a Port.
+type Runner struct {
+	loop    *eventloop.Loop
+	core    *Core
+	port    Port
+	ended   func(wire.Answer)
+	adopted chan struct{}
+	lost    chan struct{}
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// NewRunner starts a runner. ended receives the answer of each task once; it is
+// called from the runner's loop and must not block.
+func NewRunner(cfg Config, port Port, ended func(wire.Answer)) *Runner {
+	r := &Runner{port: port, ended: ended, adopted: make(chan struct{}), lost: make(chan struct{})}
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.loop = eventloop.New(tickMin, r.tick)
+	r.core = New(r.loop.Now(), cfg)
+	r.loop.Start()
+	return r
+}
+
+// WaitAdopted returns nil once the worker runs nothing of an earlier owner.
+func (r *Runner) WaitAdopted(ctx context.Context) error {
+	select {
+	case <-r.adopted:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Lost is closed when the worker's life is over or belongs to another owner.
+func (r *Runner) Lost() <-chan struct{} { return r.lost }
+
+// Run begins a task.
+func (r *Runner) Run(s wire.Start) {
+	r.loop.Post(func(now time.Duration) { r.core.Run(now, s) })
+}
+
+// Abort asks for the end of a task.
+func (r *Runner) Abort(key ids.TaskKey) {
+	r.loop.Post(func(now time.Duration) { r.core.Abort(now, key) })
+}
+
+// Close gives no further orders. What runs ends with its lease.
+func (r *Runner) Close() {
+	r.cancel()
+	r.loop.Stop()
+	r.port.Close()
+}
+
+func (r *Runner) tick(now time.Duration) time.Duration {
+	out := r.core.Tick(now)
+	for _, o := range out.Start {
+		go r.start(o)
+	}
+	for _, o := range out.Stop {
+		go r.stop(o)
+	}
+	if out.Renew != nil {
+		go r.renew(*out.Renew)
+	}
+	for _, a := range out.Ended {
+		r.ended(a)
+	}
+	closeOnce(r.adopted, r.core.Adopted())
+	closeOnce(r.lost, r.core.Replaced())
+	return out.NextTick
+}
+
+// closeOnce closes c if on is set and c is open. Only the loop calls it.
+func closeOnce(c chan struct{}, on bool) {
+	if !on {
+		return
+	}
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+func (r *Runner) start(o StartOrder) {
+	ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
+	defer cancel()
+	reply, err := r.port.Start(ctx, o)
+	if err != nil {
+		klog.InfoS("worker: Start unanswered", "task", o.Run.Task, "run", o.Run.Number, "err", err)
+	}
+	if reply.Refused != "" {
+		klog.InfoS("worker: Start refused", "task", o.Run.Task, "run", o.Run.Number, "reason", reply.Refused)
+	}
+	r.loop.Post(func(now time.Duration) { r.core.Started(now, o.Run, reply, err != nil) })
+}
+
+func (r *Runner) stop(o StopOrder) {
+	ctx, cancel := context.WithTimeout(r.ctx, orderTimeout)
+	defer cancel()
+	err := r.port.Stop(ctx, o)
+	if err != nil {
+		klog.InfoS("worker: Stop unanswered", "task", o.Run.Task, "run", o.Run.Number, "err", err)
+	}
+	r.loop.Post(func(now time.Duration) { r.core.Stopped(now, o.Run, err != nil) })
+}
+
+func (r *Runner) renew(o RenewOrder) {
+	ctx, cancel := context.WithTimeout(r.ctx, o.Wait+orderTimeout)
+	defer cancel()
+	st, err := r.port.Renew(ctx, o)
+	if err != nil && r.ctx.Err() == nil {
+		klog.InfoS("worker: Renewal unanswered", "cursor", o.Cursor, "err", err)
+	}
+	r.loop.Post(func(now time.Duration) { r.core.Renewed(now, st, err != nil) })
+}
