--- /dev/null
+++ b/agent/sidecar.go
@@ -0,0 +1,192 @@
+package agent
+
+import (
+	"context"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/worker"
+)
+
+// Sidecar runs one agent for each life of the worker beside it, from the
+// heartbeats that the worker sends.
+type Sidecar struct {
+	options func(worker.Announcement) Options
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+	wake   chan struct{}
+
+	mu      sync.Mutex
+	latest  worker.Announcement
+	present bool // a worker has announced itself and has not left
+	agent   *Agent
+}
+
+// NewSidecar waits for a worker. options gives the options of an agent for it.
+func NewSidecar(options func(worker.Announcement) Options) *Sidecar {
+	s := &Sidecar{options: options, wake: make(chan struct{}, 1)}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	s.done.Go(s.run)
+	return s
+}
+
+// Announce takes in a heartbeat. One that was overtaken by a later one of the
+// same life is ignored.
+func (s *Sidecar) Announce(a worker.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	same := s.present && s.latest.SameLife(a)
+	if same && a.Sequence < s.latest.Sequence {
+		return
+	}
+	changed := !same || a.Draining != s.latest.Draining
+	if !same {
+		klog.InfoS("agent: Worker announced", "worker", a.ID, "born", a.Born, "service", a.Service, "addr", a.Addr, "cpu", a.Capacity.CPU)
+	}
+	s.latest, s.present = a, true
+	if changed {
+		s.kick()
+	}
+}
+
+// Left takes in that a worker has ended.
+func (s *Sidecar) Left(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.present || s.latest.ID != id {
+		return
+	}
+	klog.InfoS("agent: Worker left", "worker", id)
+	s.present = false
+	s.kick()
+}
+
+func (s *Sidecar) kick() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// run brings the agent in line with the latest announcement.
+func (s *Sidecar) run() {
+	var served worker.Announcement
+	for {
+		want, present := s.wanted()
+		a := s.current()
+		switch {
+		case a != nil && (!present || !want.SameLife(served)):
+			s.store(nil)
+			a.Close()
+			continue
+		case a == nil && present && !want.Draining:
+			served = want
+			if s.open(want) {
+				continue
+			}
+		case a != nil && want.Draining && !a.draining.Load():
+			s.done.Go(func() { s.drain(a) })
+		}
+		select {
+		case <-s.ctx.Done():
+			return
+		case <-s.wake:
+		}
+	}
+}
+
+func (s *Sidecar) wanted() (worker.Announcement, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latest, s.present
+}
+
+func (s *Sidecar) current() *Agent {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.agent
+}
+
+func (s *Sidecar) store(a *Agent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.agent = a
+}
+
+// open starts an agent for a worker. It gives up when the worker's life is over
+// or the process ends.
+func (s *Sidecar) open(w worker.Announcement) bool {
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	stop := make(chan struct{})
+	defer close(stop)
+	go s.cancelWhenReplaced(w, cancel, stop)
+	a, err := Start(ctx, s.options(w))
+	if err != nil {
+		klog.ErrorS(err, "agent: Start failed", "worker", w.ID)
+		return false
+	}
+	s.store(a)
+	return true
+}
+
+// cancelWhenReplaced ends the start of an agent whose worker is gone.
+func (s *Sidecar) cancelWhenReplaced(w worker.Announcement, cancel context.CancelFunc, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-s.ctx.Done():
+			return
+		case <-s.wake:
+		}
+		if want, present := s.wanted(); !present || !want.SameLife(w) {
+			cancel()
+		}
+		defer s.kick() // run has to look at it as well
+	}
+}
+
+func (s *Sidecar) drain(a *Agent) {
+	if err := a.Drain(s.ctx); err != nil {
+		klog.ErrorS(err, "agent: Drain failed")
+	}
+}
+
+// Ready returns why no new work is taken, or nil.
+func (s *Sidecar) Ready() error {
+	if a := s.current(); a != nil {
+		return a.Ready()
+	}
+	return verdict.Refuse(verdict.NoUpstream, "no worker has announced itself")
+}
+
+// Dump returns the state of the agent for JSON, nil without one.
+func (s *Sidecar) Dump() any {
+	if a := s.current(); a != nil {
+		return a.Dump()
+	}
+	return nil
+}
+
+// Drain finishes the work in progress of a planned stop.
+func (s *Sidecar) Drain(ctx context.Context) error {
+	if a := s.current(); a != nil {
+		return a.Drain(ctx)
+	}
+	return nil
+}
+
+// Close stops the agent at once.
+func (s *Sidecar) Close() error {
+	s.cancel()
+	s.done.Wait()
+	if a := s.current(); a != nil {
+		return a.Close()
+	}
+	return nil
+}
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -74,7 +74,7 @@
 	if tasks > 0 {
 		j.declared = work / float64(tasks)
 	}
-	j.batch.latest = b.Target - b.chain()
+	j.batch.latest = b.Target - Chain(b.Steps)
 	j.batch.arrived = s.fair.arrived + 1
 	return j
 }
@@ -92,11 +92,11 @@
 	return specs
 }
 
-// chain is the declared run time of the longest chain of steps.
-func (b Batch) chain() time.Duration {
-	ends := make([]time.Duration, len(b.Steps))
+// Chain is the declared run time of the longest chain of steps.
+func Chain(steps []Step) time.Duration {
+	ends := make([]time.Duration, len(steps))
 	longest := time.Duration(0)
-	for i, st := range b.Steps {
+	for i, st := range steps {
 		begin := time.Duration(0)
 		for _, k := range st.After {
 			begin = max(begin, ends[k])
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -66,7 +66,7 @@
 		return nil
 	}
 	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / s.capacity())
-	end := now + wait + time.Duration(scale*float64(b.chain()))
+	end := now + wait + time.Duration(scale*float64(Chain(b.Steps)))
 	if end <= b.Target {
 		return nil
 	}
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -7,6 +7,7 @@
 
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/settings"
+	"github.com/baobabshore/baobabshore/verdict"
 )
 
 // Queue is a queue with its name.
@@ -48,6 +49,22 @@
 	return Queue{}, "", false
 }
 
+// Serving returns why callers should go to another entry, or nil. An entry whose
+// view is old still runs batches.
+func (e *Entry) Serving() error {
+	l := e.life.Load()
+	t := l.queues.Load()
+	switch {
+	case e.leaving.Load():
+		return verdict.Refuse(verdict.Draining, "the entry is leaving")
+	case l.hasEnded():
+		return verdict.Refuse(verdict.Stale, "the entry is registering again")
+	case t == nil || t.version == 0:
+		return verdict.Refuse(verdict.Stale, "no configuration has arrived yet")
+	}
+	return nil
+}
+
 // FindQueue returns the queue of a request, the rest of its path and the version
 // of the configuration that decided. A version of zero means that the entry has
 // no configuration yet.
--- a/member/client.go
+++ b/member/client.go
@@ -127,3 +127,11 @@
 	err := c.servers.callAny(ctx, wire.MethodJob, wire.JobQuery{Job: job}, &rec)
 	return rec, err
 }
+
+// GetConfirmed returns a configuration that was in force when the call was made
+// or later. It asks one control node after the other until ctx ends.
+func (c *Client) GetConfirmed(ctx context.Context) (wire.GetReply, error) {
+	var r wire.GetReply
+	err := c.servers.callAny(ctx, wire.MethodGet, wire.Get{Confirmed: true}, &r)
+	return r, err
+}
