--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -292,6 +292,7 @@
 
 // deadlinePassed fails a job that is not complete in time.
 func (c *Core) deadlinePassed(now time.Duration, j *job) {
+	c.now = now
 	c.fail(now, j, wire.JobFailed, c.unfinished(j, verdict.DeadlinePassed, "the deadline has passed"))
 }
 
@@ -303,7 +304,7 @@
 	if j.sent == 0 && j.done == 0 && !j.maybeRan && mine {
 		return verdict.Refuse(reason, "%s", detail)
 	}
-	return verdict.Unknown(reason, "%s; %d of %d tasks have results", detail, j.done, len(j.tasks))
+	return verdict.Unknown(reason, "%s; %d of %d tasks have results%s", detail, j.done, len(j.tasks), c.openTasks(j))
 }
 
 // failureReason is the reason of a failed job.
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
 	"math"
+	"strings"
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
@@ -226,3 +228,31 @@
 	}
 	return wire.Resources{CPU: int(e.cpu), Memory: int(e.memory), GPU: int(e.gpu)}
 }
+
+// maxOpenTasks bounds the unfinished tasks that an error describes.
+const maxOpenTasks = 4
+
+// openTasks describes the first unfinished tasks of a batch: where each is, for
+// how long, and how often it was placed.
+func (c *Core) openTasks(j *job) string {
+	if j.batch == nil {
+		return ""
+	}
+	var out strings.Builder
+	shown := 0
+	for i := range j.tasks {
+		t := &j.tasks[i]
+		if t.done {
+			continue
+		}
+		if shown++; shown > maxOpenTasks {
+			break
+		}
+		where := "waits"
+		if t.primary != nil {
+			where = fmt.Sprintf("at upstream %d for %v", t.primary.up.inc, (c.now - t.primary.sentAt).Round(time.Millisecond))
+		}
+		fmt.Fprintf(&out, "; task %d %s, placed %d times, failed %d times", i, where, t.tries, t.failed)
+	}
+	return out.String()
+}
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -55,18 +55,14 @@
 		return nil
 	}
 	scale := s.declaredScale()
-	ahead := 0.0
-	for _, t := range s.fair.heap {
-		for _, j := range t.jobs {
-			ahead += float64(j.waiting) * j.declared
-		}
-	}
+	chain := Chain(b.Steps)
+	ahead := s.workBefore(&batch{latest: b.Target - chain, arrived: s.fair.arrived + 1})
 	room := s.openSlots()
 	if ahead == 0 && room >= tasks {
 		return nil
 	}
 	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / s.capacity())
-	end := now + wait + time.Duration(scale*float64(Chain(b.Steps)))
+	end := now + wait + time.Duration(scale*float64(chain))
 	if end <= b.Target {
 		return nil
 	}
@@ -74,6 +70,20 @@
 		After(clampRetry(wait))
 }
 
+// workBefore is the declared run time, in seconds, of the waiting tasks that go
+// before those of b.
+func (s *service) workBefore(b *batch) float64 {
+	sum := 0.0
+	for _, t := range s.fair.heap {
+		for _, j := range t.jobs {
+			if j.batch != nil && j.batch.before(b) {
+				sum += float64(j.waiting) * j.declared
+			}
+		}
+	}
+	return sum
+}
+
 // work is the declared run time of all tasks, in seconds.
 func (b Batch) work() float64 {
 	sum := 0.0
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -34,6 +34,7 @@
 	tokens     float64                      // retry budget
 	hedges     float64                      // hedge budget
 	sweepAt    time.Duration
+	now        time.Duration // of the tick, for the texts of errors
 	leaseAt    time.Duration // next pass over the leases at workers
 	msgs       Messages
 	ring       decisionRing
@@ -54,8 +55,9 @@
 	busy        fenwick     // busy slots by cost bucket
 	rate        fenwick     // completions per unit of work by cost bucket
 
-	sizes    sizeEstimate // of sized tasks
-	declared float64      // moving average of the logarithm of declared run times of batches
+	sizes     sizeEstimate // of sized tasks
+	freeShare float64      // part of the slots that is free, set by each sweep
+	declared  float64      // moving average of the logarithm of declared run times of batches
 
 	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
@@ -216,6 +218,7 @@
 
 // Tick runs the systems in order and returns what they decided.
 func (c *Core) Tick(now time.Duration) Output {
+	c.now = now
 	c.runTimers(now)
 	c.sweep(now)
 	c.renewLeases(now)
--- a/dispatch/index.go
+++ b/dispatch/index.go
@@ -76,22 +76,52 @@
 	}
 }
 
+// last returns the last non-empty bucket at or before from, or -1.
+func (x *bucketIndex) last(from int) int {
+	if from < 0 {
+		return -1
+	}
+	w := from / 64
+	word := x.bits[w]
+	if rest := from % 64; rest < 63 {
+		word &= 1<<(rest+1) - 1
+	}
+	for {
+		if word != 0 {
+			return w*64 + bits.Len64(word) - 1
+		}
+		if w == 0 {
+			return -1
+		}
+		w--
+		word = x.bits[w]
+	}
+}
+
 // pick returns an upstream of the cheapest bucket other than avoid, or nil.
 // salt decides between upstreams of the same bucket.
 func (x *bucketIndex) pick(avoid *upstream, salt uint64) *upstream {
 	for b := x.next(0); b >= 0; b = x.next(b + 1) {
-		list := x.lists[b]
-		at := int(salt % uint64(len(list)))
-		if list[at] != avoid {
-			return list[at]
-		}
-		if len(list) > 1 {
-			return list[(at+1)%len(list)]
+		if u := x.pickIn(b, avoid, salt); u != nil {
+			return u
 		}
 	}
 	return nil
 }
 
+// pickIn returns an upstream of a non-empty bucket other than avoid, or nil.
+func (x *bucketIndex) pickIn(b int, avoid *upstream, salt uint64) *upstream {
+	list := x.lists[b]
+	at := int(salt % uint64(len(list)))
+	if list[at] != avoid {
+		return list[at]
+	}
+	if len(list) > 1 {
+		return list[(at+1)%len(list)]
+	}
+	return nil
+}
+
 // fenwick holds sums over cost buckets.
 type fenwick struct {
 	tree [bucketCount + 1]float64
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -59,6 +59,9 @@
 	if head == nil {
 		return nil, nil, false
 	}
+	if head.batch != nil {
+		return c.chooseForBatch(now, s)
+	}
 	u, ahead := c.bestOpen(s, head)
 	if u == nil {
 		return nil, nil, false
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -89,6 +89,7 @@
 		c.recenter(s)
 		c.forgetFailures(s)
 		s.setLongest()
+		s.noteFreeShare()
 		s.fair.divide(int(s.capacity() * rateUnit))
 	}
 	for _, u := range c.upOrder {
