dispatch, executor: place by the probability of being late

Cause: each entry learnt the speed of workers from a seventh of the samples and forgot it with the incarnation; long tasks were put on slow workers and ended after their deadline.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -35,6 +35,7 @@
 	}
 	u.reportAt = now
 	u.heard(now, r.ClockMS)
+	c.setPace(u, r)
 	u.credit = r.Credit
 	if r.Held >= u.held {
 		u.confirmed = now
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math"
 	"strings"
 	"time"
 
@@ -24,7 +23,9 @@
 
 // step is a part of a batch.
 type step struct {
-	first, tasks int // positions of its tasks
+	first, tasks int     // positions of its tasks
+	runTime      float64 // declared for one task, in seconds, zero if unknown
+	ratio        float64 // sum of the logarithms of run times over expected ones of the tasks that are done
 	after        []int
 	done         int
 	released     bool
@@ -64,7 +65,7 @@
 	}
 	work, tasks := 0.0, 0
 	for i, st := range b.Steps {
-		j.batch.steps = append(j.batch.steps, step{first: tasks, tasks: st.Tasks, after: st.After})
+		j.batch.steps = append(j.batch.steps, step{first: tasks, tasks: st.Tasks, after: st.After, runTime: st.RunTime.Seconds()})
 		for range st.Tasks {
 			j.batch.stepOf = append(j.batch.stepOf, i)
 		}
@@ -88,6 +89,7 @@
 		for k := range st.Tasks {
 			spec := st.Spec
 			spec.Name = b.Name(i, k)
+			spec.DeclaredMS = st.RunTime.Milliseconds()
 			specs = append(specs, spec)
 		}
 	}
@@ -123,6 +125,9 @@
 	}
 }
 
+// stepAt returns the step of a task.
+func (j *job) stepAt(index int) *step { return &j.batch.steps[j.batch.stepOf[index]] }
+
 // ready reports whether all predecessors of a step are done.
 func (b *batch) ready(st *step) bool {
 	for _, k := range st.after {
@@ -135,7 +140,7 @@
 
 // releaseSteps counts a task as done and releases the steps that waited for it.
 func (c *Core) releaseSteps(j *job, index int) {
-	st := &j.batch.steps[j.batch.stepOf[index]]
+	st := j.stepAt(index)
 	st.done++
 	if st.done == st.tasks {
 		c.releaseReady(j)
@@ -180,27 +185,6 @@
 	return u.attempts[0].job.keyOf(u.attempts[0].index)
 }
 
-// expectedOffset is the logarithm of the run time of a job's tasks relative to
-// the average of the service. The declared run times of batches are believed.
-func (j *job) expectedOffset() float64 {
-	if j.batch == nil {
-		return j.offset.value(0)
-	}
-	if j.declared <= 0 || j.svc.work.n == 0 {
-		return 0
-	}
-	return math.Log(j.declared) - j.svc.declared
-}
-
-// learnDeclared updates the average of the declared run times.
-func (s *service) learnDeclared(j *job) {
-	if j.declared <= 0 {
-		return
-	}
-	weight := max(1/float64(s.work.n), workFloor)
-	s.declared += weight * (math.Log(j.declared) - s.declared)
-}
-
 // sizeEstimate is the moving average of the sizes of tasks.
 type sizeEstimate struct {
 	n                int
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -51,7 +51,7 @@
 // saturated a batch that ends late takes the room of one that would be on time.
 func (s *service) onTime(now time.Duration, b Batch, tasks int) *verdict.Error {
 	own := b.work()
-	if own <= 0 || s.work.n < learntAfter {
+	if own <= 0 {
 		return nil
 	}
 	scale := s.declaredScale()
@@ -96,7 +96,7 @@
 // declaredScale is the ratio of run times on an upstream of slowness 1 to the
 // declared ones.
 func (s *service) declaredScale() float64 {
-	return math.Exp(s.work.log - s.declared)
+	return math.Exp(s.basePace)
 }
 
 // openSlots counts the tasks that would start at once.
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -3,67 +3,118 @@
 import (
 	"math"
 	"time"
+
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
 )
 
 const (
-	// runMargin covers the error of declared run times when a slower worker is
-	// chosen: the logarithm of the error has a standard deviation of about 0.4.
-	runMargin = 1.5
-	// spareShare is the part of a service's slots that has to be free for a task to
-	// take the fastest worker although a slower one would do. Below it the fast
-	// workers are left to the tasks that need them.
-	spareShare = 0.5
+	// occupancyPrice is what a full worker costs a task, in units of the
+	// probability that its batch is late. It leaves fast workers to the tasks whose
+	// batches would be late elsewhere.
+	occupancyPrice = 0.1
+	// maxCandidates bounds the batches that are considered for the open workers.
+	maxCandidates = 8
+	// hopeless is the probability of being late above which a batch that has not
+	// started is refused.
+	hopeless = 0.9
 )
 
 // chooseForBatch returns the batch that is to start a task and its worker. A
-// batch never waits for a faster worker while one is open: its task can be
-// stopped and started again, and a late answer is of little use to the caller.
+// batch never waits for a faster worker while one is open on which it can end
+// before its deadline.
 func (c *Core) chooseForBatch(now time.Duration, s *service) (*job, *upstream, bool) {
+	c.refuseLate(now, s)
+	if s.free.size == 0 {
+		return nil, nil, false
+	}
 	for _, t := range s.fair.heap {
-		for _, j := range t.jobs {
+		for _, j := range t.jobs[:min(len(t.jobs), maxCandidates)] {
 			if u := c.workerFor(now, s, j); u != nil {
 				return j, u, false
 			}
-			break
 		}
 	}
 	return nil, nil, false
 }
 
-// workerFor returns an open worker for the next task of j, or nil.
+// refuseLate refuses the batches at the head of the queue that have not started
+// and will hardly be on time on any worker. While work waits, all workers are
+// taken, and a late answer would make another one late.
+func (c *Core) refuseLate(now time.Duration, s *service) {
+	for len(s.fair.heap) > 0 {
+		j := s.fair.heap[0].jobs[0]
+		if j.batch == nil || j.started() || s.lateness(now, j, s.fastest) < hopeless {
+			return
+		}
+		wait := seconds(s.workBefore(j.batch) * s.declaredScale() / max(s.capacity(), 1))
+		c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetry(wait)))
+	}
+}
+
+// started reports whether a task of j may have run.
+func (j *job) started() bool { return j.sent > 0 || j.done > 0 || j.maybeRan }
+
+// workerFor returns the open worker for the next task of j, or nil: the one with
+// the least sum of the probability of being late there and the price of its room.
 func (c *Core) workerFor(now time.Duration, s *service, j *job) *upstream {
 	avoid := j.tasks[j.peek()].avoid
 	salt := c.random()
-	if s.freeShare >= spareShare {
-		return s.free.pick(avoid, salt)
-	}
-	for b := s.free.last(s.slowestFor(now, j)); b >= 0; b = s.free.last(b - 1) {
-		if u := s.free.pickIn(b, avoid, salt); u != nil {
-			return u
+	var best *upstream
+	least := math.Inf(1)
+	for b := s.free.next(0); b >= 0; b = s.free.next(b + 1) {
+		u := s.free.pickIn(b, avoid, salt)
+		if u == nil || !s.endsBeforeDeadline(now, j, u) {
+			continue
+		}
+		cost := s.lateness(now, j, u.slow) + occupancyPrice*u.occupancy()
+		if cost < least {
+			best, least = u, cost
 		}
 	}
-	return s.free.pick(avoid, salt)
+	return best
+}
+
+// occupancy is the part of the slots of u that is taken.
+func (u *upstream) occupancy() float64 {
+	return float64(u.others+u.held) / float64(max(u.slots(), 1))
 }
 
-// slowestFor returns the cost bucket of the slowest worker on which a task of j
-// is expected to end in time.
-func (s *service) slowestFor(now time.Duration, j *job) int {
-	run := j.declared * s.declaredScale() * runMargin
+// endsBeforeDeadline reports whether a task of j is expected to end on u while
+// its caller still waits.
+func (s *service) endsBeforeDeadline(now time.Duration, j *job, u *upstream) bool {
+	st := j.stepAt(j.peek())
+	return now+seconds(st.runTime*s.declaredScale()*u.slow) < j.deadline
+}
+
+// lateness is the probability that a task of j that starts now on a worker of the
+// given slowness ends after the time at which the answer is due. Run times differ
+// from the expected ones by a factor whose logarithm is normal.
+func (s *service) lateness(now time.Duration, j *job, slow float64) float64 {
+	st := j.stepAt(j.peek())
+	if st.runTime <= 0 {
+		return 0
+	}
 	slack := (j.batch.target - now).Seconds()
-	if run <= 0 || slack <= 0 {
-		return -1
+	if slack <= 0 {
+		return 1
 	}
-	return bucketOf(math.Log(slack / run))
+	expected := st.runTime * s.declaredScale() * slow
+	z := math.Log(slack/expected) / math.Sqrt(max(s.runError, minRunError))
+	return math.Erfc(z/math.Sqrt2) / 2
 }
 
-// noteFreeShare updates the part of the slots that is free.
-func (s *service) noteFreeShare() {
-	slots, open := 0, 0
+// minRunError keeps the probability of being late smooth when all run times have
+// been as declared.
+const minRunError = 0.01
+
+// noteFastest updates the slowness of the fastest worker in service.
+func (s *service) noteFastest() {
+	s.fastest = 1
+	found := false
 	for _, u := range s.ups {
-		if u.usable() {
-			slots += u.slots()
-			open += max(u.slots()-u.others-u.held, 0)
+		if u.usable() && u.health != Quarantined && (!found || u.slow < s.fastest) {
+			s.fastest, found = u.slow, true
 		}
 	}
-	s.freeShare = float64(open) / float64(max(slots, 1))
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -30,6 +30,7 @@
 	takeovers  []*job                       // jobs whose claims or bodies are missing, in order of arrival
 	early      map[ids.Incarnation]bool     // connected before the view listed them
 	registered map[ids.Node][]time.Duration // recent registrations by node
+	paces      map[ids.Node]float64         // of workers, kept across incarnations
 	mail       []*upstream                  // upstreams with something to send, in order of marking
 	tokens     float64                      // retry budget
 	hedges     float64                      // hedge budget
@@ -55,9 +56,10 @@
 	busy        fenwick     // busy slots by cost bucket
 	rate        fenwick     // completions per unit of work by cost bucket
 
-	sizes     sizeEstimate // of sized tasks
-	freeShare float64      // part of the slots that is free, set by each sweep
-	declared  float64      // moving average of the logarithm of declared run times of batches
+	sizes    sizeEstimate // of sized tasks
+	basePace float64      // average pace of the workers
+	fastest  float64      // slowness of the fastest worker, set by each sweep
+	runError float64      // variance of the logarithm of run times over expected ones, of sized tasks
 
 	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
@@ -135,6 +137,7 @@
 	try        uint32
 	anyTry     bool // adopted through a claim, the former owner's try is unknown
 	orphan     bool // nobody waits for it any more
+	restarting bool // its end has been asked for, to start the task elsewhere
 	ahead      bool
 	recalled   bool
 	running    bool // the agent has said that it runs
@@ -164,6 +167,7 @@
 		attempts:   map[attemptKey]*attempt{},
 		early:      map[ids.Incarnation]bool{},
 		registered: map[ids.Node][]time.Duration{},
+		paces:      map[ids.Node]float64{},
 		hedges:     1,
 	}
 	c.cfg.Self = cfg.Self
@@ -200,7 +204,7 @@
 	if s != nil {
 		return s
 	}
-	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1}
+	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1, runError: initialRunError}
 	s.fair.init()
 	c.services[name] = s
 	at, _ := slices.BinarySearchFunc(c.svcOrder, name, func(o *service, n ids.Service) int {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -47,6 +47,9 @@
 	heardAt time.Duration // last message or connection
 	lostAt  time.Duration // when the connection was lost
 	mailAt  time.Duration // last message to the agent
+	pace    float64       // logarithm of the ratio of run times to declared ones
+	prior   float64       // pace before the first report of the incarnation
+	stalled bool          // most of its tasks run far longer than they should
 	silent  bool          // has not answered for silentAfter
 	renew   bool          // the lease of the tasks there is to be renewed
 	// confirmed is when a report last accounted for all attempts here.
@@ -363,6 +366,10 @@
 	if a.Verdict != verdict.Ran || a.RunUS <= 0 {
 		return
 	}
+	if u.sized() {
+		c.learnError(u, j, a)
+		return
+	}
 	s := u.svc
 	run := max(float64(a.RunUS)/1e6, minRun)
 	x := math.Log(run)
@@ -371,7 +378,7 @@
 		ref = x
 	}
 	if j != nil {
-		ref += j.expectedOffset()
+		ref += j.offset.value(0)
 	}
 	e := x - ref - u.speed.log
 	s.spread += spreadWeight * (e*e - s.spread)
@@ -383,11 +390,6 @@
 	u.speed.n++
 	work := run * math.Exp(-u.speed.log)
 	s.work.add(work, workFloor)
-	if j != nil && j.batch != nil {
-		s.learnDeclared(j)
-		j.setRatio()
-		return
-	}
 	s.tail.add(work)
 	if j != nil {
 		j.offset.sum += x - s.work.log - u.speed.log
--- a/dispatch/index.go
+++ b/dispatch/index.go
@@ -19,6 +19,11 @@
 	return min(max(b, 0), bucketCount-1)
 }
 
+// costOf returns the cost that a bucket stands for.
+func costOf(bucket int) float64 {
+	return math.Exp2(float64(bucket-bucketOrigin) / bucketsPerOctave)
+}
+
 // bucketIndex finds the upstreams of least cost in constant time.
 type bucketIndex struct {
 	bits  [bucketCount / 64]uint64
@@ -76,28 +81,6 @@
 	}
 }
 
-// last returns the last non-empty bucket at or before from, or -1.
-func (x *bucketIndex) last(from int) int {
-	if from < 0 {
-		return -1
-	}
-	w := from / 64
-	word := x.bits[w]
-	if rest := from % 64; rest < 63 {
-		word &= 1<<(rest+1) - 1
-	}
-	for {
-		if word != 0 {
-			return w*64 + bits.Len64(word) - 1
-		}
-		if w == 0 {
-			return -1
-		}
-		w--
-		word = x.bits[w]
-	}
-}
-
 // pick returns an upstream of the cheapest bucket other than avoid, or nil.
 // salt decides between upstreams of the same bucket.
 func (x *bucketIndex) pick(avoid *upstream, salt uint64) *upstream {
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -60,6 +60,7 @@
 func (c *Core) addUpstream(now time.Duration, m wire.Member) *upstream {
 	s := c.service(m.Service)
 	u := &upstream{inc: m.Incarnation, member: m, svc: s, health: Cold, window: coldWindow}
+	c.startPace(u)
 	c.ups[u.inc] = u
 	c.upOrder = insertByIncarnation(c.upOrder, u)
 	if !m.Live() {
--- /dev/null
+++ b/dispatch/pace.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+const (
+	// initialRunError is the variance of the logarithm of run times over expected
+	// ones before any task has ended.
+	initialRunError = 0.2
+	// runErrorWeight is the weight of a task in that variance.
+	runErrorWeight = 0.01
+	// priorTasks is the number of tasks that the pace of a worker's former
+	// incarnation counts for.
+	priorTasks = 4
+	// paceDrift is the drift of the average pace that is corrected.
+	paceDrift = 0.02
+	// rescueStalled and rescueAlone are the multiples of the expected run time after
+	// which a task is started elsewhere: at a worker that has stalled, and at one
+	// that has not while the other tasks of the step have ended.
+	rescueStalled = 1.5
+	rescueAlone   = 2.0
+	// rescueSlack keeps very short tasks where they are.
+	rescueSlack = 50 * time.Millisecond
+)
+
+// startPace gives a new incarnation the pace of its node's former one.
+func (c *Core) startPace(u *upstream) {
+	if !u.sized() {
+		return
+	}
+	u.prior = u.svc.basePace
+	if p, ok := c.paces[u.member.Node]; ok {
+		u.prior = p
+	}
+	u.pace = u.prior
+}
+
+// setPace takes over the pace that an agent has learnt from all its tasks.
+func (c *Core) setPace(u *upstream, r wire.Report) {
+	if !u.sized() {
+		return
+	}
+	n := float64(r.PaceTasks)
+	u.pace = (n*r.Pace + priorTasks*u.prior) / (n + priorTasks)
+	c.paces[u.member.Node] = u.pace
+	u.stalled = r.Stalled
+	u.stall = 0
+	if r.Stalled {
+		u.stall = stallPenalty
+	}
+}
+
+// recenterPace keeps the average of the paces, against which the slowness of a
+// worker is measured.
+func (c *Core) recenterPace(s *service) {
+	sum, n := 0.0, 0
+	for _, u := range s.ups {
+		if u.sized() {
+			sum += u.pace
+			n++
+		}
+	}
+	if n == 0 || math.Abs(sum/float64(n)-s.basePace) < paceDrift {
+		return
+	}
+	s.basePace = sum / float64(n)
+	for _, u := range s.ups {
+		if u.sized() {
+			c.reindex(u)
+		}
+	}
+}
+
+// learnError updates the error of expected run times with a task that has ended.
+func (c *Core) learnError(u *upstream, j *job, a *wire.Answer) {
+	if j == nil || j.batch == nil || a.Verdict != verdict.Ran {
+		return
+	}
+	st := j.stepAt(int(a.Key.Index - j.key.Index))
+	if st.runTime <= 0 {
+		return
+	}
+	e := math.Log(float64(a.RunUS)/1e6/st.runTime) - u.pace
+	st.ratio += e
+	s := u.svc
+	s.runError += runErrorWeight * (e*e - s.runError)
+}
+
+// expectedRun is the time that a task of a step is expected to take on u.
+func (u *upstream) expectedRun(st *step) time.Duration {
+	return seconds(st.runTime * math.Exp(u.pace))
+}
+
+// rescue has tasks at u that take far longer than they should started elsewhere,
+// if they can still end there before the deadline.
+func (c *Core) rescue(now time.Duration, u *upstream) {
+	s := u.svc
+	best := s.free.next(0)
+	if best < 0 || !u.connected {
+		return
+	}
+	for _, a := range u.attempts {
+		j := a.job
+		if j.batch == nil || a.orphan || a.restarting || !a.overdue(now) {
+			continue
+		}
+		again := seconds(j.stepAt(a.index).runTime * s.declaredScale() * costOf(best))
+		if now+again > j.deadline {
+			continue
+		}
+		a.restarting = true
+		u.mailbox.aborts = append(u.mailbox.aborts, j.keyOf(a.index))
+		c.mark(u)
+		c.decide(now, "rescue", u.inc, j.keyOf(a.index), "overdue")
+	}
+}
+
+// overdue reports whether a task takes so long that its worker is at fault. A
+// task by itself may just be longer than declared; the other tasks of its step
+// tell, or the other tasks of its worker.
+func (a *attempt) overdue(now time.Duration) bool {
+	st := a.job.stepAt(a.index)
+	if st.runTime <= 0 {
+		return false
+	}
+	elapsed := now - a.sentAt
+	expected := float64(a.up.expectedRun(st))
+	if a.up.stalled && elapsed > time.Duration(rescueStalled*expected)+rescueSlack {
+		return true
+	}
+	if st.done == 0 {
+		return false
+	}
+	expected *= math.Exp(st.ratio / float64(st.done))
+	return elapsed > time.Duration(rescueAlone*expected)+rescueSlack
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -138,10 +138,6 @@
 // average. Declared run times are often wrong, so half of their logarithm is
 // believed.
 func (j *job) setRatio() {
-	if j.batch != nil {
-		j.ratio = min(max(math.Exp(j.expectedOffset()), 1.0/ratioLimit), ratioLimit)
-		return
-	}
 	prior := 0.0
 	if j.declared > 0 && j.svc.work.mean > 0 {
 		prior = math.Log(j.declared/j.svc.work.mean) / 2
@@ -221,6 +217,8 @@
 		BudgetMS: (a.job.deadline - now).Milliseconds(),
 		Name:     spec.Name,
 		Size:     spec.Size,
+
+		DeclaredMS: spec.DeclaredMS,
 	}
 }
 
@@ -307,10 +305,18 @@
 func freePlace(u *upstream) *place  { return &u.freeAt }
 func aheadPlace(u *upstream) *place { return &u.aheadA }
 
+// expectedLog is the logarithm of the slowness that placement takes u to have.
+func (u *upstream) expectedLog() float64 {
+	if u.sized() {
+		return u.pace - u.svc.basePace
+	}
+	samples := min(float64(u.speed.n+speedPrior), 1/speedFloor)
+	return u.speed.log - optimism*math.Sqrt(u.svc.spread/samples)
+}
+
 // price sets the expected slowness of u with its penalties.
 func (u *upstream) price() {
-	samples := min(float64(u.speed.n+speedPrior), 1/speedFloor)
-	log := u.speed.log - optimism*math.Sqrt(u.svc.spread/samples) + u.stall + math.Log1p(failPenalty*u.failRate*u.failRate)
+	log := u.expectedLog() + u.stall + math.Log1p(failPenalty*u.failRate*u.failRate)
 	if u.health == Recovering {
 		log += math.Log(recoveringPenalty)
 	}
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -89,7 +89,8 @@
 		c.recenter(s)
 		c.forgetFailures(s)
 		s.setLongest()
-		s.noteFreeShare()
+		c.recenterPace(s)
+		s.noteFastest()
 		s.fair.divide(int(s.capacity() * rateUnit))
 	}
 	for _, u := range c.upOrder {
@@ -98,7 +99,11 @@
 			continue
 		}
 		c.resendLost(now, u)
-		c.checkStall(now, u)
+		if u.sized() {
+			c.rescue(now, u)
+		} else {
+			c.checkStall(now, u)
+		}
 	}
 }
 
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -53,6 +53,7 @@
 	if a.RunUS == 0 {
 		a.RunUS = (now - r.began).Microseconds()
 	}
+	c.learnPace(r, a)
 	r.state = wire.TaskEnded
 	r.answer = &a
 	c.answerBytes += int64(len(a.Body))
--- a/executor/core.go
+++ b/executor/core.go
@@ -38,6 +38,7 @@
 	queuedSize wire.Resources
 	meanSize   wire.Resources // moving average of the sizes of tasks, zero until known
 	active     map[ids.TaskKey]*row
+	pace       pace
 
 	acked       []*row // ended rows in order of acknowledgement, bodies dropped first from the front
 	answerBytes int64
@@ -64,7 +65,8 @@
 	resends  int
 	lingers  bool // the answer was given up, the call goes on
 	size     wire.Resources
-	aborted  bool // its end has been asked for
+	declared time.Duration // run time, zero if unknown
+	aborted  bool          // its end has been asked for
 }
 
 // job is what the table knows of a job beyond its rows.
--- a/executor/start.go
+++ b/executor/start.go
@@ -60,6 +60,7 @@
 	r.state = wire.TaskQueued
 	r.start = st
 	r.size = st.Size
+	r.declared = time.Duration(st.DeclaredMS) * time.Millisecond
 	r.aborted = false
 	r.deadline = now + time.Duration(st.BudgetMS)*time.Millisecond
 	s.hold(r.team, 1)
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -14,13 +14,14 @@
 	lease := c.endLapsed(now)
 	deadline := c.expireQueued(now)
 	out.Run = c.runQueued(now)
+	stall := c.checkStall(now)
 	out.Abort, c.abort = c.abort, nil
 	resend := c.resendUnacked(now)
 	c.shareCredit()
 	out.Send = c.report(now)
 	c.limitAnswers()
 	c.sweep(now)
-	out.NextTick = earliest(earliest(earliest(deadline, resend), c.creditDue()), lease)
+	out.NextTick = earliest(earliest(earliest(deadline, resend), c.creditDue()), earliest(lease, stall))
 	if len(c.rows) > 0 {
 		out.NextTick = earliest(out.NextTick, c.lastSweep+sweepInterval)
 	}
@@ -108,6 +109,7 @@
 	}
 	if c.sized() {
 		m.ClockMS = now.Milliseconds()
+		m.Pace, m.PaceTasks, m.Stalled = c.pace.log, c.pace.tasks, c.pace.stalled
 	}
 	for _, r := range s.answers {
 		m.Answers = append(m.Answers, *r.answer)
--- a/wire/task.go
+++ b/wire/task.go
@@ -62,6 +62,8 @@
 	Name string `json:"w,omitempty"`
 	// Size is what a sized task takes of its worker, zero for a task that takes a slot.
 	Size Resources `json:"z,omitzero"`
+	// DeclaredMS is the declared run time of a sized task, zero if unknown.
+	DeclaredMS int64 `json:"q,omitempty"`
 }
 
 // Recall names one try of a task that the entry takes back.
@@ -132,6 +134,12 @@
 	Down bool `json:"x,omitempty"`
 	// ClockMS is the agent's clock when the report was made, set by agents of workers.
 	ClockMS int64 `json:"t,omitempty"`
+	// Pace is the average logarithm of the ratio of run times to declared ones over
+	// PaceTasks recent tasks of a worker.
+	Pace      float64 `json:"p,omitempty"`
+	PaceTasks int     `json:"pn,omitempty"`
+	// Stalled is set while most tasks of a worker run far longer than they should.
+	Stalled bool `json:"st,omitempty"`
 }
 
 // TeamTasks is a number of tasks of one team.
@@ -213,6 +221,8 @@
 	// Name and Size are those of a sized task, as in Start.
 	Name string    `json:"w,omitempty"`
 	Size Resources `json:"z,omitzero"`
+	// DeclaredMS is the declared run time, as in Start.
+	DeclaredMS int64 `json:"q,omitempty"`
 }
 
 // Bodies hands the task bodies of a resubmission to the owner of the job. The
