--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -77,7 +77,7 @@
 	if tasks > 0 {
 		j.declared = work / float64(tasks)
 	}
-	j.batch.latest = b.Target - Chain(b.Steps)
+	j.batch.latest = s.latestStartOf(b)
 	j.batch.arrived = s.fair.arrived + 1
 	return j
 }
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -54,15 +54,17 @@
 	if own <= 0 {
 		return nil
 	}
-	scale := s.declaredScale()
-	chain := Chain(b.Steps)
-	ahead := s.workBefore(&batch{latest: b.Target - chain, arrived: s.fair.arrived + 1})
-	room := s.openSlots()
+	room, capacity := s.roomFor(now, b)
+	if capacity == 0 {
+		return verdict.Refuse(verdict.Overloaded, "no worker in service is fast enough for the time left").After(noUpstreamRetry)
+	}
+	ahead := s.workBefore(&batch{latest: s.latestStartOf(b), arrived: s.fair.arrived + 1})
 	if ahead == 0 && room >= tasks {
 		return nil
 	}
-	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / s.capacity())
-	end := now + wait + time.Duration(scale*float64(chain))
+	scale := s.declaredScale()
+	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / capacity)
+	end := now + wait + time.Duration(scale*s.fastest*float64(Chain(b.Steps)))
 	if end <= b.Target {
 		return nil
 	}
@@ -70,6 +72,35 @@
 		After(clampRetry(wait))
 }
 
+// latestStartOf returns when the last task of a batch should start on the fastest
+// worker to be on time although run times differ from the declared ones.
+func (s *service) latestStartOf(b Batch) time.Duration {
+	margin := math.Exp(startMargin * math.Sqrt(s.runError))
+	return b.Target - time.Duration(float64(Chain(b.Steps))*s.declaredScale()*s.fastest*margin)
+}
+
+// startMargin is the number of standard deviations of the error of run times that
+// a batch should start early.
+const startMargin = 2.0
+
+// roomFor returns how many tasks would start at once on workers on which b is
+// expected to end before its deadline, and the work that these do each second.
+func (s *service) roomFor(now time.Duration, b Batch) (open int, capacity float64) {
+	longest := 0.0
+	for _, st := range b.Steps {
+		longest = max(longest, st.RunTime.Seconds()*s.declaredScale())
+	}
+	left := (b.Deadline - now).Seconds()
+	for _, u := range s.ups {
+		if !u.usable() || u.health == Quarantined || longest*u.slow > left {
+			continue
+		}
+		capacity += u.weight.usable
+		open += max(min(u.credit-u.held, u.slots()-u.others-u.held), 0)
+	}
+	return open, capacity
+}
+
 // workBefore is the declared run time, in seconds, of the waiting tasks that go
 // before those of b.
 func (s *service) workBefore(b *batch) float64 {
@@ -98,14 +129,3 @@
 func (s *service) declaredScale() float64 {
 	return math.Exp(s.basePace)
 }
-
-// openSlots counts the tasks that would start at once.
-func (s *service) openSlots() int {
-	n := 0
-	for _, u := range s.ups {
-		if u.usable() && u.health != Quarantined {
-			n += max(min(u.credit-u.held, u.slots()-u.others-u.held), 0)
-		}
-	}
-	return n
-}
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -24,7 +24,6 @@
 // batch never waits for a faster worker while one is open on which it can end
 // before its deadline.
 func (c *Core) chooseForBatch(now time.Duration, s *service) (*job, *upstream, bool) {
-	c.refuseLate(now, s)
 	if s.free.size == 0 {
 		return nil, nil, false
 	}
@@ -38,20 +37,28 @@
 	return nil, nil, false
 }
 
-// refuseLate refuses the batches at the head of the queue that have not started
-// and will hardly be on time on any worker. While work waits, all workers are
-// taken, and a late answer would make another one late.
-func (c *Core) refuseLate(now time.Duration, s *service) {
-	for len(s.fair.heap) > 0 {
-		j := s.fair.heap[0].jobs[0]
-		if j.batch == nil || j.started() || s.lateness(now, j, s.fastest) < hopeless {
-			return
+// endHopeless ends the waiting batches that can't succeed any more. One that has
+// not started is refused once it will hardly be on time on the fastest worker:
+// while work waits, all workers are taken, and a late answer would make another
+// one late. One that has started goes on until it can't end before its deadline.
+func (c *Core) endHopeless(now time.Duration, s *service) {
+	for _, j := range s.fair.waitingJobs() {
+		switch {
+		case j.batch == nil:
+		case !j.started() && s.lateness(now, j, s.fastest) >= hopeless:
+			wait := seconds(s.workBefore(j.batch) * s.declaredScale() / max(s.capacity(), 1))
+			c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetry(wait)))
+		case now+s.fastestRun(j) > j.deadline:
+			c.fail(now, j, wire.JobFailed, c.unfinished(j, verdict.DeadlinePassed, "the deadline can't be met"))
 		}
-		wait := seconds(s.workBefore(j.batch) * s.declaredScale() / max(s.capacity(), 1))
-		c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetry(wait)))
 	}
 }
 
+// fastestRun is the expected run time of the next task of j on the fastest worker.
+func (s *service) fastestRun(j *job) time.Duration {
+	return seconds(j.stepAt(j.peek()).runTime * s.declaredScale() * s.fastest)
+}
+
 // started reports whether a task of j may have run.
 func (j *job) started() bool { return j.sent > 0 || j.done > 0 || j.maybeRan }
 
@@ -118,3 +125,20 @@
 		}
 	}
 }
+
+// hopelessPass is the time between two passes over the waiting batches.
+const hopelessPass = 10 * time.Millisecond
+
+// endHopelessBatches ends waiting batches that can't succeed, service by service.
+func (c *Core) endHopelessBatches(now time.Duration) {
+	if now < c.hopelessAt {
+		return
+	}
+	c.hopelessAt = 0
+	for _, s := range c.svcOrder {
+		if s.fair.waiting > 0 && s.sizes.n > 0 {
+			c.endHopeless(now, s)
+			c.hopelessAt = now + hopelessPass
+		}
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -36,6 +36,7 @@
 	hedges     float64                      // hedge budget
 	sweepAt    time.Duration
 	now        time.Duration // of the tick, for the texts of errors
+	hopelessAt time.Duration // next pass over the waiting batches
 	leaseAt    time.Duration // next pass over the leases at workers
 	msgs       Messages
 	ring       decisionRing
@@ -204,7 +205,7 @@
 	if s != nil {
 		return s
 	}
-	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1, runError: initialRunError}
+	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1, runError: initialRunError, fastest: 1}
 	s.fair.init()
 	c.services[name] = s
 	at, _ := slices.BinarySearchFunc(c.svcOrder, name, func(o *service, n ids.Service) int {
@@ -227,6 +228,7 @@
 	c.sweep(now)
 	c.renewLeases(now)
 	c.endStranded(now)
+	c.endHopelessBatches(now)
 	c.recallQueued(now)
 	c.placeWaiting(now)
 	out := Output{Claims: c.claims, Finished: c.finished}
@@ -240,7 +242,7 @@
 func (c *Core) nextTick(now time.Duration) time.Duration {
 	next := c.timers.first()
 	if len(c.attempts) > 0 || c.waiting() > 0 {
-		next = earliest(earliest(next, c.sweepAt), c.leaseAt)
+		next = earliest(earliest(next, c.sweepAt), earliest(c.leaseAt, c.hopelessAt))
 	}
 	if next != 0 && next <= now {
 		next = now + time.Millisecond
