member: pass over a leader that does not answer

Change: an attempt takes a third of the time left, and a call that ends without an answer forgets the leader. TestCallPassesOverFrozenLeader failed before.

--- a/member/servers.go
+++ b/member/servers.go
@@ -21,6 +21,10 @@
 	// writeTimeout bounds one attempt of a write at one server. It is above the
 	// 2 s in which a new leader is elected.
 	writeTimeout = 3 * time.Second
+	// attemptShare is the part of the time left that one attempt may take, and
+	// minAttempt the least time for a round trip with a synced write.
+	attemptShare = 3
+	minAttempt   = 150 * time.Millisecond
 	// retryPause separates attempts while no leader is known.
 	retryPause = 50 * time.Millisecond
 	// maxHops is how many hints are followed without a pause.
@@ -149,7 +153,7 @@
 	unknown, hops := false, 0
 	for {
 		addr := s.target()
-		err := s.call(ctx, writeTimeout, addr, method, params, result)
+		err := s.call(ctx, attemptTimeout(ctx), addr, method, params, result)
 		if err == nil {
 			s.setLeader(addr)
 			return nil
@@ -157,6 +161,7 @@
 		v := verdict.From(err)
 		unknown = unknown || v.Verdict == verdict.MayHaveRun
 		if ctx.Err() != nil {
+			s.skip() // the next call must not begin with a server that does not answer
 			return giveUp(unknown, method, v)
 		}
 		hint := leaderHint(v)
@@ -179,11 +184,21 @@
 	}
 }
 
+// attemptTimeout bounds one attempt so that a call with a deadline can pass over
+// servers that don't answer.
+func attemptTimeout(ctx context.Context) time.Duration {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return writeTimeout
+	}
+	return min(writeTimeout, max(time.Until(deadline)/attemptShare, minAttempt))
+}
+
 // callAny repeats a read at one server after the other until it is answered or
 // ctx ends.
 func (s *servers) callAny(ctx context.Context, method string, params, result any) error {
 	for n := 0; ; n++ {
-		err := s.call(ctx, writeTimeout, s.addrs[n%len(s.addrs)], method, params, result)
+		err := s.call(ctx, attemptTimeout(ctx), s.addrs[n%len(s.addrs)], method, params, result)
 		if err == nil {
 			return nil
 		}
