--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -9,10 +9,12 @@
 )
 
 const (
-	// occupancyPrice is what a full worker costs a task, in units of the
-	// probability that its batch is late. It leaves fast workers to the tasks whose
-	// batches would be late elsewhere.
-	occupancyPrice = 0.1
+	// occupancyPrice is what the last room of a worker costs a task, in units of
+	// the probability that its batch is late. It leaves the last room of fast
+	// workers to the tasks whose batches would be late elsewhere; occupancyPower
+	// makes it matter only there.
+	occupancyPrice = 0.25
+	occupancyPower = 6
 	// maxCandidates bounds the batches that are considered for the open workers.
 	maxCandidates = 8
 	// hopeless is the probability of being late above which a batch that has not
@@ -74,7 +76,7 @@
 		if u == nil || !s.endsBeforeDeadline(now, j, u) {
 			continue
 		}
-		cost := s.lateness(now, j, u.slow) + occupancyPrice*u.occupancy()
+		cost := s.lateness(now, j, u.slow) + occupancyPrice*math.Pow(u.occupancy(), occupancyPower)
 		if cost < least {
 			best, least = u, cost
 		}
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -24,6 +24,15 @@
 	Target, Deadline time.Duration
 }
 
+// Tasks is the number of tasks of all steps.
+func (b Batch) Tasks() int {
+	n := 0
+	for _, s := range b.Steps {
+		n += s.Tasks
+	}
+	return n
+}
+
 // RunBatch runs a batch and returns when all its tasks are done. conn is the
 // caller's connection, nil if it isn't to be watched. The verdict of an error
 // tells whether a task may have run.
@@ -69,11 +78,7 @@
 
 // startBatch passes a batch to the core.
 func (l *life) startBatch(b Batch) (*request, *verdict.Error) {
-	tasks := 0
-	for _, s := range b.Steps {
-		tasks += s.Tasks
-	}
-	span := uint64(max(tasks, 1))
+	span := uint64(max(b.Tasks(), 1))
 	r := &request{key: ids.RequestOf(l.self, l.seq.Add(span)-span+1), done: make(chan struct{})}
 	var refused *verdict.Error
 	ok := l.loop.Call(func(now time.Duration) {
