--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -61,7 +61,7 @@
 func newBatchJob(s *service, b Batch) *job {
 	j := &job{
 		key: b.Key, team: b.Team, svc: s, deadline: b.Deadline, single: true, idem: true,
-		batch: &batch{attempts: max(b.Attempts, 1), target: b.Target},
+		batch: &batch{attempts: max(b.Attempts, 1), target: min(b.Target, b.Deadline)},
 	}
 	work, tasks := 0.0, 0
 	for i, st := range b.Steps {
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -56,7 +56,7 @@
 	}
 	room, capacity := s.roomFor(now, b)
 	if capacity == 0 {
-		return verdict.Refuse(verdict.Overloaded, "no worker in service is fast enough for the time left").After(noUpstreamRetry)
+		return verdict.Refuse(verdict.Infeasible, "no worker in service is fast enough for the time left")
 	}
 	ahead := s.workBefore(&batch{latest: s.latestStartOf(b), arrived: s.fair.arrived + 1})
 	if ahead == 0 && room >= tasks {
@@ -88,11 +88,10 @@
 func (s *service) roomFor(now time.Duration, b Batch) (open int, capacity float64) {
 	longest := 0.0
 	for _, st := range b.Steps {
-		longest = max(longest, st.RunTime.Seconds()*s.declaredScale())
+		longest = max(longest, st.RunTime.Seconds())
 	}
-	left := (b.Deadline - now).Seconds()
 	for _, u := range s.ups {
-		if !u.usable() || u.health == Quarantined || longest*u.slow > left {
+		if !u.usable() || u.health == Quarantined || !s.mayEnd(now, b.Deadline, longest, u.slow) {
 			continue
 		}
 		capacity += u.weight.usable
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -17,6 +17,9 @@
 	occupancyPower = 6
 	// maxCandidates bounds the batches that are considered for the open workers.
 	maxCandidates = 8
+	// chanceMargin is the number of standard errors of the run time by which a task
+	// has to be shorter than expected to end in time, at most.
+	chanceMargin = 1.0
 	// hopeless is the probability of being late above which a batch that has not
 	// started is refused.
 	hopeless = 0.9
@@ -50,17 +53,12 @@
 		case !j.started() && s.lateness(now, j, s.fastest) >= hopeless:
 			wait := seconds(s.workBefore(j.batch) * s.declaredScale() / max(s.capacity(), 1))
 			c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetry(wait)))
-		case now+s.fastestRun(j) > j.deadline:
+		case !s.mayEnd(now, j.deadline, j.stepAt(j.peek()).runTime, s.fastest):
 			c.fail(now, j, wire.JobFailed, c.unfinished(j, verdict.DeadlinePassed, "the deadline can't be met"))
 		}
 	}
 }
 
-// fastestRun is the expected run time of the next task of j on the fastest worker.
-func (s *service) fastestRun(j *job) time.Duration {
-	return seconds(j.stepAt(j.peek()).runTime * s.declaredScale() * s.fastest)
-}
-
 // started reports whether a task of j may have run.
 func (j *job) started() bool { return j.sent > 0 || j.done > 0 || j.maybeRan }
 
@@ -89,11 +87,17 @@
 	return float64(u.others+u.held) / float64(max(u.slots(), 1))
 }
 
-// endsBeforeDeadline reports whether a task of j is expected to end on u while
-// its caller still waits.
+// endsBeforeDeadline reports whether a task of j may well end on u while its
+// caller still waits.
 func (s *service) endsBeforeDeadline(now time.Duration, j *job, u *upstream) bool {
-	st := j.stepAt(j.peek())
-	return now+seconds(st.runTime*s.declaredScale()*u.slow) < j.deadline
+	return s.mayEnd(now, j.deadline, j.stepAt(j.peek()).runTime, u.slow)
+}
+
+// mayEnd reports whether a task of the given declared run time, in seconds, has a
+// fair chance to end in time on a worker of the given slowness.
+func (s *service) mayEnd(now, deadline time.Duration, runTime, slow float64) bool {
+	shortest := math.Exp(-chanceMargin * math.Sqrt(s.runError))
+	return now+seconds(runTime*s.declaredScale()*slow*shortest) < deadline
 }
 
 // lateness is the probability that a task of j that starts now on a worker of the
--- a/member/converge_test.go
+++ b/member/converge_test.go
@@ -255,7 +255,7 @@
 		if m.call == call {
 			m.call++
 			f()
-			m.sim.after(m.tracker.pause(), m.renew)
+			m.sim.after(m.tracker.pause(m.sim.time(m.sim.now)), m.renew)
 		}
 	}
 	m.sim.after(m.tracker.timeout(), func() { done(m.tracker.failed) })
--- a/member/decide.go
+++ b/member/decide.go
@@ -21,8 +21,17 @@
 	interval  time.Duration // between renewals
 	spread    int           // varies which server follows the leader
 	stay      int           // renewals at the leader before the others are tried again
+	changedAt time.Time     // when the content of the view changed last
 }
 
+const (
+	// settleInterval replaces the interval between renewals while the view has
+	// changed within settleTime. Changes come in groups: processes that restart
+	// together register one after the other.
+	settleInterval = 200 * time.Millisecond
+	settleTime     = 2 * time.Second
+)
+
 // leaderStay is how many renewals a member makes at the leader after the others
 // have failed. Trying two others that don't answer costs 1.1 s of currency.
 const leaderStay = 8
@@ -50,6 +59,9 @@
 	if changed || r.Version > t.view.Version {
 		t.view = t.view.next(r)
 	}
+	if changed {
+		t.changedAt = sent
+	}
 	age := time.Duration(max(r.ConfirmedAge, 0)) * time.Millisecond
 	if at := sent.Add(-age); at.After(t.confirmed) {
 		t.confirmed = at
@@ -101,7 +113,7 @@
 
 // pause returns how long to wait before the next renewal. After a change of the
 // server the next one is asked almost at once, until all have been asked.
-func (t *tracker) pause() time.Duration {
+func (t *tracker) pause(now time.Time) time.Duration {
 	moved := t.moved
 	t.moved = false
 	if moved && t.moves+1 < t.servers {
@@ -109,6 +121,9 @@
 		return retryPause
 	}
 	t.moves = 0
+	if now.Sub(t.changedAt) < settleTime {
+		return min(settleInterval, t.interval)
+	}
 	return t.interval
 }
 
--- a/member/decide_test.go
+++ b/member/decide_test.go
@@ -32,7 +32,7 @@
 	if tr.confirmed.After(start) {
 		t.Fatal("an older version confirmed the view")
 	}
-	if tr.server != 1 || tr.pause() != retryPause {
+	if tr.server != 1 || tr.pause(time.Now()) != retryPause {
 		t.Fatal("the session stays with the node that is behind")
 	}
 }
@@ -68,7 +68,7 @@
 	var pauses []time.Duration
 	for range 6 {
 		tr.failed()
-		pauses = append(pauses, tr.pause())
+		pauses = append(pauses, tr.pause(time.Now()))
 	}
 	want := []time.Duration{retryPause, retryPause, wire.RenewInterval, retryPause, retryPause, wire.RenewInterval}
 	for i := range want {
@@ -80,7 +80,7 @@
 		t.Fatalf("the time limit is %v after two rounds of failures", tr.timeout())
 	}
 	tr.accept(time.Now(), wire.RenewReply{Version: 1, ConfirmedAge: wire.SwitchAfter.Milliseconds() + 1})
-	if tr.server != 0 || tr.pause() != retryPause || tr.timeout() != renewTimeout {
+	if tr.server != 0 || tr.pause(time.Now()) != retryPause || tr.timeout() != renewTimeout {
 		t.Fatalf("the session stays at a server with an old confirmation: %+v", tr)
 	}
 }
@@ -120,7 +120,7 @@
 		for range 2 {
 			reply.Leads = tr.server == leader
 			tr.accept(now, reply)
-			if tr.pause() != wire.RenewInterval {
+			if tr.pause(time.Now()) != wire.RenewInterval {
 				t.Fatal("the next renewal is sooner than due")
 			}
 		}
@@ -143,7 +143,7 @@
 			elapsed += tr.timeout()
 			tr.failed()
 		}
-		elapsed += tr.pause()
+		elapsed += tr.pause(time.Now())
 	}
 	if longest >= wire.StaleAfter || len(tried) != 2 {
 		t.Errorf("%v between good replies, tried %v", longest, tried)
@@ -153,3 +153,25 @@
 		t.Error("the only server was left")
 	}
 }
+
+// Guards against a view that lags by a whole interval when members register one
+// after the other: after all processes had restarted, entries refused work for
+// want of agents that had registered a second before.
+func TestChangesBringTheNextRenewalForward(t *testing.T) {
+	tr := newTracker(3, 0, time.Second)
+	at := time.Unix(1000, 0)
+	tr.accept(at, wire.RenewReply{Version: 5, Whole: true})
+	if p := tr.pause(at); p != settleInterval {
+		t.Errorf("pause after a change: %v, want %v", p, settleInterval)
+	}
+	at = at.Add(settleTime - time.Millisecond)
+	tr.accept(at, wire.RenewReply{Version: 5})
+	if p := tr.pause(at); p != settleInterval {
+		t.Errorf("pause within the settling time: %v, want %v", p, settleInterval)
+	}
+	at = at.Add(settleTime)
+	tr.accept(at, wire.RenewReply{Version: 5})
+	if p := tr.pause(at); p != time.Second {
+		t.Errorf("pause of a settled view: %v, want %v", p, time.Second)
+	}
+}
--- a/member/session.go
+++ b/member/session.go
@@ -274,7 +274,7 @@
 func (s *Session) pauseBeforeNext() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tracker.pause()
+	return s.tracker.pause(time.Now())
 }
 
 // renew sends one renewal and takes over the reply.
