dispatch: keep room on fast workers for tasks that need them

Change: tasks that would miss their deadline on an average worker keep a reserve of two batches' width on the fast ones.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -51,6 +51,7 @@
 	c.requests[b.Key] = j
 	c.addJob(now, j, j.specsOf(b))
 	j.svc.sizes.learn(b.Steps)
+	j.svc.learnNeedy(now, b)
 	c.releaseReady(j)
 	if len(j.tasks) == 0 {
 		c.complete(now, j)
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -17,9 +17,18 @@
 	occupancyPower = 6
 	// maxCandidates bounds the batches that are considered for the open workers.
 	maxCandidates = 8
-	// chanceMargin is the number of standard errors of the run time by which a task
-	// has to be shorter than expected to end in time, at most.
-	chanceMargin = 1.0
+	// needyRisk is the probability of missing the deadline on an average worker
+	// above which a task needs a fast one. fastRange is the range of slowness, from
+	// that of the fastest worker, that counts as fast.
+	needyRisk = 0.05
+	fastRange = 1.25
+	// reserveBatches is the room on fast workers that is kept for the batches that
+	// need them, in batches of average width.
+	reserveBatches = 2.0
+	// needyWeight is the weight of a batch in the averages of these batches, which
+	// are reserved for while their share is at least minNeedyShare.
+	needyWeight   = 1.0 / 64
+	minNeedyShare = 0.005
 	// hopeless is the probability of being late above which a batch that has not
 	// started is refused.
 	hopeless = 0.9
@@ -69,9 +78,10 @@
 	salt := c.random()
 	var best *upstream
 	least := math.Inf(1)
+	needy := s.needsFast(now, j.deadline, j.stepAt(j.peek()).runTime)
 	for b := s.free.next(0); b >= 0; b = s.free.next(b + 1) {
 		u := s.free.pickIn(b, avoid, salt)
-		if u == nil || !s.endsBeforeDeadline(now, j, u) {
+		if u == nil || !s.endsBeforeDeadline(now, j, u) || !needy && s.reservedAt(u) {
 			continue
 		}
 		cost := s.lateness(now, j, u.slow) + occupancyPrice*math.Pow(u.occupancy(), occupancyPower)
@@ -96,27 +106,68 @@
 // mayEnd reports whether a task of the given declared run time, in seconds, has a
 // fair chance to end in time on a worker of the given slowness.
 func (s *service) mayEnd(now, deadline time.Duration, runTime, slow float64) bool {
-	shortest := math.Exp(-chanceMargin * math.Sqrt(s.runError))
-	return now+seconds(runTime*s.declaredScale()*slow*shortest) < deadline
+	return now+seconds(runTime*s.declaredScale()*slow) < deadline
 }
 
 // lateness is the probability that a task of j that starts now on a worker of the
 // given slowness ends after the time at which the answer is due. Run times differ
 // from the expected ones by a factor whose logarithm is normal.
 func (s *service) lateness(now time.Duration, j *job, slow float64) float64 {
-	st := j.stepAt(j.peek())
-	if st.runTime <= 0 {
+	return s.missing(now, j.batch.target, j.stepAt(j.peek()).runTime, slow)
+}
+
+// missing is the probability that a task of the given declared run time, in
+// seconds, ends after a time on a worker of the given slowness.
+func (s *service) missing(now, by time.Duration, runTime, slow float64) float64 {
+	if runTime <= 0 {
 		return 0
 	}
-	slack := (j.batch.target - now).Seconds()
+	slack := (by - now).Seconds()
 	if slack <= 0 {
 		return 1
 	}
-	expected := st.runTime * s.declaredScale() * slow
+	expected := runTime * s.declaredScale() * slow
 	z := math.Log(slack/expected) / math.Sqrt(max(s.runError, minRunError))
 	return math.Erfc(z/math.Sqrt2) / 2
 }
 
+// needsFast reports whether a task may well end after its caller has left unless
+// it runs on a fast worker.
+func (s *service) needsFast(now, deadline time.Duration, runTime float64) bool {
+	return s.missing(now, deadline, runTime, 1) > needyRisk
+}
+
+// reservedAt reports whether the room left at u is kept for tasks that need a
+// fast worker. A small reserve is enough for these to find room nearly always.
+func (s *service) reservedAt(u *upstream) bool {
+	if s.needyTasks == 0 || u.slow > s.fastest*fastRange {
+		return false
+	}
+	open := float64(u.slots() - u.others - u.held)
+	return open <= reserveBatches*s.needyTasks/float64(max(s.fastCount, 1))
+}
+
+// learnNeedy updates the number of tasks of the batches that need fast workers.
+func (s *service) learnNeedy(now time.Duration, b Batch) {
+	tasks := 0
+	for _, st := range b.Steps {
+		if s.needsFast(now, b.Deadline, st.RunTime.Seconds()) {
+			tasks = max(tasks, st.Tasks)
+		}
+	}
+	s.needyShare -= s.needyShare * needyWeight
+	if tasks > 0 {
+		s.needyShare += needyWeight
+		if s.needyTasks == 0 {
+			s.needyTasks = float64(tasks)
+		}
+		s.needyTasks += needyWeight * (float64(tasks) - s.needyTasks)
+	}
+	if s.needyShare < minNeedyShare {
+		s.needyTasks = 0
+	}
+}
+
 // minRunError keeps the probability of being late smooth when all run times have
 // been as declared.
 const minRunError = 0.01
@@ -130,6 +181,12 @@
 			s.fastest, found = u.slow, true
 		}
 	}
+	s.fastCount = 0
+	for _, u := range s.ups {
+		if u.usable() && u.slow <= s.fastest*fastRange {
+			s.fastCount++
+		}
+	}
 }
 
 // hopelessPass is the time between two passes over the waiting batches.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -57,10 +57,13 @@
 	busy        fenwick     // busy slots by cost bucket
 	rate        fenwick     // completions per unit of work by cost bucket
 
-	sizes    sizeEstimate // of sized tasks
-	basePace float64      // average pace of the workers
-	fastest  float64      // slowness of the fastest worker, set by each sweep
-	runError float64      // variance of the logarithm of run times over expected ones, of sized tasks
+	sizes      sizeEstimate // of sized tasks
+	basePace   float64      // average pace of the workers
+	fastest    float64      // slowness of the fastest worker, set by each sweep
+	fastCount  int          // workers of about that slowness
+	needyTasks float64      // average width of the batches that need fast workers, zero if there are none
+	needyShare float64      // their share of the batches
+	runError   float64      // variance of the logarithm of run times over expected ones, of sized tasks
 
 	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
