worker: overlap renewals, look up starts without an answer

Change: a renewal is sent beside one that is 30 ms old; a start is given up after 60 ms, looked up in a status, stopped only if it is not there, and answered with the first status after the stop.

--- a/worker/api.go
+++ b/worker/api.go
@@ -68,6 +68,8 @@
 	Until time.Duration
 	// Wait is how long the worker may hold the answer back for an end.
 	Wait time.Duration
+	// SentAt is the time of the order on the core's clock.
+	SentAt time.Duration
 }
 
 // EndKind is how a run ended.
@@ -138,7 +140,7 @@
 type Output struct {
 	Start []StartOrder
 	Stop  []StopOrder
-	Renew *RenewOrder // at most one is on its way at a time
+	Renew *RenewOrder
 	// Ended lists tasks that have ended for certain, each once.
 	Ended []wire.Answer
 	// NextTick is when the core needs a tick without new input, zero for never.
--- a/worker/core.go
+++ b/worker/core.go
@@ -14,6 +14,11 @@
 	// renewWait is how long the worker may hold back a status. Three renewals in a
 	// row may be lost within a lease of 1 s.
 	renewWait = 200 * time.Millisecond
+	// renewOverlap is the age of the last renewal after which another one is sent
+	// beside it. A renewal whose answer is lost then hides ends for no longer.
+	renewOverlap = 30 * time.Millisecond
+	// maxRenewals bounds the renewals on their way at a time.
+	maxRenewals = 4
 	// startValid is how long a start may be on its way. Workers that leave orders
 	// unanswered carry them out 2 s later or more.
 	startValid = 800 * time.Millisecond
@@ -29,7 +34,7 @@
 const (
 	starting phase = iota // the start is on its way
 	running               // the worker has begun it
-	doubtful              // the start has no answer; a stop settles whether it runs
+	doubtful              // the start has no answer; a status tells whether it runs
 )
 
 // run is the table row of a run without an end.
@@ -44,7 +49,8 @@
 	stopAt     time.Duration
 	stopped    bool // the worker has acknowledged a stop
 	stoppedAt  time.Duration
-	acceptedAt time.Duration
+	acceptedAt time.Duration // when the start was answered
+	doubtAt    time.Duration // when the start was given up
 }
 
 // Core is the state of the runs on one life of a worker. One goroutine owns it.
@@ -59,10 +65,10 @@
 
 	cursor   uint64 // ends taken over
 	acked    uint64 // ends of which the worker knows that they are taken over
-	renewing bool
+	renewals int           // on their way
 	renewAt  time.Duration // earliest next renewal
-	sentAt   time.Duration // of the renewal on its way
-	sent     RenewOrder
+	sentAt   time.Duration // of the latest renewal
+	lookSoon bool          // a run waits for a status
 
 	strays   map[RunID]time.Duration // runs of others, with the time of their last stop
 	adopted  bool                    // a status without runs of others has been seen
@@ -141,7 +147,8 @@
 	switch {
 	case unknown:
 		r.phase = doubtful
-		r.unwanted = true
+		r.doubtAt = now
+		c.lookSoon = true
 	case reply.Refused == "":
 		r.phase = running
 		r.acceptedAt = now
@@ -181,26 +188,26 @@
 		return
 	}
 	r.stopped, r.stoppedAt = true, now
+	c.lookSoon = true
 }
 
-// Renewed takes in a status. unknown means that there was none.
-func (c *Core) Renewed(now time.Duration, st Status, unknown bool) {
-	c.renewing = false
+// Renewed takes in the answer to a renewal. unknown means that there was none.
+func (c *Core) Renewed(now time.Duration, o RenewOrder, st Status, unknown bool) {
+	c.renewals--
 	if unknown {
 		c.renewAt = now + renewRetry
 		return
 	}
-	c.renewAt = now
 	if c.cfg.Born != 0 && st.Born != 0 && st.Born != c.cfg.Born {
 		c.loseAll(now, verdict.Ran, verdict.Canceled)
 		return
 	}
 	c.readClock(now, st.Clock)
-	c.acked = max(c.acked, c.sent.Cursor)
+	c.acked = max(c.acked, o.Cursor)
 	for _, e := range st.Ended {
 		c.takeEnd(now, e)
 	}
-	c.compare(now, st)
+	c.compare(now, o.SentAt, st)
 }
 
 // takeEnd takes over one end.
@@ -227,8 +234,9 @@
 }
 
 // compare holds what runs at the worker against the table: runs of others are
-// stopped, and a run that should be there and isn't has ended.
-func (c *Core) compare(now time.Duration, st Status) {
+// stopped, a run without an answer to its start is found, and a run that should
+// be there and isn't has ended. sentAt is when the status was asked for.
+func (c *Core) compare(now, sentAt time.Duration, st Status) {
 	listed := make(map[RunID]bool, len(st.Running))
 	strays := 0
 	for _, id := range st.Running {
@@ -247,22 +255,28 @@
 	}
 	c.adopted = c.adopted || strays == 0
 	for _, r := range c.sortedRuns() {
-		if !listed[r.id] && c.overBy(r) {
+		switch {
+		case listed[r.id] && r.phase == doubtful:
+			r.phase, r.acceptedAt = running, now
+		case !listed[r.id] && r.overBy(sentAt):
 			c.forget(r)
 			c.answer(r.key, verdict.Ran, verdict.Canceled, (now - r.began).Microseconds())
+		case !listed[r.id] && r.phase == doubtful && sentAt >= r.doubtAt:
+			r.unwanted = true // the stop fences a start that is carried out late
 		}
 	}
 }
 
-// overBy reports whether the absence of r from the status on its way shows that
-// r has ended: the status was asked for after the worker had begun it, or after
-// a stop had had its time.
-func (c *Core) overBy(r *run) bool {
+// overBy reports whether the absence of r from the lists of a status shows that r
+// has ended and won't begin: the status was asked for after the worker had begun
+// it, or after the worker had acknowledged a stop. Ends stay listed until they are
+// taken over, and a run that is being stopped is listed as running.
+func (r *run) overBy(sentAt time.Duration) bool {
 	switch {
 	case r.stopped:
-		return c.sentAt >= r.stoppedAt+c.cfg.StopGrace
+		return sentAt >= r.stoppedAt
 	case r.phase == running:
-		return c.sentAt > r.acceptedAt
+		return sentAt > r.acceptedAt
 	}
 	return false
 }
@@ -361,35 +375,31 @@
 	slices.SortFunc(out.Stop, func(a, b StopOrder) int { return cmp.Compare(a.Run.Task, b.Run.Task) })
 }
 
-// orderRenewal keeps one renewal on its way while anything runs, is unknown or
-// is to be acknowledged.
+// orderRenewal keeps a renewal on its way while anything runs, is unknown or is
+// to be acknowledged, and sends another one beside it after a while.
 func (c *Core) orderRenewal(now time.Duration, out *Output) {
-	if c.renewing || c.replaced || c.adopted && c.Idle() {
+	if c.replaced || c.adopted && c.Idle() || c.renewals >= maxRenewals {
 		return
 	}
-	if now < c.renewAt {
-		out.NextTick = earliest(out.NextTick, c.renewAt)
+	due := c.renewAt
+	if c.renewals > 0 && !c.lookSoon {
+		due = max(due, c.sentAt+renewOverlap)
+	}
+	if now < due {
+		out.NextTick = earliest(out.NextTick, due)
 		return
 	}
-	o := RenewOrder{Fence: c.cfg.Fence, Cursor: c.cursor}
+	o := RenewOrder{Fence: c.cfg.Fence, Cursor: c.cursor, SentAt: now}
 	if len(c.runs) > 0 {
 		o.Until = c.workerClock(now) + c.cfg.Lease
-		o.Wait = c.renewalWait(now)
 	}
-	c.renewing, c.sent, c.sentAt = true, o, now
-	out.Renew = &o
-}
-
-// renewalWait is how long the worker may wait for an end. A stop that has been
-// acknowledged is checked for once its grace has passed.
-func (c *Core) renewalWait(now time.Duration) time.Duration {
-	wait := renewWait
-	for _, r := range c.runs {
-		if r.stopping || r.phase == doubtful || r.stopped {
-			wait = min(wait, max(c.cfg.StopGrace, time.Millisecond))
-		}
+	if len(c.runs) > 0 && !c.lookSoon {
+		o.Wait = renewWait
 	}
-	return wait
+	c.lookSoon = false
+	c.renewals++
+	c.sentAt = now
+	out.Renew = &o
 }
 
 // earliest returns the earlier of two times, where zero means never.
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	// orderTimeout bounds one order, beyond the time that the worker may wait.
-	// The worker is on the same VM and answers within a few milliseconds.
-	orderTimeout = 150 * time.Millisecond
+	// orderTimeout bounds one order, beyond the time that the worker may wait. The
+	// worker is on the same VM and answers within a few milliseconds. A start that
+	// has been given up in error is found by the next status.
+	orderTimeout = 60 * time.Millisecond
 	// tickMin is the least time between two ticks of the core.
 	tickMin = 200 * time.Microsecond
 )
@@ -133,5 +134,5 @@
 	if err != nil && r.ctx.Err() == nil {
 		klog.InfoS("worker: Renewal unanswered", "cursor", o.Cursor, "err", err)
 	}
-	r.loop.Post(func(now time.Duration) { r.core.Renewed(now, st, err != nil) })
+	r.loop.Post(func(now time.Duration) { r.core.Renewed(now, o, st, err != nil) })
 }
