control: let a node with an emptied folder rejoin by itself

Cause: after a control node lost its disk the group went on with two of three nodes until an operator replaced it; a second loss would have ended the group. On the platform nobody replaces nodes. Change: control.join gives a new node the place of the voter of the same name and address, or of one that has been silent for 10 s; a node asks for it when the option AutoJoin is set. It is off for the project's own daemons. TestEmptiedDiskRejoinsByItself failed before (the emptied node never voted).

--- a/consensus/progress.go
+++ b/consensus/progress.go
@@ -22,6 +22,7 @@
 	boot     uint64 // highest boot count seen
 	stamp    *Stamp
 	nextBeat uint64 // tick at which a heartbeat is due if it is a learner
+	heardAt  uint64 // tick of its last answer, or of the start of the leadership
 }
 
 // syncProgress makes the table of peers follow the group.
@@ -36,7 +37,7 @@
 		}
 		peers[p.ID] = n.lead.peers[p.ID]
 		if peers[p.ID] == nil {
-			peers[p.ID] = &progress{next: n.log.last() + 1}
+			peers[p.ID] = &progress{next: n.log.last() + 1, heardAt: n.now}
 		}
 	}
 	n.lead.peers = peers
@@ -54,6 +55,15 @@
 	return 0
 }
 
+// SilentFor returns for how many ticks the leader has had no answer of a peer,
+// zero for a node that is not a peer or when this node doesn't lead.
+func (n *Node) SilentFor(id ID) uint64 {
+	if p := n.lead.peers[id]; p != nil && n.role == leader {
+		return n.now - p.heardAt
+	}
+	return 0
+}
+
 // replicate sends each peer the entries that it lacks, within its window.
 func (n *Node) replicate() {
 	for _, row := range n.group().Peers {
@@ -164,6 +174,7 @@
 		*p = progress{next: n.log.last() + 1}
 	}
 	p.boot = m.Boot
+	p.heardAt = n.now
 	p.stamp = m.Stamp
 	if m.Seq > p.seq {
 		p.seq = m.Seq
--- a/control/formation.go
+++ b/control/formation.go
@@ -11,6 +11,7 @@
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/wire"
 )
 
 // hello is the message by which the nodes of a new group tell each other their
@@ -198,6 +199,7 @@
 		wait := helloInterval
 		if st.waiting {
 			wait = waitInterval
+			n.askToJoin(dial)
 		}
 		select {
 		case <-n.ctx.Done():
@@ -225,3 +227,30 @@
 		klog.Warningf("control: The answer of %s was not taken: %v.", p.Node, err)
 	}
 }
+
+// askToJoin asks the group for the place of a lost node, if the options say so.
+// It is repeated until the node holds state of the group.
+func (n *Node) askToJoin(dial member.Dialer) {
+	if !n.opt.AutoJoin {
+		return
+	}
+	var servers []string
+	for _, p := range n.opt.Peers {
+		if p.Node != n.opt.Node {
+			servers = append(servers, p.Addr)
+		}
+	}
+	c, err := member.NewClient(member.ClientOptions{Servers: servers, Dial: dial})
+	if err != nil {
+		klog.Warningf("control: No node can be asked to join: %v.", err)
+		return
+	}
+	defer c.Close()
+	ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
+	defer cancel()
+	err = c.Join(ctx, wire.Join{Node: n.opt.Node, Addr: n.opt.Advertise, Instance: n.Instance()})
+	klog.Infof("control: Node %s, instance %s, asked to join: %v.", n.opt.Node, n.Instance(), err)
+}
+
+// joinTimeout bounds one request to join. It covers the transfer of a snapshot.
+const joinTimeout = 3 * time.Second
--- a/control/options.go
+++ b/control/options.go
@@ -35,9 +35,12 @@
 	// Peers lists the nodes that form a new group, this one included. Every
 	// node gets the same list. It has no effect once the group exists. Default:
 	// this node alone.
-	Peers  []Peer
-	Region ids.Region
-	Domain ids.Domain
+	Peers []Peer
+	// AutoJoin has a node whose group exists without it ask for the place of a lost
+	// one by itself. Without it an operator adds the node.
+	AutoJoin bool
+	Region   ids.Region
+	Domain   ids.Domain
 	// Data is the folder of the log.
 	Data     string
 	Security rpc.Security
--- a/control/replace.go
+++ b/control/replace.go
@@ -48,6 +48,39 @@
 	}
 }
 
+// lostAfter is the silence of a control node after which another one may take its
+// place. It is above the time that a frozen VM or a restart takes.
+const lostAfter = 10 * time.Second
+
+// serveJoin gives a new node the place of a lost one, or adds it as a learner
+// until one is lost.
+func (n *Node) serveJoin(ctx context.Context, c *rpc.Conn, p wire.Join) (wire.Empty, error) {
+	if p.Node == "" || p.Addr == "" || p.Instance == "" {
+		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "node, address and instance of the new node are needed")
+	}
+	old, err := ask(ctx, n, func(c *core) ids.Node { return c.lostNode(p) })
+	if err != nil {
+		return wire.Empty{}, err
+	}
+	return n.serveReplace(ctx, c, wire.Replace{Old: old, Node: p.Node, Addr: p.Addr, Instance: p.Instance})
+}
+
+// lostNode names the voter whose place a new node takes, empty if none is lost. A
+// voter of the same name and address is lost: its folder was emptied.
+func (c *core) lostNode(p wire.Join) ids.Node {
+	var silent ids.Node
+	for _, q := range c.raft.Group().Peers {
+		switch {
+		case !q.Voter || string(q.ID) == p.Instance:
+		case q.Name == string(p.Node) && q.Addr == p.Addr:
+			return p.Node
+		case time.Duration(c.raft.SilentFor(q.ID))*c.opt.Tick >= lostAfter:
+			silent = ids.Node(q.Name)
+		}
+	}
+	return silent
+}
+
 // progress is the state of a replacement.
 type progress struct {
 	done bool
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -324,3 +324,33 @@
 		t.Fatal("the snapshot did not arrive as it was sent")
 	}
 }
+
+// Guards against a node that stays out of the group after its folder was emptied
+// although nobody is there to replace it, so that a second loss ends the group.
+func TestEmptiedDiskRejoinsByItself(t *testing.T) {
+	g := newGroupWith(t, 3, func(o *Options) { o.AutoJoin = true })
+	c := g.client()
+	g.apply(c, "cmd-1", "1")
+	lost := g.leader()
+	g.stop(lost)
+	if err := os.RemoveAll(g.opts[lost].Data); err != nil {
+		t.Fatal(err)
+	}
+	g.start(lost)
+	g.apply(c, "cmd-2", "2")
+	fresh := g.nodes[lost].Instance()
+	g.wait("the emptied node to vote", func() error {
+		st, err := c.Status(g.ctx(), wire.Status{})
+		if err != nil {
+			return err
+		}
+		for _, n := range st.Nodes {
+			if n.Instance == fresh && n.Voter {
+				return nil
+			}
+		}
+		return errors.Errorf("%+v", st.Nodes)
+	})
+	g.stop((lost + 1) % 3)
+	g.apply(c, "cmd-3", "3")
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -31,6 +31,7 @@
 	m.Concurrent(wire.MethodGet, rpc.Handle(n.serveGet))
 	m.Concurrent(wire.MethodStatus, rpc.Handle(n.serveStatus))
 	m.Concurrent(wire.MethodReplace, rpc.Handle(n.serveReplace))
+	m.Concurrent(wire.MethodJoin, rpc.Handle(n.serveJoin))
 	m.Concurrent(wire.MethodDrain, rpc.Handle(n.serveDrain))
 	m.Ordered(wire.MethodStep, rpc.Handle(n.serveStep))
 	m.Ordered(methodPart, rpc.Handle(n.servePart))
--- a/member/client.go
+++ b/member/client.go
@@ -135,3 +135,8 @@
 	err := c.servers.callAny(ctx, wire.MethodGet, wire.Get{Confirmed: true}, &r)
 	return r, err
 }
+
+// Join asks the control group to give a new node the place of a lost one.
+func (c *Client) Join(ctx context.Context, j wire.Join) error {
+	return c.servers.callLeader(ctx, wire.MethodJoin, j, nil)
+}
--- a/wire/control.go
+++ b/wire/control.go
@@ -218,6 +218,14 @@
 	Instance string   `json:"instance"`
 }
 
+// Join asks for the place of a lost control node: that of the same name whose
+// folder was emptied, or one that has not answered for long.
+type Join struct {
+	Node     ids.Node `json:"node"`
+	Addr     string   `json:"addr"`
+	Instance string   `json:"instance"`
+}
+
 // DrainNode asks a control leader to mark the live incarnation of a member as draining.
 type DrainNode struct {
 	Node  ids.Node `json:"node"`
--- a/wire/task.go
+++ b/wire/task.go
@@ -19,6 +19,7 @@
 	MethodGet      = "control.get"
 	MethodStatus   = "control.status"
 	MethodReplace  = "control.replace"
+	MethodJoin     = "control.join"
 	MethodDrain    = "control.drain"
 	MethodStep     = "peer.step"
 	MethodRenewals = "peer.renewals"
--- a/worker/core.go
+++ b/worker/core.go
@@ -63,8 +63,8 @@
 	clock   time.Duration // of the worker at clockAt
 	clockAt time.Duration
 
-	cursor   uint64 // ends taken over
-	acked    uint64 // ends of which the worker knows that they are taken over
+	cursor   uint64        // ends taken over
+	acked    uint64        // ends of which the worker knows that they are taken over
 	renewals int           // on their way
 	renewAt  time.Duration // earliest next renewal
 	sentAt   time.Duration // of the latest renewal
