--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -58,17 +58,17 @@
 	if capacity == 0 {
 		return verdict.Refuse(verdict.Infeasible, "no worker in service is fast enough for the time left")
 	}
-	ahead := s.workBefore(&batch{latest: s.latestStartOf(b), arrived: s.fair.arrived + 1})
+	latest := s.latestStartOf(b)
+	ahead := s.workBefore(&batch{latest: latest, arrived: s.fair.arrived + 1})
 	if ahead == 0 && room >= tasks {
 		return nil
 	}
 	scale := s.declaredScale()
 	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / capacity)
-	end := now + wait + time.Duration(scale*s.fastest*float64(Chain(b.Steps)))
-	if end <= b.Target {
+	if now+wait <= latest {
 		return nil
 	}
-	return verdict.Refuse(verdict.Overloaded, "the answer is expected %v after its time", end-b.Target).
+	return verdict.Refuse(verdict.Overloaded, "the last task is expected to start %v too late", now+wait-latest).
 		After(clampRetry(wait))
 }
 
@@ -81,7 +81,7 @@
 
 // startMargin is the number of standard deviations of the error of run times that
 // a batch should start early.
-const startMargin = 2.0
+const startMargin = 2.5
 
 // roomFor returns how many tasks would start at once on workers on which b is
 // expected to end before its deadline, and the work that these do each second.
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -31,7 +31,10 @@
 	minNeedyShare = 0.005
 	// hopeless is the probability of being late above which a batch that has not
 	// started is refused.
-	hopeless = 0.9
+	hopeless = 0.5
+	// maxLateness is the probability of being late above which a task leaves a
+	// worker to others and waits for a faster one on which it may be in time.
+	maxLateness = 0.35
 )
 
 // chooseForBatch returns the batch that is to start a task and its worker. A
@@ -78,13 +81,18 @@
 	salt := c.random()
 	var best *upstream
 	least := math.Inf(1)
+	inTime := s.lateness(now, j, s.fastest) <= maxLateness
 	needy := s.needsFast(now, j.deadline, j.stepAt(j.peek()).runTime)
 	for b := s.free.next(0); b >= 0; b = s.free.next(b + 1) {
 		u := s.free.pickIn(b, avoid, salt)
 		if u == nil || !s.endsBeforeDeadline(now, j, u) || !needy && s.reservedAt(u) {
 			continue
 		}
-		cost := s.lateness(now, j, u.slow) + occupancyPrice*math.Pow(u.occupancy(), occupancyPower)
+		late := s.lateness(now, j, u.slow)
+		if late > maxLateness && inTime {
+			continue
+		}
+		cost := late + occupancyPrice*math.Pow(u.occupancy(), occupancyPower)
 		if cost < least {
 			best, least = u, cost
 		}
--- /dev/null
+++ b/dispatch/batchworld_test.go
@@ -0,0 +1,333 @@
+package dispatch_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/baobabshore/baobabshore/dispatch"
+	"github.com/baobabshore/baobabshore/executor"
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// sizedWorker is the worker beside an agent of the world.
+type sizedWorker struct {
+	capacity wire.Resources
+	used     wire.Resources
+	tasks    map[ids.TaskKey]wire.Start
+	slow     float64       // run time relative to the work
+	failing  bool          // every task fails
+	hangs    time.Duration // until when tasks don't end
+}
+
+// batchWorld adds workers and batches to the world.
+type batchWorld struct {
+	*world
+	active  map[string]int           // runs of each task by name, at all workers
+	work    map[string]time.Duration // run time of each task on a worker of slowness 1
+	byClass map[string]int           // results by number of tasks
+	sent    int
+	results map[string]int // batches by how they ended
+	late    int            // batches refused later than a quarter of their target
+}
+
+var workerSize = wire.Resources{CPU: 16000, Memory: 32768}
+
+func newBatchWorld(seed uint64, entries, workers int) *batchWorld {
+	b := &batchWorld{world: newWorld(seed, entries, 0, 8), active: map[string]int{}, results: map[string]int{}, byClass: map[string]int{}, work: map[string]time.Duration{}}
+	b.world.batches = b
+	b.cfg.QuarantineShare = 0.3
+	for n := range workers {
+		b.addWorker(n, []float64{1.6, 1, 0.6}[n%3])
+	}
+	b.spreadView(0)
+	b.run(time.Second)
+	return b
+}
+
+func (b *batchWorld) addWorker(node int, slow float64) *agentProc {
+	a := &agentProc{alive: true, node: node, running: map[ids.TaskKey]bool{}}
+	a.sized = &sizedWorker{capacity: workerSize, tasks: map[ids.TaskKey]wire.Start{}, slow: slow}
+	a.inc = b.register(wire.Member{Registration: wire.Registration{
+		Kind: wire.KindAgent, Service: svc, Capacity: workerSize, Node: ids.Node(fmt.Sprint("n", node)),
+	}})
+	a.core = executor.New(executor.Config{Self: a.inc, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerSize})
+	a.core.SetTradeoff(1)
+	b.agents = append(b.agents, a)
+	return a
+}
+
+// startSized runs a task on a worker and checks its room and that no other run of
+// the task goes on anywhere.
+func (w *world) startSized(a *agentProc, s wire.Start) {
+	b, x := w.batches, a.sized
+	x.used = x.used.Add(s.Size)
+	x.tasks[s.Key] = s
+	if !x.capacity.Holds(x.used) {
+		w.violate("worker %d holds %+v of %+v", a.node, x.used, x.capacity)
+	}
+	b.active[s.Name]++
+	if b.active[s.Name] > 1 {
+		w.violate("task %s runs %d times at once", s.Name, b.active[s.Name])
+	}
+	d := time.Duration(float64(b.work[s.Name]) * x.slow)
+	w.after(d, func() { w.finishSized(a, s.Key) })
+}
+
+func (w *world) finishSized(a *agentProc, key ids.TaskKey) {
+	x := a.sized
+	switch {
+	case w.now < x.hangs:
+		w.at(x.hangs, func() { w.finishSized(a, key) })
+	case x.failing:
+		w.endSized(a, key, wire.Answer{Key: key, Verdict: verdict.Ran, Status: 500, Reason: verdict.UpstreamFailed})
+	default:
+		w.endSized(a, key, wire.Answer{Key: key, Verdict: verdict.Ran, Status: 200, Reason: verdict.Complete})
+	}
+}
+
+// stopSized ends a task within the grace of a worker.
+func (w *world) stopSized(a *agentProc, key ids.TaskKey) {
+	w.after(time.Duration(w.rng.IntN(50))*time.Millisecond, func() {
+		w.endSized(a, key, wire.Answer{Key: key, Verdict: verdict.Ran, Reason: verdict.Canceled})
+	})
+}
+
+func (w *world) endSized(a *agentProc, key ids.TaskKey, ans wire.Answer) {
+	s, ok := a.sized.tasks[key]
+	if !ok {
+		return
+	}
+	delete(a.sized.tasks, key)
+	a.sized.used = a.sized.used.Sub(s.Size)
+	w.batches.active[s.Name]--
+	if a.alive {
+		a.core.Finished(w.now, ans)
+		w.tickAgent(a)
+	}
+}
+
+// crashWorker ends an agent. What its worker runs goes on until the lease ends.
+func (b *batchWorld) crashWorker(a *agentProc) {
+	if !a.alive {
+		return
+	}
+	a.alive = false
+	for _, e := range b.entries {
+		e.core.Disconnected(b.now, a.inc)
+		b.tickEntry(e)
+	}
+	for key := range a.sized.tasks {
+		b.after(time.Duration(b.rng.IntN(1000))*time.Millisecond, func() { b.endSized(a, key, wire.Answer{}) })
+	}
+}
+
+// resendAfter is the time after which a caller repeats a batch without an answer.
+const resendAfter = 1300 * time.Millisecond
+
+// hand gives a batch to an entry. Its caller repeats it at another one when the
+// entry dies or says that it may have run.
+func (b *batchWorld) hand(name string, e *entryProc, tasks int, run time.Duration, tries int) {
+	if !e.alive {
+		return
+	}
+	e.seq += uint64(tasks)
+	key := ids.RequestOf(e.inc, e.seq-uint64(tasks)+1)
+	begin := b.now
+	target := 60*time.Millisecond + time.Duration(1.6*float64(run))
+	due := 60*time.Millisecond + time.Duration(1.6*float64(b.drawWork(name, tasks, run)))
+	batch := dispatch.Batch{
+		Key: key, Team: "batches", Service: svc, Attempts: 3, Target: b.now + target, Deadline: b.now + 1480*time.Millisecond,
+		Steps: []dispatch.Step{{Tasks: tasks, RunTime: run, Spec: wire.TaskSpec{Size: wire.Resources{CPU: 1600, Memory: 64}}}},
+		Name:  func(_, i int) string { return fmt.Sprintf("%s.%d", name, i) },
+	}
+	again := func() {
+		if tries > 0 {
+			b.after(resendAfter, func() { b.hand(name, b.entries[b.rng.IntN(len(b.entries))], tasks, run, tries-1) })
+		}
+	}
+	ended := func(err *verdict.Error) {
+		how := "done"
+		if err != nil {
+			how = err.Verdict.String()
+		}
+		if err == nil && b.now-begin > due {
+			how = "late"
+		}
+		b.results[how]++
+		b.byClass[fmt.Sprint(tasks, " ", how)]++
+		switch {
+		case err != nil && err.Verdict == verdict.MayHaveRun:
+			again()
+		case err != nil && err.Verdict == verdict.NotRun && b.now-begin > target:
+			b.late++
+		}
+	}
+	b.sent++
+	if err := e.core.Batch(b.now, batch); err != nil {
+		ended(err)
+		return
+	}
+	b.waiting[key] = &pendingBatch{entry: e, ended: ended, lost: again}
+	b.tickEntry(e)
+}
+
+// drawWork gives the tasks of a batch their true run times, and returns the
+// longest. Declared times are wrong by a factor for the whole batch, and the tasks
+// of a batch differ a little.
+func (b *batchWorld) drawWork(name string, tasks int, declared time.Duration) time.Duration {
+	longest := time.Duration(0)
+	off := math.Exp(0.4 * b.rng.NormFloat64())
+	for i := range tasks {
+		task := fmt.Sprintf("%s.%d", name, i)
+		if b.work[task] == 0 {
+			b.work[task] = time.Duration(float64(declared) * off * math.Exp(0.14*b.rng.NormFloat64()))
+		}
+		longest = max(longest, b.work[task])
+	}
+	return longest
+}
+
+// pendingBatch is a batch whose caller waits.
+type pendingBatch struct {
+	entry *entryProc
+	ended func(*verdict.Error)
+	lost  func() // its entry is gone
+}
+
+// load hands in batches at the given share of the workers' capacity.
+func (b *batchWorld) load(from, until time.Duration, share float64) {
+	speed := 0.0
+	for _, a := range b.agents {
+		speed += 10 / a.sized.slow
+	}
+	const mean = (0.25*8*60 + 0.05*4*900 + 0.7*2*200) / 1000 // seconds of work of a batch
+	gap := time.Duration(mean / (speed * share) * float64(time.Second))
+	n := 0
+	for t := from; t < until; t += time.Duration(b.rng.ExpFloat64() * float64(gap)) {
+		n++
+		name := fmt.Sprintf("%d-%d", from, n)
+		x := b.rng.Float64()
+		b.at(t, func() {
+			e := b.entries[b.rng.IntN(len(b.entries))]
+			switch {
+			case x < 0.25:
+				b.hand(name, e, 8, 60*time.Millisecond, 2)
+			case x < 0.3:
+				b.hand(name, e, 4, 900*time.Millisecond, 2)
+			default:
+				b.hand(name, e, 2, 200*time.Millisecond, 2)
+			}
+		})
+	}
+}
+
+// share is the part of the batches with the given ends.
+func (b *batchWorld) share(ends ...string) float64 {
+	n := 0
+	for _, how := range ends {
+		n += b.results[how]
+	}
+	return float64(n) / float64(b.sent)
+}
+
+// Guards against two runs of one task at a time and against a worker over its
+// capacity when entries die or fall silent, agents crash, connections are lost,
+// messages are delayed for seconds, and callers repeat their batches elsewhere.
+func TestBatchRunsDoNotOverlap(t *testing.T) {
+	for seed := range uint64(150) {
+		b := newBatchWorld(seed, 3, 6)
+		b.link = link{delay: time.Millisecond, jitter: 3 * time.Millisecond}
+		b.load(time.Second, 6*time.Second, 0.8)
+		for range 6 {
+			at := time.Second + time.Duration(b.rng.Int64N(int64(4*time.Second)))
+			e, a := b.entries[b.rng.IntN(3)], b.agents[b.rng.IntN(6)]
+			switch b.rng.IntN(5) {
+			case 0:
+				b.at(at, func() { b.crashBatchEntry(e) })
+			case 1:
+				b.at(at, func() { b.crashWorker(a) })
+			case 2:
+				b.at(at, func() { b.disconnect(e, a) })
+				b.at(at+time.Duration(b.rng.IntN(800))*time.Millisecond, func() { b.connect(e, a) })
+			case 3: // messages are held up by a partition and arrive when it heals
+				b.at(at, func() { b.held = 2 * time.Second })
+				b.at(at+600*time.Millisecond, func() { b.held = 0 })
+			case 4:
+				b.at(at, func() { a.sized.hangs = b.now + 2*time.Second })
+			}
+		}
+		b.run(12 * time.Second)
+		if len(b.broken) > 0 {
+			t.Fatalf("seed %d: %v", seed, b.broken[0])
+		}
+		if b.sent == 0 || b.results["done"] == 0 {
+			t.Fatalf("seed %d: %v of %d", seed, b.results, b.sent)
+		}
+	}
+}
+
+// crashBatchEntry ends an entry: in half of the cases its connections are closed,
+// otherwise it just falls silent.
+func (b *batchWorld) crashBatchEntry(e *entryProc) {
+	if !e.alive || b.aliveEntries() < 2 {
+		return
+	}
+	e.alive = false
+	for key, p := range b.waiting {
+		if p.entry == e {
+			delete(b.waiting, key)
+			p.lost()
+		}
+	}
+	if b.rng.IntN(2) == 0 {
+		return
+	}
+	for _, a := range b.agents {
+		a.core.Disconnected(b.now, e.inc)
+		b.tickAgent(a)
+	}
+}
+
+// Guards against refusals while there is room, against batches that wait for a
+// worker until they are late, and against a burst that takes the goodput down.
+func TestBatchesUnderLoad(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		load   float64 // of the capacity
+		inTime float64 // least share of the batches
+	}{
+		{"a third", 0.33, 0.95},
+		{"two thirds", 0.66, 0.85},
+		{"a burst of 1.3 times the capacity", 1.3, 0.95 / 1.3 * 0.85},
+	} {
+		for seed := range uint64(3) {
+			b := newBatchWorld(seed, 7, 11)
+			b.load(time.Second, 10*time.Second, tc.load)
+			b.run(14 * time.Second)
+			if got := b.share("done"); got < tc.inTime {
+				t.Errorf("%s, seed %d: %.3f of the batches in time, at least %.3f wanted (%v)", tc.name, seed, got, tc.inTime, b.results)
+			}
+			if b.late > 0 {
+				t.Errorf("%s, seed %d: %d batches were refused after their time", tc.name, seed, b.late)
+			}
+		}
+	}
+}
+
+// Guards against a worker that fails or hangs every task and goes on getting them.
+func TestBatchesLeaveBadWorkers(t *testing.T) {
+	for seed := range uint64(5) {
+		b := newBatchWorld(seed, 7, 11)
+		b.load(time.Second, 9*time.Second, 0.5)
+		b.at(2*time.Second, func() { b.agents[1].sized.failing = true })
+		b.at(3*time.Second, func() { b.agents[2].sized.hangs = 9 * time.Second })
+		b.run(12 * time.Second)
+		if got := b.share("done", "late"); got < 0.95 {
+			t.Errorf("seed %d: %.3f of the batches answered (%v)", seed, got, b.results)
+		}
+	}
+}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -22,7 +22,7 @@
 	// rescueStalled and rescueAlone are the multiples of the expected run time after
 	// which a task is started elsewhere: at a worker that has stalled, and at one
 	// that has not while the other tasks of the step have ended.
-	rescueStalled = 1.5
+	rescueStalled = 0.5
 	rescueAlone   = 2.0
 	// rescueSlack keeps very short tasks where they are.
 	rescueSlack = 50 * time.Millisecond
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -38,6 +38,10 @@
 	runTime func(a *agentProc, s wire.Start) time.Duration
 	status  func(a *agentProc, s wire.Start) int
 	onEnd   func(e *entryProc, o dispatch.Outcome)
+
+	batches *batchWorld                   // nil without workers
+	waiting map[ids.TaskKey]*pendingBatch // by key of the first task
+	held    time.Duration                 // extra delay of messages sent now
 }
 
 // link is the fault model of the messages between entries and agents.
@@ -70,6 +74,7 @@
 	tick    time.Duration
 	running map[ids.TaskKey]bool
 	ran     int
+	sized   *sizedWorker // nil for an upstream with slots
 }
 
 type event struct {
@@ -114,7 +119,8 @@
 func newWorld(seed uint64, entries, agents, slots int) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 1)), link: link{delay: millis}, slots: slots, cfg: testConfig(),
-		jobs: map[ids.Job]*jobRecord{}, runs: map[ids.TaskKey]int{}, outcomes: map[string]int{},
+		waiting: map[ids.TaskKey]*pendingBatch{},
+		jobs:    map[ids.Job]*jobRecord{}, runs: map[ids.TaskKey]int{}, outcomes: map[string]int{},
 		runTime: func(*agentProc, wire.Start) time.Duration { return 100 * millis },
 		status:  func(*agentProc, wire.Start) int { return 200 },
 	}
@@ -242,6 +248,7 @@
 			continue
 		}
 		d := w.link.delay
+		d += w.held
 		if w.link.jitter > 0 {
 			d += time.Duration(w.rng.Int64N(int64(w.link.jitter)))
 		}
@@ -320,6 +327,10 @@
 		w.startTask(a, s)
 	}
 	for _, key := range out.Abort {
+		if a.sized != nil {
+			w.stopSized(a, key)
+			continue
+		}
 		w.after(millis, func() {
 			w.endTask(a, wire.Answer{Key: key, Verdict: verdict.MayHaveRun, Reason: verdict.Canceled})
 		})
@@ -343,6 +354,10 @@
 // startTask runs a task on the upstream and checks the slots and that the task
 // has not run before.
 func (w *world) startTask(a *agentProc, s wire.Start) {
+	if !s.Size.IsZero() {
+		w.startSized(a, s)
+		return
+	}
 	w.runs[s.Key]++
 	if w.runs[s.Key] > 1 && !(s.Key.IsRequest() && s.Path == pathIdempotent) {
 		w.violate("task %v started %d times", s.Key, w.runs[s.Key])
@@ -399,6 +414,11 @@
 
 // outcome checks what an entry tells a caller.
 func (w *world) outcome(e *entryProc, o dispatch.Outcome) {
+	if p := w.waiting[o.Request]; p != nil && o.Job == 0 {
+		delete(w.waiting, o.Request)
+		p.ended(o.Err)
+		return
+	}
 	w.finished = append(w.finished, o)
 	id := fmt.Sprint(e.inc, o.Job, o.Request)
 	w.outcomes[id]++
--- a/executor/pace.go
+++ b/executor/pace.go
@@ -13,8 +13,9 @@
 	// follows a change of speed within that many tasks.
 	paceTasks = 24
 	// overdueFactor is the multiple of a task's expected run time beyond which it
-	// counts as overdue. Declared run times are rarely wrong by this factor.
-	overdueFactor = 3.0
+	// counts as overdue. Declared run times are rarely wrong by this factor, and
+	// hardly ever for most tasks of a worker at a time.
+	overdueFactor = 2.0
 	// overdueSlack keeps very short tasks from counting as overdue.
 	overdueSlack = 50 * time.Millisecond
 	// minOverdue is the least number of overdue tasks of a stalled worker.
