--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -47,7 +47,7 @@
 	if c.requests[b.Key] != nil {
 		return verdict.Refuse(verdict.BadRequest, "batch %s is already in progress", b.Key)
 	}
-	j := newBatchJob(c.service(b.Service), b)
+	j := newBatchJob(now, c.service(b.Service), b)
 	c.requests[b.Key] = j
 	c.addJob(now, j, j.specsOf(b))
 	j.svc.sizes.learn(b.Steps)
@@ -59,7 +59,7 @@
 	return nil
 }
 
-func newBatchJob(s *service, b Batch) *job {
+func newBatchJob(now time.Duration, s *service, b Batch) *job {
 	j := &job{
 		key: b.Key, team: b.Team, svc: s, deadline: b.Deadline, single: true, idem: true,
 		batch: &batch{attempts: max(b.Attempts, 1), target: min(b.Target, b.Deadline)},
@@ -78,7 +78,7 @@
 	if tasks > 0 {
 		j.declared = work / float64(tasks)
 	}
-	j.batch.latest = s.latestStartOf(b)
+	j.batch.latest = s.latestStartOf(now, b)
 	j.batch.arrived = s.fair.arrived + 1
 	return j
 }
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -58,10 +58,10 @@
 	if capacity == 0 {
 		return verdict.Refuse(verdict.Infeasible, "no worker in service is fast enough for the time left")
 	}
-	latest := s.latestStartOf(b)
+	latest := s.latestStartOf(now, b)
 	ahead := s.workBefore(&batch{latest: latest, arrived: s.fair.arrived + 1})
-	if ahead == 0 && room >= tasks {
-		return nil
+	if room >= tasks {
+		return nil // what waits can't use that room
 	}
 	scale := s.declaredScale()
 	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / capacity)
@@ -74,14 +74,23 @@
 
 // latestStartOf returns when the last task of a batch should start on the fastest
 // worker to be on time although run times differ from the declared ones.
-func (s *service) latestStartOf(b Batch) time.Duration {
-	margin := math.Exp(startMargin * math.Sqrt(s.runError))
-	return b.Target - time.Duration(float64(Chain(b.Steps))*s.declaredScale()*s.fastest*margin)
+func (s *service) latestStartOf(now time.Duration, b Batch) time.Duration {
+	chain := Chain(b.Steps)
+	errors := startMargin
+	if s.needsFast(now, b.Deadline, chain.Seconds()) {
+		errors = needyStartMargin
+	}
+	margin := math.Exp(errors * math.Sqrt(s.runError))
+	return b.Target - time.Duration(float64(chain)*s.declaredScale()*s.fastest*margin)
 }
 
-// startMargin is the number of standard deviations of the error of run times that
-// a batch should start early.
-const startMargin = 2.5
+// startMargin is the number of standard errors of the run time by which a batch
+// should start early, needyStartMargin that of a batch that needs a fast worker.
+// More of one delays or refuses the other kind.
+const (
+	startMargin      = 2.5
+	needyStartMargin = 2.25
+)
 
 // roomFor returns how many tasks would start at once on workers on which b is
 // expected to end before its deadline, and the work that these do each second.
@@ -90,12 +99,15 @@
 	for _, st := range b.Steps {
 		longest = max(longest, st.RunTime.Seconds())
 	}
+	needy := s.needsFast(now, b.Deadline, longest)
 	for _, u := range s.ups {
 		if !u.usable() || u.health == Quarantined || !s.mayEnd(now, b.Deadline, longest, u.slow) {
 			continue
 		}
 		capacity += u.weight.usable
-		open += max(min(u.credit-u.held, u.slots()-u.others-u.held), 0)
+		if needy || !s.reservedAt(u) {
+			open += max(min(u.credit-u.held, u.slots()-u.others-u.held), 0)
+		}
 	}
 	return open, capacity
 }
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -44,16 +44,27 @@
 	if s.free.size == 0 {
 		return nil, nil, false
 	}
-	for _, t := range s.fair.heap {
-		for _, j := range t.jobs[:min(len(t.jobs), maxCandidates)] {
-			if u := c.workerFor(now, s, j); u != nil {
-				return j, u, false
+	for _, inTime := range [...]bool{true, false} {
+		for _, t := range s.fair.heap {
+			for _, j := range t.jobs[:min(len(t.jobs), maxCandidates)] {
+				if s.canBeInTime(now, j) != inTime {
+					continue
+				}
+				if u := c.workerFor(now, s, j); u != nil {
+					return j, u, false
+				}
 			}
 		}
 	}
 	return nil, nil, false
 }
 
+// canBeInTime reports whether the next task of j would probably be in time on the
+// fastest worker. Batches of which it would not get the room that is left.
+func (s *service) canBeInTime(now time.Duration, j *job) bool {
+	return s.lateness(now, j, s.fastest) <= maxLateness
+}
+
 // endHopeless ends the waiting batches that can't succeed any more. One that has
 // not started is refused once it will hardly be on time on the fastest worker:
 // while work waits, all workers are taken, and a late answer would make another
@@ -62,7 +73,7 @@
 	for _, j := range s.fair.waitingJobs() {
 		switch {
 		case j.batch == nil:
-		case !j.started() && s.lateness(now, j, s.fastest) >= hopeless:
+		case !j.started() && s.lateness(now, j, s.fastest) >= hopeless && c.workerFor(now, s, j) == nil:
 			wait := seconds(s.workBefore(j.batch) * s.declaredScale() / max(s.capacity(), 1))
 			c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetry(wait)))
 		case !s.mayEnd(now, j.deadline, j.stepAt(j.peek()).runTime, s.fastest):
@@ -81,7 +92,7 @@
 	salt := c.random()
 	var best *upstream
 	least := math.Inf(1)
-	inTime := s.lateness(now, j, s.fastest) <= maxLateness
+	inTime := s.canBeInTime(now, j)
 	needy := s.needsFast(now, j.deadline, j.stepAt(j.peek()).runTime)
 	for b := s.free.next(0); b >= 0; b = s.free.next(b + 1) {
 		u := s.free.pickIn(b, avoid, salt)
