executor: judge the fitness of a worker, test sized tasks

Change: the agent, which sees all tasks, takes its worker for unfit after failures of three batches in a row or while most tasks are overdue, and gives it one task a second until one ends as it should. Sized tests seen failing without the check of room, the end of a lease, and the time of a message.

--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -65,13 +65,22 @@
 	}
 	scale := s.declaredScale()
 	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / capacity)
-	if now+wait <= latest {
+	if now+wait <= latest || s.mayWait(now, b, wait) {
 		return nil
 	}
 	return verdict.Refuse(verdict.Overloaded, "the last task is expected to start %v too late", now+wait-latest).
 		After(clampRetry(wait))
 }
 
+// mayWait reports whether a batch that needs a fast worker would probably be in
+// time on one after four times the expected wait, which is rough. Its own run time leaves so little of
+// the time that the margin of other batches would have it refused at any wait.
+func (s *service) mayWait(now time.Duration, b Batch, wait time.Duration) bool {
+	run := Chain(b.Steps).Seconds()
+	due := min(b.Target, b.Deadline)
+	return s.needsFast(now, b.Deadline, run) && s.missing(now+4*wait, due, run, s.fastest) <= maxLateness
+}
+
 // latestStartOf returns when the last task of a batch should start on the fastest
 // worker to be on time although run times differ from the declared ones.
 func (s *service) latestStartOf(now time.Duration, b Batch) time.Duration {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -49,7 +49,7 @@
 	mailAt  time.Duration // last message to the agent
 	pace    float64       // logarithm of the ratio of run times to declared ones
 	prior   float64       // pace before the first report of the incarnation
-	stalled bool          // most of its tasks run far longer than they should
+	unfit   bool          // its agent takes one task at a time
 	silent  bool          // has not answered for silentAfter
 	renew   bool          // the lease of the tasks there is to be renewed
 	// confirmed is when a report last accounted for all attempts here.
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -48,9 +48,9 @@
 	n := float64(r.PaceTasks)
 	u.pace = (n*r.Pace + priorTasks*u.prior) / (n + priorTasks)
 	c.paces[u.member.Node] = u.pace
-	u.stalled = r.Stalled
+	u.unfit = r.Unfit
 	u.stall = 0
-	if r.Stalled {
+	if r.Unfit {
 		u.stall = stallPenalty
 	}
 }
@@ -130,7 +130,7 @@
 	}
 	elapsed := now - a.sentAt
 	expected := float64(a.up.expectedRun(st))
-	if a.up.stalled && elapsed > time.Duration(rescueStalled*expected)+rescueSlack {
+	if a.up.unfit && elapsed > time.Duration(rescueStalled*expected)+rescueSlack {
 		return true
 	}
 	if st.done == 0 {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -219,6 +219,7 @@
 		Size:     spec.Size,
 
 		DeclaredMS: spec.DeclaredMS,
+		Batch:      a.job.key.Index,
 	}
 }
 
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -54,6 +54,7 @@
 		a.RunUS = (now - r.began).Microseconds()
 	}
 	c.learnPace(r, a)
+	c.judgeEnd(now, r, a)
 	r.state = wire.TaskEnded
 	r.answer = &a
 	c.answerBytes += int64(len(a.Body))
--- a/executor/core.go
+++ b/executor/core.go
@@ -39,6 +39,7 @@
 	meanSize   wire.Resources // moving average of the sizes of tasks, zero until known
 	active     map[ids.TaskKey]*row
 	pace       pace
+	fitness    fitness
 
 	acked       []*row // ended rows in order of acknowledgement, bodies dropped first from the front
 	answerBytes int64
@@ -66,6 +67,7 @@
 	lingers  bool // the answer was given up, the call goes on
 	size     wire.Resources
 	declared time.Duration // run time, zero if unknown
+	batch    uint64        // index of the first task of its batch
 	aborted  bool          // its end has been asked for
 }
 
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -37,6 +37,9 @@
 
 // sizedLimit estimates how many tasks run at once from their average size.
 func (c *Core) sizedLimit() int {
+	if c.fitness.unfit {
+		return max(c.running, 1)
+	}
 	left := c.cfg.Capacity.Sub(c.used)
 	return c.running + left.Count(c.typicalSize(), maxSizedTasks)
 }
@@ -62,8 +65,10 @@
 }
 
 // refusalOfSize returns why a sized task can't be accepted, or "".
-func (c *Core) refusalOfSize(st wire.Start) verdict.Reason {
+func (c *Core) refusalOfSize(now time.Duration, st wire.Start) verdict.Reason {
 	switch {
+	case c.fitness.unfit && !c.mayProbe(now):
+		return verdict.UpstreamFailed
 	case st.Size.IsZero() || !c.cfg.Capacity.Holds(st.Size):
 		return verdict.Infeasible
 	case !c.free().Holds(st.Size) && c.queued >= c.cfg.LookAhead+c.overcommit():
--- /dev/null
+++ b/executor/sized_test.go
@@ -0,0 +1,155 @@
+package executor
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+var testCapacity = wire.Resources{CPU: 16000, Memory: 1000}
+
+// newSized returns the agent of a worker whose view lists two entries.
+func newSized() *Core {
+	c := New(Config{Self: self, LookAhead: 1, AnswerBytes: 1000, Capacity: testCapacity})
+	c.SetEntries(0, 10, []wire.Member{entryRow(e1, 0), entryRow(e2, 0)})
+	return c
+}
+
+func sizedStart(from ids.Incarnation, index uint64, cpu int) wire.Start {
+	return wire.Start{
+		Key: ids.RequestOf(from, index), Try: 1, BudgetMS: 10_000, Name: "t", Batch: index,
+		Size: wire.Resources{CPU: cpu, Memory: 10}, DeclaredMS: 100,
+	}
+}
+
+// sendUntil passes a message that is valid until a time, and runs a tick.
+func sendUntil(c *Core, now, valid time.Duration, from ids.Incarnation, starts ...wire.Start) Output {
+	c.Receive(now, wire.Exchange{Entry: from, Starts: starts, ValidUntilMS: valid.Milliseconds()})
+	return c.Tick(now)
+}
+
+// Guards against a worker over its capacity while tasks of all sizes start, end
+// and are stopped, and against room that is never used again.
+func TestCapacityIsKept(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		c := newSized()
+		running := map[ids.TaskKey]wire.Resources{}
+		used := wire.Resources{}
+		begin := func(out Output) {
+			for _, s := range out.Run {
+				running[s.Key] = s.Size
+				used = used.Add(s.Size)
+			}
+			if !testCapacity.Holds(used) {
+				t.Fatalf("seed %d: %+v of %+v in use", seed, used, testCapacity)
+			}
+		}
+		for n := range uint64(500) {
+			now := time.Duration(n) * 10 * time.Millisecond
+			begin(sendUntil(c, now, now+time.Second, e1, sizedStart(e1, n, 100+rng.IntN(16000))))
+			for key, size := range running {
+				if rng.IntN(3) > 0 {
+					continue
+				}
+				delete(running, key)
+				used = used.Sub(size)
+				c.Finished(now, wire.Answer{Key: key, Verdict: verdict.Ran, Reason: verdict.Canceled})
+			}
+			begin(c.Tick(now))
+		}
+		for key := range running {
+			c.Finished(6*time.Second, wire.Answer{Key: key, Verdict: verdict.Ran, Reason: verdict.Canceled})
+		}
+		if c.used != (wire.Resources{}) || c.running != 0 {
+			t.Fatalf("seed %d: %+v in use by %d tasks after all have ended", seed, c.used, c.running)
+		}
+	}
+}
+
+// Guards against tasks that go on after their entry has fallen silent or lost its
+// connection: its caller repeats the batch elsewhere 1.3 s later.
+func TestTasksEndWithTheLeaseOfTheirEntry(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		lose    func(c *Core)
+		abortBy time.Duration
+	}{
+		{"silent", func(*Core) {}, 500 * time.Millisecond},
+		{"disconnected", func(c *Core) { c.Disconnected(0, e1) }, reconnectGrace},
+	} {
+		c := newSized()
+		if out := sendUntil(c, 0, 500*time.Millisecond, e1, sizedStart(e1, 1, 1000)); len(out.Run) != 1 {
+			t.Fatalf("%s: %d tasks run", tc.name, len(out.Run))
+		}
+		sendUntil(c, 0, 10*time.Second, e2, sizedStart(e2, 2, 1000))
+		tc.lose(c)
+		if out := c.Tick(tc.abortBy - time.Millisecond); len(out.Abort) != 0 {
+			t.Errorf("%s: aborted %v too early", tc.name, out.Abort)
+		}
+		out := c.Tick(tc.abortBy)
+		if len(out.Abort) != 1 || out.Abort[0] != ids.RequestOf(e1, 1) {
+			t.Errorf("%s: aborted %v, want the task of the lost entry", tc.name, out.Abort)
+		}
+	}
+}
+
+// Guards against a start that a partition held up and that begins a task long
+// after its entry has given it up.
+func TestLateMessageStartsNothing(t *testing.T) {
+	c := newSized()
+	out := sendUntil(c, 2*time.Second, 1900*time.Millisecond, e1, sizedStart(e1, 1, 1000))
+	if len(out.Run) != 0 || refusals(out, e1)[ids.RequestOf(e1, 1)] != verdict.DeadlinePassed {
+		t.Errorf("run %v, refused %v", out.Run, refusals(out, e1))
+	}
+}
+
+// Guards against a worker that fails everything and goes on getting tasks, against
+// one batch of bad tasks that makes a sound worker unfit, and against a worker that
+// is never tried again.
+func TestUnfitWorkerIsProbed(t *testing.T) {
+	c := newSized()
+	now := time.Duration(0)
+	run := func(index, batch uint64, a wire.Answer) bool {
+		now += 50 * time.Millisecond
+		s := sizedStart(e1, index, 1000)
+		s.Batch = batch
+		if out := sendUntil(c, now, now+time.Second, e1, s); len(out.Run) == 0 {
+			return false
+		}
+		a.Key, a.RunUS = s.Key, 50_000
+		c.Finished(now, a)
+		return true
+	}
+	failed := wire.Answer{Verdict: verdict.Ran, Reason: verdict.UpstreamFailed, Status: 500}
+	done := wire.Answer{Verdict: verdict.Ran, Reason: verdict.Complete, Status: 200}
+	for i := range uint64(8) {
+		run(i, 0, failed)
+	}
+	if c.Unfit() != "" {
+		t.Fatal("one bad batch made the worker unfit")
+	}
+	run(11, 11, failed)
+	run(12, 12, failed)
+	if c.Unfit() == "" {
+		t.Fatal("three batches failed and the worker is fit")
+	}
+	started := 0
+	for i := range uint64(40) { // 2 s
+		if run(20+i, 20+i, failed) {
+			started++
+		}
+	}
+	if started < 1 || started > 3 {
+		t.Errorf("an unfit worker got %d tasks in 2 s", started)
+	}
+	now += 2 * time.Second
+	run(90, 90, done)
+	if c.Unfit() != "" {
+		t.Errorf("the worker is unfit after a success: %s", c.Unfit())
+	}
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -61,6 +61,7 @@
 	r.start = st
 	r.size = st.Size
 	r.declared = time.Duration(st.DeclaredMS) * time.Millisecond
+	r.batch = st.Batch
 	r.aborted = false
 	r.deadline = now + time.Duration(st.BudgetMS)*time.Millisecond
 	s.hold(r.team, 1)
@@ -119,8 +120,8 @@
 		return verdict.Draining
 	case c.down:
 		return verdict.NoUpstream
-	case c.sized() && c.refusalOfSize(st) != "":
-		return c.refusalOfSize(st)
+	case c.sized() && c.refusalOfSize(now, st) != "":
+		return c.refusalOfSize(now, st)
 	case !c.sized() && c.queued+c.running >= c.limit()+c.cfg.LookAhead+c.overcommit():
 		return verdict.NoCredit
 	case c.answerBytes >= c.cfg.AnswerBytes && c.cfg.AnswerBytes > 0:
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -70,6 +70,7 @@
 	c.running++
 	c.used = c.used.Add(r.size)
 	c.active[r.key] = r
+	c.fitness.probeAt = max(c.fitness.probeAt, now+probeInterval)
 	r.state = wire.TaskRunning
 	r.began = now
 	st := r.start
@@ -109,7 +110,7 @@
 	}
 	if c.sized() {
 		m.ClockMS = now.Milliseconds()
-		m.Pace, m.PaceTasks, m.Stalled = c.pace.log, c.pace.tasks, c.pace.stalled
+		m.Pace, m.PaceTasks, m.Unfit = c.pace.log, c.pace.tasks, c.fitness.unfit
 	}
 	for _, r := range s.answers {
 		m.Answers = append(m.Answers, *r.answer)
--- a/wire/task.go
+++ b/wire/task.go
@@ -65,6 +65,8 @@
 	Size Resources `json:"z,omitzero"`
 	// DeclaredMS is the declared run time of a sized task, zero if unknown.
 	DeclaredMS int64 `json:"q,omitempty"`
+	// Batch is the index of the first task of a sized task's batch.
+	Batch uint64 `json:"bt,omitempty"`
 }
 
 // Recall names one try of a task that the entry takes back.
@@ -139,8 +141,9 @@
 	// PaceTasks recent tasks of a worker.
 	Pace      float64 `json:"p,omitempty"`
 	PaceTasks int     `json:"pn,omitempty"`
-	// Stalled is set while most tasks of a worker run far longer than they should.
-	Stalled bool `json:"st,omitempty"`
+	// Unfit is set while a worker fails its tasks or most of them run far longer
+	// than they should. It gets one task at a time.
+	Unfit bool `json:"st,omitempty"`
 }
 
 // TeamTasks is a number of tasks of one team.
