logsink, ctl: bound the log, explain a request from the logs

Each process writes its log through a sink that drops and counts lines when its reader is slow, and lines about answers, failures and task ends have budgets of their own. An agent says why a task is not done. baobabctl explain prints what the logs of several processes say of a request, its job or a task.

--- a/ctl/app.go
+++ b/ctl/app.go
@@ -122,6 +122,7 @@
 		{"cancel", "cancel a job", cancelHelp, &cancelCommand{app: a}},
 		{"drain", "send no new work to an upstream or entry", drainHelp, &drainCommand{app: a}},
 		{"replace", "replace a lost control node", replaceHelp, &replaceCommand{app: a}},
+		{"explain", "show what the logs say of a request", explainHelp, &explainCommand{app: a}},
 		{"dev", "run the whole system in this process", devHelp, &devCommand{app: a}},
 		{"dev-upstream", "run one sample upstream", devUpstreamHelp, &devUpstreamCommand{app: a}},
 	}
--- /dev/null
+++ b/logsink/logsink_test.go
@@ -0,0 +1,47 @@
+package logsink
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Guards against a process that waits for the reader of its log.
+func TestSlowReaderCostsLinesNotTime(t *testing.T) {
+	r, w := io.Pipe() // nobody reads until the lines have been written
+	s := New(w)
+	for range 3 * queueLength {
+		if n, err := s.Write([]byte("line\n")); n != 5 || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if d := s.Dropped(); d < queueLength || d > 2*queueLength {
+		t.Errorf("%d of %d lines were dropped", d, 3*queueLength)
+	}
+	read := make(chan int)
+	go func() {
+		text, _ := io.ReadAll(r)
+		read <- strings.Count(string(text), "line\n")
+	}()
+	s.Close()
+	w.Close()
+	if n := <-read; uint64(n)+s.Dropped() != 3*queueLength {
+		t.Errorf("%d lines were read and %d dropped of %d", n, s.Dropped(), 3*queueLength)
+	}
+}
+
+// Guards against a burst of equal lines, and against lines that are left out
+// without a count.
+func TestBudget(t *testing.T) {
+	b := NewBudget(2)
+	now := time.Unix(100, 0)
+	for i, want := range []bool{true, true, false, false} {
+		if ok, _ := b.Allow(now); ok != want {
+			t.Errorf("line %d: allowed %v", i, ok)
+		}
+	}
+	if ok, omitted := b.Allow(now.Add(time.Second)); !ok || omitted != 2 {
+		t.Errorf("next second: allowed %v, %d omitted", ok, omitted)
+	}
+}
--- a/worker/api.go
+++ b/worker/api.go
@@ -136,13 +136,19 @@
 	Clock time.Duration
 }
 
+// Ended is the answer of a task with the run that it is about.
+type Ended struct {
+	wire.Answer
+	Run RunID
+}
+
 // Output is what one tick decided.
 type Output struct {
 	Start []StartOrder
 	Stop  []StopOrder
 	Renew *RenewOrder
 	// Ended lists tasks that have ended for certain, each once.
-	Ended []wire.Answer
+	Ended []Ended
 	// NextTick is when the core needs a tick without new input, zero for never.
 	NextTick time.Duration
 }
--- a/worker/core.go
+++ b/worker/core.go
@@ -73,7 +73,7 @@
 	strays   map[RunID]time.Duration // runs of others, with the time of their last stop
 	adopted  bool                    // a status without runs of others has been seen
 	replaced bool                    // another life of the worker has answered
-	ended    []wire.Answer
+	ended    []Ended
 }
 
 // New returns the core of a worker about whose runs nothing is known yet.
@@ -98,19 +98,19 @@
 func (c *Core) Run(now time.Duration, s wire.Start) {
 	id := RunID{Task: s.Name, Number: s.Try}
 	if c.replaced {
-		c.answer(s.Key, verdict.NotRun, verdict.UpstreamRefused, 0)
+		c.answer(s.Key, id, verdict.NotRun, verdict.UpstreamRefused, 0)
 		return
 	}
 	if c.runs[id] != nil {
 		// Two entries run the same task under the same number: the later one waits
 		// for a higher number, since a worker can't tell them apart.
-		c.answer(s.Key, verdict.NotRun, verdict.Superseded, 0)
+		c.answer(s.Key, id, verdict.NotRun, verdict.Superseded, 0)
 		return
 	}
 	if other := c.runOf(s.Name); other != nil {
 		// A caller has repeated its batch while the former run is still ending.
 		c.unwant(other)
-		c.answer(s.Key, verdict.NotRun, verdict.Superseded, 0)
+		c.answer(s.Key, id, verdict.NotRun, verdict.Superseded, 0)
 		return
 	}
 	r := &run{key: s.Key, id: id, began: now}
@@ -167,7 +167,7 @@
 		reason = verdict.NoCredit
 	}
 	c.forget(r)
-	c.answer(r.key, verdict.NotRun, reason, 0)
+	c.answer(r.key, r.id, verdict.NotRun, reason, 0)
 	switch why {
 	case RefusedFenced:
 		c.loseAll(now, verdict.MayHaveRun, verdict.Fenced)
@@ -225,11 +225,11 @@
 	ran := (now - r.began).Microseconds()
 	switch e.How {
 	case EndDone:
-		c.answer(r.key, verdict.Ran, verdict.Complete, ran)
+		c.answer(r.key, r.id, verdict.Ran, verdict.Complete, ran)
 	case EndFailed:
-		c.answer(r.key, verdict.Ran, verdict.UpstreamFailed, ran)
+		c.answer(r.key, r.id, verdict.Ran, verdict.UpstreamFailed, ran)
 	default:
-		c.answer(r.key, verdict.Ran, verdict.Canceled, ran)
+		c.answer(r.key, r.id, verdict.Ran, verdict.Canceled, ran)
 	}
 }
 
@@ -260,7 +260,7 @@
 			r.phase, r.acceptedAt = running, now
 		case !listed[r.id] && r.overBy(sentAt):
 			c.forget(r)
-			c.answer(r.key, verdict.Ran, verdict.Canceled, (now - r.began).Microseconds())
+			c.answer(r.key, r.id, verdict.Ran, verdict.Canceled, (now - r.began).Microseconds())
 		case !listed[r.id] && r.phase == doubtful && sentAt >= r.doubtAt:
 			r.unwanted = true // the stop fences a start that is carried out late
 		}
@@ -287,7 +287,7 @@
 	c.replaced = true
 	for _, r := range c.sortedRuns() {
 		c.forget(r)
-		c.answer(r.key, v, reason, (now - r.began).Microseconds())
+		c.answer(r.key, r.id, v, reason, (now - r.began).Microseconds())
 	}
 	c.queue = nil
 	c.acked = c.cursor
@@ -314,7 +314,7 @@
 	}
 }
 
-func (c *Core) answer(key ids.TaskKey, v verdict.Verdict, reason verdict.Reason, ranUS int64) {
+func (c *Core) answer(key ids.TaskKey, id RunID, v verdict.Verdict, reason verdict.Reason, ranUS int64) {
 	a := wire.Answer{Key: key, Verdict: v, Reason: reason, RunUS: ranUS}
 	switch reason {
 	case verdict.Complete:
@@ -322,7 +322,7 @@
 	case verdict.UpstreamFailed:
 		a.Status = statusFailed
 	}
-	c.ended = append(c.ended, a)
+	c.ended = append(c.ended, Ended{a, id})
 }
 
 // HTTP statuses that stand for the ends of sized tasks.
--- a/worker/model_test.go
+++ b/worker/model_test.go
@@ -109,7 +109,7 @@
 func (m *model) tick() {
 	out := m.core.Tick(m.now)
 	for _, a := range out.Ended {
-		m.takeAnswer(a)
+		m.takeAnswer(a.Answer)
 	}
 	for _, o := range out.Start {
 		m.send(orderTimeout, func() func(bool) {
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -8,6 +8,8 @@
 
 	"github.com/baobabshore/baobabshore/eventloop"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/logsink"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -28,6 +30,7 @@
 	ended   func(wire.Answer)
 	adopted chan struct{}
 	lost    chan struct{}
+	budget  *logsink.Budget
 	ctx     context.Context
 	cancel  context.CancelFunc
 }
@@ -35,7 +38,7 @@
 // NewRunner starts a runner. ended receives the answer of each task once; it is
 // called from the runner's loop and must not block.
 func NewRunner(cfg Config, port Port, ended func(wire.Answer)) *Runner {
-	r := &Runner{port: port, ended: ended, adopted: make(chan struct{}), lost: make(chan struct{})}
+	r := &Runner{port: port, ended: ended, budget: logsink.NewBudget(maxEndLines), adopted: make(chan struct{}), lost: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.loop = eventloop.New(tickMin, r.tick)
 	r.core = New(r.loop.Now(), cfg)
@@ -84,14 +87,29 @@
 	if out.Renew != nil {
 		go r.renew(*out.Renew)
 	}
-	for _, a := range out.Ended {
-		r.ended(a)
+	for _, e := range out.Ended {
+		r.logEnd(e)
+		r.ended(e.Answer)
 	}
 	closeOnce(r.adopted, r.core.Adopted())
 	closeOnce(r.lost, r.core.Replaced())
 	return out.NextTick
 }
 
+// maxEndLines bounds the lines each second about tasks that have not ended as done.
+const maxEndLines = 100
+
+// logEnd tells of a task that has not ended as done.
+func (r *Runner) logEnd(e Ended) {
+	if e.Reason == verdict.Complete {
+		return
+	}
+	if ok, omitted := r.budget.Allow(time.Now()); ok {
+		klog.InfoS("agent: Task not done", "task", e.Run.Task, "run", e.Run.Number, "verdict", e.Verdict,
+			"reason", e.Reason, "ranMs", e.RunUS/1000, "omitted", omitted)
+	}
+}
+
 // closeOnce closes c if on is set and c is open. Only the loop calls it.
 func closeOnce(c chan struct{}, on bool) {
 	if !on {
