control: a learner takes the place of a voter that is lost

Change: with AutoJoin the leader swaps a learner that answers for a voter that has been silent for 10 s. TestNewNodeTakesThePlaceOfALostOne failed before.

--- a/control/core.go
+++ b/control/core.go
@@ -319,6 +319,9 @@
 
 // maintain proposes what time and renewals call for.
 func (c *core) maintain(now time.Time) {
+	if c.opt.AutoJoin {
+		c.replaceLost()
+	}
 	for _, inc := range c.leases.overdue(now, c.state.LiveMembers()) {
 		if !c.pending[inc] {
 			c.pending[inc] = true
--- a/control/options.go
+++ b/control/options.go
@@ -39,8 +39,12 @@
 	// AutoJoin has a node whose group exists without it ask for the place of a lost
 	// one by itself. Without it an operator adds the node.
 	AutoJoin bool
-	Region   ids.Region
-	Domain   ids.Domain
+	// LostAfter is the silence of a voter after which a learner takes its place if
+	// AutoJoin is set. Default 10 s, above the time that a frozen VM or a restart
+	// takes.
+	LostAfter time.Duration
+	Region    ids.Region
+	Domain    ids.Domain
 	// Data is the folder of the log.
 	Data     string
 	Security rpc.Security
@@ -63,6 +67,7 @@
 	defaultSnapshotEntries = 20_000
 	defaultSnapshotBytes   = 8 << 20
 	defaultTick            = 50 * time.Millisecond
+	defaultLostAfter       = 10 * time.Second
 )
 
 func (o Options) withDefaults() Options {
@@ -78,6 +83,9 @@
 	if o.Tick == 0 {
 		o.Tick = defaultTick
 	}
+	if o.LostAfter == 0 {
+		o.LostAfter = defaultLostAfter
+	}
 	if o.Counters == nil {
 		o.Counters = &rpc.Counters{}
 	}
--- a/control/replace.go
+++ b/control/replace.go
@@ -48,10 +48,6 @@
 	}
 }
 
-// lostAfter is the silence of a control node after which another one may take its
-// place. It is above the time that a frozen VM or a restart takes.
-const lostAfter = 10 * time.Second
-
 // serveJoin gives a new node the place of a lost one, or adds it as a learner
 // until one is lost.
 func (n *Node) serveJoin(ctx context.Context, c *rpc.Conn, p wire.Join) (wire.Empty, error) {
@@ -74,13 +70,42 @@
 		case !q.Voter || string(q.ID) == p.Instance:
 		case q.Name == string(p.Node) && q.Addr == p.Addr:
 			return p.Node
-		case time.Duration(c.raft.SilentFor(q.ID))*c.opt.Tick >= lostAfter:
+		case c.lost(q):
 			silent = ids.Node(q.Name)
 		}
 	}
 	return silent
 }
 
+// lost reports whether a voter has been silent for so long that another node may
+// take its place.
+func (c *core) lost(p consensus.Peer) bool {
+	return p.Voter && time.Duration(c.raft.SilentFor(p.ID))*c.opt.Tick >= c.opt.LostAfter
+}
+
+// replaceLost gives the place of a lost voter to a learner that answers. Consensus
+// refuses it until the learner has caught up and while another change goes on.
+func (c *core) replaceLost() {
+	g := c.raft.Group()
+	if g.Joint() || !c.groupCommitted() {
+		return
+	}
+	lost := slices.IndexFunc(g.Peers, c.lost)
+	learner := slices.IndexFunc(g.Peers, func(p consensus.Peer) bool {
+		return !p.Voter && time.Duration(c.raft.SilentFor(p.ID))*c.opt.Tick < learnerSilence
+	})
+	if lost < 0 || learner < 0 {
+		return
+	}
+	klog.Warningf("control: Node %s has been silent for %v; learner %s takes its place.", g.Peers[lost].Name, c.opt.LostAfter, g.Peers[learner].Name)
+	if st := c.change(swap(g, g.Peers[lost], g.Peers[learner].ID)); st.err != nil {
+		klog.Warningf("control: The place was not taken: %v.", st.err)
+	}
+}
+
+// learnerSilence is the silence above which a learner is not made a voter.
+const learnerSilence = time.Second
+
 // progress is the state of a replacement.
 type progress struct {
 	done bool
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/baobabshore/baobabshore/consensus"
+	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -354,3 +355,36 @@
 	g.stop((lost + 1) % 3)
 	g.apply(c, "cmd-3", "3")
 }
+
+// Guards against a voter that is gone for good and keeps its place although an
+// empty node at another address has joined, so that a second loss ends the group.
+func TestNewNodeTakesThePlaceOfALostOne(t *testing.T) {
+	auto := func(o *Options) { o.AutoJoin, o.LostAfter = true, time.Second }
+	g := newGroupWith(t, 3, auto)
+	c := g.client()
+	g.apply(c, "cmd-1", "1")
+	lost := g.leader()
+	g.stop(lost)
+	g.apply(c, "cmd-2", "2")
+	self := Peer{Node: "fresh", Addr: freeAddr(t)}
+	peers := append([]Peer{self}, g.opts[lost].Peers...)
+	fresh := g.add(self, peers)
+	auto(&g.opts[fresh])
+	g.start(fresh)
+	g.wait("the new node to vote in place of the lost one", func() error {
+		st, err := c.Status(g.ctx(), wire.Status{})
+		if err != nil {
+			return err
+		}
+		voters := map[ids.Node]bool{}
+		for _, n := range st.Nodes {
+			voters[n.Node] = n.Voter
+		}
+		if len(voters) != 3 || !voters["fresh"] || voters[g.opts[lost].Node] {
+			return errors.Errorf("%+v", st.Nodes)
+		}
+		return nil
+	})
+	g.stop((lost + 1) % 3)
+	g.apply(g.clientAt([]string{g.opts[(lost+2)%3].Listen, self.Addr}), "cmd-3", "3")
+}
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -73,12 +73,12 @@
 }
 
 // mayWait reports whether a batch that needs a fast worker would probably be in
-// time on one after four times the expected wait, which is rough. Its own run time leaves so little of
+// time on one after twice the expected wait. Its own run time leaves so little of
 // the time that the margin of other batches would have it refused at any wait.
 func (s *service) mayWait(now time.Duration, b Batch, wait time.Duration) bool {
 	run := Chain(b.Steps).Seconds()
 	due := min(b.Target, b.Deadline)
-	return s.needsFast(now, b.Deadline, run) && s.missing(now+4*wait, due, run, s.fastest) <= maxLateness
+	return s.needsFast(now, b.Deadline, run) && s.missing(now+2*wait, due, run, s.fastest) <= maxLateness
 }
 
 // latestStartOf returns when the last task of a batch should start on the fastest
