worker: back off from a worker that is down, bound the lines about orders

Change: the pause doubles up to 320 ms, and the lines share the budget of the task ends. TestLostOrdersDelayLittle holds: single losses are repeated after 20 ms.

--- a/worker/core.go
+++ b/worker/core.go
@@ -22,8 +22,10 @@
 	// startValid is how long a start may be on its way. Workers that leave orders
 	// unanswered carry them out 2 s later or more.
 	startValid = 800 * time.Millisecond
-	// renewRetry is the pause after a renewal that failed at once.
-	renewRetry = 20 * time.Millisecond
+	// renewRetry is the pause after a renewal without an answer. It doubles up to
+	// maxRenewRetry while none has an answer, for a worker that is down.
+	renewRetry    = 20 * time.Millisecond
+	maxRenewRetry = 320 * time.Millisecond
 	// stopRetry is the pause before a stop without an answer is sent again.
 	stopRetry = 20 * time.Millisecond
 )
@@ -67,6 +69,7 @@
 	acked    uint64        // ends of which the worker knows that they are taken over
 	renewals int           // on their way
 	renewAt  time.Duration // earliest next renewal
+	retry    time.Duration // pause after the next renewal without an answer
 	sentAt   time.Duration // of the latest renewal
 	lookSoon bool          // a run waits for a status
 
@@ -79,7 +82,7 @@
 // New returns the core of a worker about whose runs nothing is known yet.
 func New(now time.Duration, cfg Config) *Core {
 	return &Core{
-		cfg: cfg, clock: cfg.Clock, clockAt: now,
+		cfg: cfg, clock: cfg.Clock, clockAt: now, retry: renewRetry,
 		runs: map[RunID]*run{}, byKey: map[ids.TaskKey]*run{}, strays: map[RunID]time.Duration{},
 	}
 }
@@ -195,9 +198,11 @@
 func (c *Core) Renewed(now time.Duration, o RenewOrder, st Status, unknown bool) {
 	c.renewals--
 	if unknown {
-		c.renewAt = now + renewRetry
+		c.renewAt = now + c.retry
+		c.retry = min(2*c.retry, maxRenewRetry)
 		return
 	}
+	c.retry = renewRetry
 	if c.cfg.Born != 0 && st.Born != 0 && st.Born != c.cfg.Born {
 		c.loseAll(now, verdict.Ran, verdict.Canceled)
 		return
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -38,7 +38,7 @@
 // NewRunner starts a runner. ended receives the answer of each task once; it is
 // called from the runner's loop and must not block.
 func NewRunner(cfg Config, port Port, ended func(wire.Answer)) *Runner {
-	r := &Runner{port: port, ended: ended, budget: logsink.NewBudget(maxEndLines), adopted: make(chan struct{}), lost: make(chan struct{})}
+	r := &Runner{port: port, ended: ended, budget: logsink.NewBudget(maxLines), adopted: make(chan struct{}), lost: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.loop = eventloop.New(tickMin, r.tick)
 	r.core = New(r.loop.Now(), cfg)
@@ -96,18 +96,29 @@
 	return out.NextTick
 }
 
-// maxEndLines bounds the lines each second about tasks that have not ended as done.
-const maxEndLines = 100
+// maxLines bounds the lines each second about tasks that have not ended as done
+// and orders without an answer.
+const maxLines = 100
+
+// log writes a line if the budget has room.
+func (r *Runner) log(text string, keys ...any) {
+	ok, omitted := r.budget.Allow(time.Now())
+	if !ok {
+		return
+	}
+	if omitted > 0 {
+		keys = append(keys, "omitted", omitted)
+	}
+	klog.InfoS(text, keys...)
+}
 
 // logEnd tells of a task that has not ended as done.
 func (r *Runner) logEnd(e Ended) {
 	if e.Reason == verdict.Complete {
 		return
 	}
-	if ok, omitted := r.budget.Allow(time.Now()); ok {
-		klog.InfoS("agent: Task not done", "task", e.Run.Task, "run", e.Run.Number, "verdict", e.Verdict,
-			"reason", e.Reason, "ranMs", e.RunUS/1000, "omitted", omitted)
-	}
+	r.log("agent: Task not done", "task", e.Run.Task, "run", e.Run.Number, "verdict", e.Verdict,
+		"reason", e.Reason, "ranMs", e.RunUS/1000)
 }
 
 // closeOnce closes c if on is set and c is open. Only the loop calls it.
@@ -127,10 +138,10 @@
 	defer cancel()
 	reply, err := r.port.Start(ctx, o)
 	if err != nil {
-		klog.InfoS("worker: Start unanswered", "task", o.Run.Task, "run", o.Run.Number, "err", err)
+		r.log("worker: Start unanswered", "task", o.Run.Task, "run", o.Run.Number, "err", err)
 	}
 	if reply.Refused != "" {
-		klog.InfoS("worker: Start refused", "task", o.Run.Task, "run", o.Run.Number, "reason", reply.Refused)
+		r.log("worker: Start refused", "task", o.Run.Task, "run", o.Run.Number, "reason", reply.Refused)
 	}
 	r.loop.Post(func(now time.Duration) { r.core.Started(now, o.Run, reply, err != nil) })
 }
@@ -140,7 +151,7 @@
 	defer cancel()
 	err := r.port.Stop(ctx, o)
 	if err != nil {
-		klog.InfoS("worker: Stop unanswered", "task", o.Run.Task, "run", o.Run.Number, "err", err)
+		r.log("worker: Stop unanswered", "task", o.Run.Task, "run", o.Run.Number, "err", err)
 	}
 	r.loop.Post(func(now time.Duration) { r.core.Stopped(now, o.Run, err != nil) })
 }
@@ -150,7 +161,7 @@
 	defer cancel()
 	st, err := r.port.Renew(ctx, o)
 	if err != nil && r.ctx.Err() == nil {
-		klog.InfoS("worker: Renewal unanswered", "cursor", o.Cursor, "err", err)
+		r.log("worker: Renewal unanswered", "cursor", o.Cursor, "err", err)
 	}
 	r.loop.Post(func(now time.Duration) { r.core.Renewed(now, o, st, err != nil) })
 }
