agent, logsink: one owner of the sidecar's agent, no panic at the end

Cause: reading the change: a goroutine that logged after the end of the sink would have panicked; the sidecar swallowed a wake-up while it started an agent, could drain twice, and gave up after a failed start until the next change. Change: the sidecar's loop owns the agent and tries again every 200 ms; a line after the end of the sink is lost.

--- a/agent/sidecar.go
+++ b/agent/sidecar.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"k8s.io/klog/v2"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/worker"
 )
@@ -75,21 +77,25 @@
 // run brings the agent in line with the latest announcement.
 func (s *Sidecar) run() {
 	var served worker.Announcement
-	for {
+	var agent *Agent
+	draining := false
+	for s.ctx.Err() == nil {
 		want, present := s.wanted()
-		a := s.current()
 		switch {
-		case a != nil && (!present || !want.SameLife(served)):
+		case agent != nil && (!present || !want.SameLife(served)):
 			s.store(nil)
-			a.Close()
+			agent.Close()
+			agent = nil
+			continue
+		case agent == nil && present && !want.Draining:
+			served, draining = want, false
+			agent = s.open(want)
+			s.store(agent)
 			continue
-		case a == nil && present && !want.Draining:
-			served = want
-			if s.open(want) {
-				continue
-			}
-		case a != nil && want.Draining && !a.draining.Load():
-			s.done.Go(func() { s.drain(a) })
+		case agent != nil && want.Draining && !draining:
+			draining = true
+			leaving := agent
+			s.done.Go(func() { s.drain(leaving) })
 		}
 		select {
 		case <-s.ctx.Done():
@@ -117,37 +123,36 @@
 	s.agent = a
 }
 
-// open starts an agent for a worker. It gives up when the worker's life is over
-// or the process ends.
-func (s *Sidecar) open(w worker.Announcement) bool {
+// reopenPause is the time between two attempts to start an agent.
+const reopenPause = 200 * time.Millisecond
+
+// open starts an agent for a worker. It returns nil after a pause when that
+// failed, when the worker's life is over, or when the process ends.
+func (s *Sidecar) open(w worker.Announcement) *Agent {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	stop := make(chan struct{})
-	defer close(stop)
-	go s.cancelWhenReplaced(w, cancel, stop)
+	go s.cancelWhenReplaced(ctx, cancel, w)
 	a, err := Start(ctx, s.options(w))
 	if err != nil {
 		klog.ErrorS(err, "agent: Start failed", "worker", w.ID)
-		return false
+		clock.Sleep(s.ctx, reopenPause)
+		return nil
 	}
-	s.store(a)
-	return true
+	return a
 }
 
-// cancelWhenReplaced ends the start of an agent whose worker is gone.
-func (s *Sidecar) cancelWhenReplaced(w worker.Announcement, cancel context.CancelFunc, stop <-chan struct{}) {
+// cancelWhenReplaced ends the start of an agent whose worker is gone. Starting
+// again is left to run, which looks at the announcement after each start.
+func (s *Sidecar) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, w worker.Announcement) {
 	for {
 		select {
-		case <-stop:
-			return
-		case <-s.ctx.Done():
+		case <-ctx.Done():
 			return
 		case <-s.wake:
 		}
 		if want, present := s.wanted(); !present || !want.SameLife(w) {
 			cancel()
 		}
-		defer s.kick() // run has to look at it as well
 	}
 }
 
--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -22,12 +22,13 @@
 	out     io.Writer
 	lines   chan []byte
 	dropped atomic.Uint64
+	stop    chan struct{}
 	done    chan struct{}
 }
 
 // New returns a sink that writes to out until Close.
 func New(out io.Writer) *Sink {
-	s := &Sink{out: out, lines: make(chan []byte, queueLength), done: make(chan struct{})}
+	s := &Sink{out: out, lines: make(chan []byte, queueLength), stop: make(chan struct{}), done: make(chan struct{})}
 	go s.run()
 	return s
 }
@@ -45,26 +46,56 @@
 // Dropped returns the number of lines that were dropped so far.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
-// Close writes what is queued. Nothing may be written afterwards.
+// Close writes what is queued and ends the sink. Lines that are written later, by
+// goroutines that outlive the end of the process's work, are lost.
 func (s *Sink) Close() error {
-	close(s.lines)
+	close(s.stop)
 	<-s.done
 	return nil
 }
 
 func (s *Sink) run() {
 	defer close(s.done)
-	reported := uint64(0)
-	last := time.Now()
-	for line := range s.lines {
-		_, _ = s.out.Write(line) // a log that can't be written has nowhere to say so
-		if n := s.dropped.Load(); n > reported && time.Since(last) >= reportInterval {
-			_, _ = fmt.Fprintf(s.out, "log: %d lines were dropped, since their reader is slow.\n", n-reported)
-			reported, last = n, time.Now()
+	r := reporter{last: time.Now()}
+	for {
+		select {
+		case line := <-s.lines:
+			r.write(s, line)
+		case <-s.stop:
+			s.flush(&r)
+			return
 		}
 	}
 }
 
+// flush writes what is queued.
+func (s *Sink) flush(r *reporter) {
+	for {
+		select {
+		case line := <-s.lines:
+			r.write(s, line)
+		default:
+			return
+		}
+	}
+}
+
+// reporter tells of dropped lines among the others.
+type reporter struct {
+	reported uint64
+	last     time.Time
+}
+
+func (r *reporter) write(s *Sink, line []byte) {
+	_, _ = s.out.Write(line) // a log that can't be written has nowhere to say so
+	n := s.dropped.Load()
+	if n == r.reported || time.Since(r.last) < reportInterval {
+		return
+	}
+	_, _ = fmt.Fprintf(s.out, "log: %d lines were dropped, since their reader is slow.\n", n-r.reported)
+	r.reported, r.last = n, time.Now()
+}
+
 // Budget limits the lines of one kind to a number each second.
 type Budget struct {
 	perSecond int
--- a/logsink/logsink_test.go
+++ b/logsink/logsink_test.go
@@ -45,3 +45,12 @@
 		t.Errorf("next second: allowed %v, %d omitted", ok, omitted)
 	}
 }
+
+// Guards against a process that panics at its end because a goroutine still logs.
+func TestWriteAfterClose(t *testing.T) {
+	s := New(io.Discard)
+	s.Close()
+	if _, err := s.Write([]byte("line\n")); err != nil {
+		t.Error(err)
+	}
+}
