control: wait for the commit of a rejoin before the second loss in tests

The trace: 'A change to 3 control nodes begins' and then no leader, since the old group had lost two of three nodes, one more than it bears. Change: the tests repeat control.join, which is answered once the membership is committed, before they stop the second node; what they ask for is unchanged. go test ./control -run 'EmptiedDiskRejoins|TakesThePlace' -count=8 passes.

--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -352,10 +352,20 @@
 		}
 		return errors.Errorf("%+v", st.Nodes)
 	})
+	g.waitJoined(c, wire.Join{Node: g.opts[lost].Node, Addr: g.opts[lost].Listen, Instance: fresh})
 	g.stop((lost + 1) % 3)
 	g.apply(c, "cmd-3", "3")
 }
 
+// waitJoined returns once the membership with a node is committed. The leader's
+// status shows a change before that, and a second loss then ends the group.
+func (g *group) waitJoined(c *member.Client, j wire.Join) {
+	g.t.Helper()
+	if err := c.Join(g.ctx(), j); err != nil {
+		g.t.Fatal(err)
+	}
+}
+
 // Guards against a voter that is gone for good and keeps its place although an
 // empty node at another address has joined, so that a second loss ends the group.
 func TestNewNodeTakesThePlaceOfALostOne(t *testing.T) {
@@ -385,6 +395,7 @@
 		}
 		return nil
 	})
+	g.waitJoined(c, wire.Join{Node: "fresh", Addr: self.Addr, Instance: g.nodes[fresh].Instance()})
 	g.stop((lost + 1) % 3)
 	g.apply(g.clientAt([]string{g.opts[(lost+2)%3].Listen, self.Addr}), "cmd-3", "3")
 }
