dispatch: cap the reserve on fast workers, assume missing run times

Cause: reading the change: with equally fast workers, or batches of many long tasks, the reserve took every slot from the other batches; a batch without declared run times was taken in at any load and never refused. Change: at most a quarter of a worker's slots is kept, and none where no worker is slower; a task without a declared run time is taken for one of 200 ms.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -41,6 +42,7 @@
 
 // Batch takes in a batch, or refuses it with verdict not-run.
 func (c *Core) Batch(now time.Duration, b Batch) *verdict.Error {
+	b.Steps = withRunTimes(b.Steps)
 	if err := c.admitBatch(now, b); err != nil {
 		return err
 	}
@@ -59,6 +61,21 @@
 	return nil
 }
 
+// assumedRunTime stands for a run time that is not declared. Without one a batch
+// would be neither planned nor refused.
+const assumedRunTime = 200 * time.Millisecond
+
+// withRunTimes returns the steps with a run time for each.
+func withRunTimes(steps []Step) []Step {
+	out := slices.Clone(steps)
+	for i := range out {
+		if out[i].RunTime <= 0 {
+			out[i].RunTime = assumedRunTime
+		}
+	}
+	return out
+}
+
 func newBatchJob(now time.Duration, s *service, b Batch) *job {
 	j := &job{
 		key: b.Key, team: b.Team, svc: s, deadline: b.Deadline, single: true, idem: true,
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -50,21 +50,17 @@
 // onTime refuses a batch that the work before it makes late. While workers are
 // saturated a batch that ends late takes the room of one that would be on time.
 func (s *service) onTime(now time.Duration, b Batch, tasks int) *verdict.Error {
-	own := b.work()
-	if own <= 0 {
-		return nil
-	}
 	room, capacity := s.roomFor(now, b)
 	if capacity == 0 {
 		return verdict.Refuse(verdict.Infeasible, "no worker in service is fast enough for the time left")
 	}
-	latest := s.latestStartOf(now, b)
-	ahead := s.workBefore(&batch{latest: latest, arrived: s.fair.arrived + 1})
 	if room >= tasks {
 		return nil // what waits can't use that room
 	}
-	scale := s.declaredScale()
-	wait := seconds(max(ahead+own-float64(room)*own/float64(tasks), 0) * scale / capacity)
+	latest := s.latestStartOf(now, b)
+	ahead := s.workBefore(&batch{latest: latest, arrived: s.fair.arrived + 1})
+	own := b.work() * float64(tasks-room) / float64(tasks)
+	wait := seconds((ahead + own) * s.declaredScale() / capacity)
 	if now+wait <= latest || s.mayWait(now, b, wait) {
 		return nil
 	}
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -25,6 +25,8 @@
 	// reserveBatches is the room on fast workers that is kept for the batches that
 	// need them, in batches of average width.
 	reserveBatches = 2.0
+	// maxReserve is the part of a worker's slots that is kept at most.
+	maxReserve = 0.25
 	// needyWeight is the weight of a batch in the averages of these batches, which
 	// are reserved for while their share is at least minNeedyShare.
 	needyWeight   = 1.0 / 64
@@ -37,9 +39,9 @@
 	maxLateness = 0.35
 )
 
-// chooseForBatch returns the batch that is to start a task and its worker. A
-// batch never waits for a faster worker while one is open on which it can end
-// before its deadline.
+// chooseForBatch returns the batch that is to start a task and its worker. Those
+// that can be in time come first. A task waits for a faster worker only while it
+// may be in time there and would probably be late on those that are open.
 func (c *Core) chooseForBatch(now time.Duration, s *service) (*job, *upstream, bool) {
 	if s.free.size == 0 {
 		return nil, nil, false
@@ -60,7 +62,7 @@
 }
 
 // canBeInTime reports whether the next task of j would probably be in time on the
-// fastest worker. Batches of which it would not get the room that is left.
+// fastest worker. The other batches get the room that these leave.
 func (s *service) canBeInTime(now time.Duration, j *job) bool {
 	return s.lateness(now, j, s.fastest) <= maxLateness
 }
@@ -162,8 +164,12 @@
 	if s.needyTasks == 0 || u.slow > s.fastest*fastRange {
 		return false
 	}
-	open := float64(u.slots() - u.others - u.held)
-	return open <= reserveBatches*s.needyTasks/float64(max(s.fastCount, 1))
+	if s.fastCount == len(s.ups) {
+		return false // nobody is slower, so nothing would be left to others
+	}
+	reserve := reserveBatches * s.needyTasks / float64(max(s.fastCount, 1))
+	reserve = min(reserve, maxReserve*float64(u.slots()))
+	return float64(u.slots()-u.others-u.held) <= reserve
 }
 
 // learnNeedy updates the number of tasks of the batches that need fast workers.
--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -378,3 +378,40 @@
 	}
 	return n
 }
+
+// Guards against a reserve for wide long batches that leaves nothing to others,
+// above all where all workers are equally fast.
+func TestReserveLeavesRoomForOthers(t *testing.T) {
+	b := &batchWorld{
+		world: newWorld(1, 3, 0, 8), active: map[string]int{}, results: map[string]int{},
+		byClass: map[string]int{}, work: map[string]time.Duration{},
+	}
+	b.world.batches = b
+	for n := range 6 {
+		b.addWorker(n, 1)
+	}
+	b.spreadView(0)
+	b.run(time.Second)
+	for n := range 40 {
+		at := time.Second + time.Duration(n)*100*time.Millisecond
+		b.at(at, func() { b.hand(fmt.Sprint("long", n), b.entries[n%3], 40, 900*time.Millisecond, 0) })
+		b.at(at+50*time.Millisecond, func() { b.hand(fmt.Sprint("short", n), b.entries[n%3], 2, 50*time.Millisecond, 0) })
+	}
+	b.run(10 * time.Second)
+	if got := b.byClass["2 done"] + b.byClass["2 late"]; got < 20 {
+		t.Errorf("%d of 40 short batches were answered beside wide long ones (%v)", got, b.byClass)
+	}
+}
+
+// Guards against batches without declared run times that are all taken in and wait
+// until their deadline.
+func TestBatchesWithoutDeclaredTimes(t *testing.T) {
+	b := newBatchWorld(1, 3, 3)
+	for n := range 200 {
+		b.at(time.Second, func() { b.hand(fmt.Sprint(n), b.entries[n%3], 8, 0, 0) })
+	}
+	b.run(1200 * time.Millisecond)
+	if b.results["not-run"] == 0 {
+		t.Errorf("nothing was refused of %d batches for 30 places (%v)", b.sent, b.results)
+	}
+}
