--- a/worker/model_test.go
+++ b/worker/model_test.go
@@ -64,6 +64,7 @@
 	doneIDs map[RunID]bool
 
 	lost, late float64 // shares of orders without an answer, and carried out late
+	slow       float64 // share of orders that are carried out about when they are given up
 	work       time.Duration
 	// anyTime has the worker accept starts that arrive after their time, and
 	// unfenced has it forget stops of runs that are not there.
@@ -150,6 +151,8 @@
 	case x < m.late+m.lost/2: // the order is lost
 	case x < m.late+m.lost: // the answer is lost
 		m.after(m.delay(), func() { do() })
+	case x < m.late+m.lost+m.slow: // carried out after the order has been given up
+		m.after(timeout/2+time.Duration(m.rng.Int64N(int64(2*timeout))), func() { do() })
 	default:
 		m.after(m.delay(), func() {
 			answer := do()
@@ -296,6 +299,9 @@
 	for seed := range uint64(400) {
 		m := newModel(t, seed, 0.1, 0.1)
 		m.anyTime, m.unfenced = seed%4 == 1, seed%4 == 2
+		if !m.unfenced { // a start that is late by less than its validity is kept out by the stop alone
+			m.slow = float64(seed%5) / 20
+		}
 		m.tick()
 		for n := range 40 {
 			m.after(time.Duration(m.rng.IntN(4000))*time.Millisecond, func() { m.ask(n) })
