dispatch, executor: judge lateness by the true run time, queue at agents by urgency

Also, batches that arrived between two ticks were all admitted into the same room.

Change: dispatch/lateness.go holds the probabilities; a batch carries its objective and the priority of its queue; the tasks of a batch that have ended tell of the others, and one that will miss its deadline fails at once; tasks queue at full workers in order of urgency, the least urgent one is given back; admission takes off the room what is not placed yet.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -158,6 +158,7 @@
 	}
 	if j.batch != nil {
 		c.releaseSteps(j, a.index)
+		c.endDoomed(now, j)
 	}
 }
 
--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -68,9 +68,12 @@
 	Name func(step, index int) string
 	// Attempts is how often one task may fail, 1 or more.
 	Attempts int
-	// Target is the time by which the answer should be there, Deadline the time
-	// after which nobody waits for it.
-	Target, Deadline time.Duration
+	// Priority orders the batches that wait: 0 goes first.
+	Priority int
+	// Objective tells by when the answer should be there.
+	Objective Objective
+	// Deadline is the time after which nobody waits for the answer.
+	Deadline time.Duration
 }
 
 // Envelope is a message to the agent with the given incarnation.
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -16,24 +16,35 @@
 	steps    []step
 	stepOf   []int // by task
 	attempts int
-	target   time.Duration
+	priority int // 0 goes first
+
+	objective Objective
+	begun     time.Duration // when the batch arrived
+	chain     float64       // declared run time of the longest chain of steps, in seconds
 	// latest is when the last task should start for the answer to be on time.
 	latest  time.Duration
 	arrived uint64
+
+	ended int     // tasks that are done and tell of the run times
+	ratio float64 // sum of the logarithms of their run times over expected ones
 }
 
 // step is a part of a batch.
 type step struct {
 	first, tasks int     // positions of its tasks
-	runTime      float64 // declared for one task, in seconds, zero if unknown
-	ratio        float64 // sum of the logarithms of run times over expected ones of the tasks that are done
+	runTime      float64 // declared for one task, in seconds
+	rest         float64 // declared for the longest chain of the steps that wait for it, in seconds
 	after        []int
 	done         int
 	released     bool
 }
 
-// before orders batches by the latest start that keeps them on time.
+// before orders batches by priority, and those of one priority by the latest start
+// that keeps them on time.
 func (b *batch) before(o *batch) bool {
+	if b.priority != o.priority {
+		return b.priority < o.priority
+	}
 	if b.latest != o.latest {
 		return b.latest < o.latest
 	}
@@ -55,6 +66,7 @@
 	j.svc.sizes.learn(b.Steps)
 	j.svc.learnNeedy(now, b)
 	c.releaseReady(j)
+	j.svc.unplaced += j.waiting
 	if len(j.tasks) == 0 {
 		c.complete(now, j)
 	}
@@ -79,7 +91,7 @@
 func newBatchJob(now time.Duration, s *service, b Batch) *job {
 	j := &job{
 		key: b.Key, team: b.Team, svc: s, deadline: b.Deadline, single: true, idem: true,
-		batch: &batch{attempts: max(b.Attempts, 1), target: min(b.Target, b.Deadline)},
+		batch: &batch{attempts: max(b.Attempts, 1), priority: b.Priority, objective: b.Objective, begun: now, chain: Chain(b.Steps).Seconds()},
 	}
 	work, tasks := 0.0, 0
 	for i, st := range b.Steps {
@@ -90,16 +102,28 @@
 		tasks += st.Tasks
 		work += st.RunTime.Seconds() * float64(st.Tasks)
 	}
+	j.batch.setRest()
 	j.tasks = make([]task, tasks)
 	j.next = tasks // steps are released through the list of tasks to place again
 	if tasks > 0 {
 		j.declared = work / float64(tasks)
 	}
-	j.batch.latest = s.latestStartOf(now, b)
+	j.batch.latest = now + s.latestStartOf(b)
 	j.batch.arrived = s.fair.arrived + 1
 	return j
 }
 
+// setRest computes for each step how long the steps take that wait for it. A step
+// comes after those that it waits for.
+func (b *batch) setRest() {
+	for i := len(b.steps) - 1; i >= 0; i-- {
+		st := &b.steps[i]
+		for _, k := range st.after {
+			b.steps[k].rest = max(b.steps[k].rest, st.runTime+st.rest)
+		}
+	}
+}
+
 // specsOf returns the specs of all tasks with their names.
 func (j *job) specsOf(b Batch) []wire.TaskSpec {
 	specs := make([]wire.TaskSpec, 0, len(j.tasks))
@@ -207,6 +231,7 @@
 type sizeEstimate struct {
 	n                int
 	cpu, memory, gpu float64
+	run              float64 // declared run time of a task, in seconds
 }
 
 // sizeFloor is the least weight of a batch in the average size.
@@ -220,6 +245,7 @@
 		e.cpu += w * (float64(st.Spec.Size.CPU) - e.cpu)
 		e.memory += w * (float64(st.Spec.Size.Memory) - e.memory)
 		e.gpu += w * (float64(st.Spec.Size.GPU) - e.gpu)
+		e.run += w * (st.RunTime.Seconds() - e.run)
 	}
 }
 
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"math"
 	"time"
 
 	"github.com/baobabshore/baobabshore/verdict"
@@ -54,13 +53,14 @@
 	if capacity == 0 {
 		return verdict.Refuse(verdict.Infeasible, "no worker in service is fast enough for the time left")
 	}
+	room = max(room-s.unplaced, 0)
 	if room >= tasks {
-		return nil // what waits can't use that room
+		return nil // what waits can't use that room, or placement would have used it
 	}
-	latest := s.latestStartOf(now, b)
-	ahead := s.workBefore(&batch{latest: latest, arrived: s.fair.arrived + 1})
+	latest := now + s.latestStartOf(b)
+	ahead := s.workBefore(&batch{priority: b.Priority, latest: latest, arrived: s.fair.arrived + 1})
 	own := b.work() * float64(tasks-room) / float64(tasks)
-	wait := seconds((ahead + own) * s.declaredScale() / capacity)
+	wait := seconds((ahead + own) * s.outlook().factor / capacity)
 	if now+wait <= latest || s.mayWait(now, b, wait) {
 		return nil
 	}
@@ -72,41 +72,32 @@
 // time on one after twice the expected wait. Its own run time leaves so little of
 // the time that the margin of other batches would have it refused at any wait.
 func (s *service) mayWait(now time.Duration, b Batch, wait time.Duration) bool {
-	run := Chain(b.Steps).Seconds()
-	due := min(b.Target, b.Deadline)
-	return s.needsFast(now, b.Deadline, run) && s.missing(now+2*wait, due, run, s.fastest) <= maxLateness
+	o, run := s.outlook(), Chain(b.Steps).Seconds()
+	return o.needsFast(now, b.Deadline, run) &&
+		o.late(2*wait, b.Objective, run, run, 0, s.fastest) <= maxLateness &&
+		o.missing(now+2*wait, b.Deadline, run, s.fastest) <= maxLateness
 }
 
-// latestStartOf returns when the last task of a batch should start on the fastest
-// worker to be on time although run times differ from the declared ones.
-func (s *service) latestStartOf(now time.Duration, b Batch) time.Duration {
-	chain := Chain(b.Steps)
-	errors := startMargin
-	if s.needsFast(now, b.Deadline, chain.Seconds()) {
-		errors = needyStartMargin
-	}
-	margin := math.Exp(errors * math.Sqrt(s.runError))
-	return b.Target - time.Duration(float64(chain)*s.declaredScale()*s.fastest*margin)
+// latestStartOf returns after which wait the last task of a batch should start on
+// the fastest worker to be on time.
+func (s *service) latestStartOf(b Batch) time.Duration {
+	return s.outlook().latestWait(b.Objective, Chain(b.Steps).Seconds(), s.fastest, startMargin)
 }
 
-// startMargin is the number of standard errors of the run time by which a batch
-// should start early, needyStartMargin that of a batch that needs a fast worker.
-// More of one delays or refuses the other kind.
-const (
-	startMargin      = 2.5
-	needyStartMargin = 2.25
-)
+// startMargin is the number of standard errors by which a batch should start early.
+const startMargin = 2.2
 
 // roomFor returns how many tasks would start at once on workers on which b is
 // expected to end before its deadline, and the work that these do each second.
 func (s *service) roomFor(now time.Duration, b Batch) (open int, capacity float64) {
+	o := s.outlook()
 	longest := 0.0
 	for _, st := range b.Steps {
 		longest = max(longest, st.RunTime.Seconds())
 	}
-	needy := s.needsFast(now, b.Deadline, longest)
+	needy := o.needsFast(now, b.Deadline, longest)
 	for _, u := range s.ups {
-		if !u.usable() || u.health == Quarantined || !s.mayEnd(now, b.Deadline, longest, u.slow) {
+		if !u.usable() || u.health == Quarantined || !s.mayRisk(o, now, b.Deadline, longest, u.slow) {
 			continue
 		}
 		capacity += u.weight.usable
@@ -139,9 +130,3 @@
 	}
 	return sum
 }
-
-// declaredScale is the ratio of run times on an upstream of slowness 1 to the
-// declared ones.
-func (s *service) declaredScale() float64 {
-	return math.Exp(s.basePace)
-}
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -17,11 +17,6 @@
 	occupancyPower = 6
 	// maxCandidates bounds the batches that are considered for the open workers.
 	maxCandidates = 8
-	// needyRisk is the probability of missing the deadline on an average worker
-	// above which a task needs a fast one. fastRange is the range of slowness, from
-	// that of the fastest worker, that counts as fast.
-	needyRisk = 0.05
-	fastRange = 1.25
 	// reserveBatches is the room on fast workers that is kept for the batches that
 	// need them, in batches of average width.
 	reserveBatches = 2.0
@@ -41,9 +36,10 @@
 
 // chooseForBatch returns the batch that is to start a task and its worker. Those
 // that can be in time come first. A task waits for a faster worker only while it
-// may be in time there and would probably be late on those that are open.
-func (c *Core) chooseForBatch(now time.Duration, s *service) (*job, *upstream, bool) {
-	if s.free.size == 0 {
+// may be in time there and would probably be late on those that are open. While
+// all workers are taken, a task is placed in look-ahead at one.
+func (c *Core) chooseForBatch(now time.Duration, s *service) (j *job, u *upstream, ahead bool) {
+	if s.free.size == 0 && s.ahead.size == 0 {
 		return nil, nil, false
 	}
 	for _, inTime := range [...]bool{true, false} {
@@ -55,12 +51,45 @@
 				if u := c.workerFor(now, s, j); u != nil {
 					return j, u, false
 				}
+				if u := c.aheadFor(now, s, j); u != nil {
+					return j, u, true
+				}
 			}
 		}
 	}
 	return nil, nil, false
 }
 
+// aheadFor returns the worker in whose look-ahead the next task of j is most likely
+// to be in time, or nil. The agent starts what waits there as soon as there is room,
+// without a round trip, and in order of urgency over all entries.
+func (c *Core) aheadFor(now time.Duration, s *service, j *job) *upstream {
+	avoid := j.tasks[j.peek()].avoid
+	salt := c.random()
+	var best *upstream
+	least := math.Inf(1)
+	for b := s.ahead.next(0); b >= 0; b = s.ahead.next(b + 1) {
+		u := s.ahead.pickIn(b, avoid, salt)
+		if u == nil {
+			continue
+		}
+		start := now + s.queueWait(u)
+		if !s.endsBeforeDeadline(start, j, u) || s.lateness(start, j, u.slow) > maxLateness {
+			continue
+		}
+		if loss := s.loss(start, j, u.slow); loss < least {
+			best, least = u, loss
+		}
+	}
+	return best
+}
+
+// queueWait is how long a task is expected to wait in look-ahead at u.
+func (s *service) queueWait(u *upstream) time.Duration {
+	ends := s.sizes.run * s.outlook().factor * u.slow / float64(max(u.slots(), 1))
+	return seconds(float64(u.backlog()+1) * ends)
+}
+
 // canBeInTime reports whether the next task of j would probably be in time on the
 // fastest worker. The other batches get the room that these leave.
 func (s *service) canBeInTime(now time.Duration, j *job) bool {
@@ -76,9 +105,9 @@
 		switch {
 		case j.batch == nil:
 		case !j.started() && s.lateness(now, j, s.fastest) >= hopeless && c.workerFor(now, s, j) == nil:
-			wait := seconds(s.workBefore(j.batch) * s.declaredScale() / max(s.capacity(), 1))
+			wait := seconds(s.workBefore(j.batch) * s.outlook().factor / max(s.capacity(), 1))
 			c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetry(wait)))
-		case !s.mayEnd(now, j.deadline, j.stepAt(j.peek()).runTime, s.fastest):
+		case !j.outlook().mayEnd(now, j.deadline, j.stepAt(j.peek()).runTime, s.fastest):
 			c.fail(now, j, wire.JobFailed, c.unfinished(j, verdict.DeadlinePassed, "the deadline can't be met"))
 		}
 	}
@@ -95,17 +124,16 @@
 	var best *upstream
 	least := math.Inf(1)
 	inTime := s.canBeInTime(now, j)
-	needy := s.needsFast(now, j.deadline, j.stepAt(j.peek()).runTime)
+	needy := j.outlook().needsFast(now, j.deadline, j.stepAt(j.peek()).runTime)
 	for b := s.free.next(0); b >= 0; b = s.free.next(b + 1) {
 		u := s.free.pickIn(b, avoid, salt)
 		if u == nil || !s.endsBeforeDeadline(now, j, u) || !needy && s.reservedAt(u) {
 			continue
 		}
-		late := s.lateness(now, j, u.slow)
-		if late > maxLateness && inTime {
+		if inTime && s.lateness(now, j, u.slow) > maxLateness {
 			continue
 		}
-		cost := late + occupancyPrice*math.Pow(u.occupancy(), occupancyPower)
+		cost := s.loss(now, j, u.slow) + occupancyPrice*math.Pow(u.occupancy(), occupancyPower)
 		if cost < least {
 			best, least = u, cost
 		}
@@ -118,44 +146,9 @@
 	return float64(u.others+u.held) / float64(max(u.slots(), 1))
 }
 
-// endsBeforeDeadline reports whether a task of j may well end on u while its
-// caller still waits.
+// endsBeforeDeadline reports whether a task of j may be risked on u.
 func (s *service) endsBeforeDeadline(now time.Duration, j *job, u *upstream) bool {
-	return s.mayEnd(now, j.deadline, j.stepAt(j.peek()).runTime, u.slow)
-}
-
-// mayEnd reports whether a task of the given declared run time, in seconds, has a
-// fair chance to end in time on a worker of the given slowness.
-func (s *service) mayEnd(now, deadline time.Duration, runTime, slow float64) bool {
-	return now+seconds(runTime*s.declaredScale()*slow) < deadline
-}
-
-// lateness is the probability that a task of j that starts now on a worker of the
-// given slowness ends after the time at which the answer is due. Run times differ
-// from the expected ones by a factor whose logarithm is normal.
-func (s *service) lateness(now time.Duration, j *job, slow float64) float64 {
-	return s.missing(now, j.batch.target, j.stepAt(j.peek()).runTime, slow)
-}
-
-// missing is the probability that a task of the given declared run time, in
-// seconds, ends after a time on a worker of the given slowness.
-func (s *service) missing(now, by time.Duration, runTime, slow float64) float64 {
-	if runTime <= 0 {
-		return 0
-	}
-	slack := (by - now).Seconds()
-	if slack <= 0 {
-		return 1
-	}
-	expected := runTime * s.declaredScale() * slow
-	z := math.Log(slack/expected) / math.Sqrt(max(s.runError, minRunError))
-	return math.Erfc(z/math.Sqrt2) / 2
-}
-
-// needsFast reports whether a task may well end after its caller has left unless
-// it runs on a fast worker.
-func (s *service) needsFast(now, deadline time.Duration, runTime float64) bool {
-	return s.missing(now, deadline, runTime, 1) > needyRisk
+	return s.mayRisk(j.outlook(), now, j.deadline, j.stepAt(j.peek()).runTime, u.slow)
 }
 
 // reservedAt reports whether the room left at u is kept for tasks that need a
@@ -176,7 +169,7 @@
 func (s *service) learnNeedy(now time.Duration, b Batch) {
 	tasks := 0
 	for _, st := range b.Steps {
-		if s.needsFast(now, b.Deadline, st.RunTime.Seconds()) {
+		if s.outlook().needsFast(now, b.Deadline, st.RunTime.Seconds()) {
 			tasks = max(tasks, st.Tasks)
 		}
 	}
@@ -193,10 +186,6 @@
 	}
 }
 
-// minRunError keeps the probability of being late smooth when all run times have
-// been as declared.
-const minRunError = 0.01
-
 // noteFastest updates the slowness of the fastest worker in service.
 func (s *service) noteFastest() {
 	s.fastest = 1
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -63,6 +63,7 @@
 	fastCount  int          // workers of about that slowness
 	needyTasks float64      // average width of the batches that need fast workers, zero if there are none
 	needyShare float64      // their share of the batches
+	unplaced   int          // tasks of batches that arrived since the last placement
 	runError   float64      // variance of the logarithm of run times over expected ones, of sized tasks
 
 	spread float64  // variance of the logarithm of run times at one speed
--- /dev/null
+++ b/dispatch/lateness_test.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// Guards against batches that are taken for late because their declared run time may
+// be wrong: the objective grows with the true one.
+func TestLatenessGrowsWithTheWait(t *testing.T) {
+	o := outlook{factor: 1, sigma: 0.4}
+	goal := Objective{Fixed: 60 * time.Millisecond, Stretch: 1.6}
+	const run = 0.2
+	for _, tc := range []struct {
+		name     string
+		slow     float64
+		wait     time.Duration
+		from, to float64
+	}{
+		{"a fast worker at once", 0.6, 0, 0, 0.01},
+		{"a fast worker after the fixed part", 0.6, 100 * time.Millisecond, 0, 0.05},
+		{"a worker at the stretch at once", 1.6, 0, 0, 0.15},
+		{"a worker at the stretch after the fixed part", 1.6, 120 * time.Millisecond, 0.85, 1},
+		{"a worker beyond the stretch", 4, 0, 0.95, 1},
+		{"any worker after all the time", 0.6, time.Second, 0.99, 1},
+	} {
+		if p := o.late(tc.wait, goal, run, run, 0, tc.slow); p < tc.from || p > tc.to {
+			t.Errorf("%s: late with probability %.3f, want %.2f to %.2f", tc.name, p, tc.from, tc.to)
+		}
+	}
+	wait := o.latestWait(goal, run, 0.6, 1)
+	if p := o.late(wait, goal, run, run, 0, 0.6); p < 0.15 || p > 0.17 {
+		t.Errorf("after the latest wait late with probability %.3f, want that of one standard error", p)
+	}
+}
+
+// Guards against a batch that is held until its deadline although the tasks that
+// have ended show that another one will not end before it.
+func TestBatchThatWillMissItsDeadlineFails(t *testing.T) {
+	f := newBatchFixture(1)
+	if err := f.batch(1, Step{Tasks: 2}); err != nil {
+		t.Fatal(err)
+	}
+	starts := f.tick()[1]
+	if len(starts) != 2 {
+		t.Fatalf("%d starts", len(starts))
+	}
+	answer := func(st wire.Start, reason verdict.Reason, ran time.Duration) wire.Answer {
+		return wire.Answer{Key: st.Key, Try: st.Try, Verdict: verdict.Ran, Reason: reason, RunUS: ran.Microseconds()}
+	}
+	f.now += time.Second
+	f.workerReport(1, 10, answer(starts[0], verdict.Canceled, time.Second)) // starts again
+	f.tick()
+	f.now += 200 * time.Millisecond
+	done := answer(starts[1], verdict.Complete, 1200*time.Millisecond)
+	done.Status = 200
+	f.workerReport(1, 10, done)
+	f.tick()
+	if len(f.out.Finished) != 1 || f.out.Finished[0].Err == nil || f.out.Finished[0].Err.Reason != verdict.DeadlinePassed {
+		t.Fatalf("finished %+v after a task took 12 times as long as declared, want a failure", f.out.Finished)
+	}
+	if v := f.out.Finished[0].Err.Verdict; v == verdict.NotRun {
+		t.Error("a batch of which a task has ended is said not to have run")
+	}
+}
+
+// Guards against an urgent task that waits at its entry because other entries hold
+// the places of all workers: it has to be queued where a place becomes free next.
+func TestUrgentTaskQueuesAtFullWorker(t *testing.T) {
+	f := newBatchFixture(1)
+	f.ups[1].health = Healthy
+	if err := f.batch(1, Step{Tasks: 5}); err != nil {
+		t.Fatal(err)
+	}
+	f.tick()
+	full := wire.Report{Upstream: 1, Credit: 5, Held: 5, Running: 10, ClockMS: f.now.Milliseconds()}
+	f.Report(f.now, full)
+	if err := f.batch(6, Step{Tasks: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if n := len(f.tick()[1]); n != 1 {
+		t.Fatalf("%d tasks were queued at a full worker, want one", n)
+	}
+	full.Held, full.Queued = 6, 1
+	f.Report(f.now, full)
+	if n := len(f.tick()[1]); n != 0 {
+		t.Errorf("%d further tasks were queued at a worker with a queue", n)
+	}
+}
+
+// Guards against batches of a queue that goes first which wait behind others.
+func TestPriorityGoesBeforeLatestStart(t *testing.T) {
+	soon := &batch{priority: 1, latest: time.Millisecond}
+	first := &batch{priority: 0, latest: time.Second}
+	if !first.before(soon) || soon.before(first) {
+		t.Error("a batch of lower priority goes before one of higher priority")
+	}
+	if later := (&batch{priority: 1, latest: time.Second}); !soon.before(later) || later.before(soon) {
+		t.Error("of one priority, the batch with the later start goes first")
+	}
+}
--- a/dispatch/leases.go
+++ b/dispatch/leases.go
@@ -46,7 +46,13 @@
 	if !u.sized() {
 		return 0
 	}
-	return u.clockMS + (now - u.clockAt + taskLease).Milliseconds()
+	return u.agentClockMS(now + taskLease)
+}
+
+// agentClockMS is a time on the agent's clock, early by the time that the report
+// took which carried the clock.
+func (u *upstream) agentClockMS(at time.Duration) int64 {
+	return u.clockMS + (at - u.clockAt).Milliseconds()
 }
 
 // renewLeases renews the leases of the tasks at workers, and gives up the tasks
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -86,7 +86,8 @@
 		return
 	}
 	e := math.Log(float64(a.RunUS)/1e6/st.runTime) - u.pace
-	st.ratio += e
+	j.batch.ended++
+	j.batch.ratio += e
 	s := u.svc
 	s.runError += runErrorWeight * (e*e - s.runError)
 }
@@ -109,7 +110,7 @@
 		if j.batch == nil || a.orphan || a.restarting || !a.overdue(now) {
 			continue
 		}
-		again := seconds(j.stepAt(a.index).runTime * s.declaredScale() * costOf(best))
+		again := seconds(j.stepAt(a.index).runTime * s.outlook().factor * costOf(best))
 		if now+again > j.deadline {
 			continue
 		}
@@ -133,9 +134,10 @@
 	if a.up.unfit && elapsed > time.Duration(rescueStalled*expected)+rescueSlack {
 		return true
 	}
-	if st.done == 0 {
+	b := a.job.batch
+	if b.ended == 0 {
 		return false
 	}
-	expected *= math.Exp(st.ratio / float64(st.done))
+	expected *= math.Exp(b.ratio / float64(b.ended))
 	return elapsed > time.Duration(rescueAlone*expected)+rescueSlack
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -27,6 +27,7 @@
 // placeWaiting binds waiting tasks to upstreams with credit, service by service.
 func (c *Core) placeWaiting(now time.Duration) {
 	for _, s := range c.svcOrder {
+		s.unplaced = 0
 		if s.fair.waiting == 0 {
 			continue
 		}
@@ -205,7 +206,7 @@
 // message builds the start of an attempt.
 func (a *attempt) message(now time.Duration) wire.Start {
 	spec := &a.job.tasks[a.index].spec
-	return wire.Start{
+	st := wire.Start{
 		Key:      a.job.keyOf(a.index),
 		Epoch:    a.job.epoch,
 		Try:      a.try,
@@ -221,6 +222,10 @@
 		DeclaredMS: spec.DeclaredMS,
 		Batch:      a.job.key.Index,
 	}
+	if b := a.job.batch; b != nil {
+		st.Priority, st.DueMS = b.priority, a.up.agentClockMS(b.latest)
+	}
+	return st
 }
 
 // drop unfiles an attempt that has been answered or lost.
@@ -291,14 +296,14 @@
 	if u.health == Healthy {
 		limit = u.credit
 	}
-	if limit <= u.held {
-		return
-	}
 	open := u.slots() - u.others - u.held
 	switch {
-	case open > 0:
+	case limit > u.held && open > 0:
 		s.free.add(u, &u.freeAt, u.bucket)
-	case open+c.cfg.LookAhead > 0:
+	case open+c.cfg.LookAhead <= 0:
+	case limit > u.held, u.sized() && u.health == Healthy:
+		// A worker's agent starts what waits there in order of urgency, so the share
+		// of an entry does not limit what it may have waiting.
 		s.ahead.add(u, &u.aheadA, u.bucket)
 	}
 }
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -19,9 +19,17 @@
 	Steps    []dispatch.Step
 	Name     func(step, index int) string // of a task at its worker
 	Attempts int
-	// Target and Deadline are times from now: by when the answer should be
-	// there, and after which nobody waits for it.
-	Target, Deadline time.Duration
+	Priority int // 0 goes first
+	// Objective tells by when the answer should be there.
+	Objective dispatch.Objective
+	// Deadline is the time from now after which nobody waits for the answer.
+	Deadline time.Duration
+}
+
+// Target is the time from now by which the answer should be there if the run
+// times are as declared.
+func (b Batch) Target() time.Duration {
+	return b.Objective.Fixed + time.Duration(b.Objective.Stretch*float64(dispatch.Chain(b.Steps)))
 }
 
 // Tasks is the number of tasks of all steps.
@@ -84,7 +92,7 @@
 	ok := l.loop.Call(func(now time.Duration) {
 		refused = l.core.Batch(now, dispatch.Batch{
 			Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name,
-			Attempts: b.Attempts, Target: now + b.Target, Deadline: now + b.Deadline,
+			Attempts: b.Attempts, Priority: b.Priority, Objective: b.Objective, Deadline: now + b.Deadline,
 		})
 		if refused == nil {
 			l.requests[r.key] = r
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -71,12 +71,28 @@
 		return verdict.UpstreamFailed
 	case st.Size.IsZero() || !c.cfg.Capacity.Holds(st.Size):
 		return verdict.Infeasible
-	case !c.free().Holds(st.Size) && c.queued >= c.cfg.LookAhead+c.overcommit():
+	case !c.free().Holds(st.Size) && c.queued >= c.cfg.LookAhead+c.overcommit() && !c.displaces(&st):
 		return verdict.NoCredit
 	}
 	return ""
 }
 
+// displaces reports whether a start goes before the least urgent queued task.
+func (c *Core) displaces(st *wire.Start) bool {
+	n := len(c.queue)
+	return n > 0 && st.MoreUrgent(&c.queue[n-1].start)
+}
+
+// trimQueue refuses the least urgent tasks beyond the bound of the queue.
+func (c *Core) trimQueue() {
+	for c.queued > c.cfg.LookAhead+c.overcommit() && !c.free().Holds(wire.Resources{}) {
+		r := c.queue[len(c.queue)-1]
+		c.queue = c.queue[:len(c.queue)-1]
+		c.unqueue(r)
+		c.refuse(r, verdict.NoCredit)
+	}
+}
+
 // runSized starts the queued tasks that fit, in order of arrival. A large task
 // does not hold up the smaller ones behind it.
 func (c *Core) runSized(now time.Duration) []wire.Start {
--- a/executor/sized_test.go
+++ b/executor/sized_test.go
@@ -153,3 +153,29 @@
 		t.Errorf("the worker is unfit after a success: %s", c.Unfit())
 	}
 }
+
+// Guards against urgent tasks that wait behind others, and against a queue that
+// grows with them: a task in excess is given back, the least urgent one first.
+func TestQueueIsInOrderOfUrgency(t *testing.T) {
+	c := newSized()
+	urgent := func(from ids.Incarnation, index uint64, priority int, due time.Duration) wire.Start {
+		st := sizedStart(from, index, 16000)
+		st.Priority, st.DueMS = priority, due.Milliseconds()
+		return st
+	}
+	sendUntil(c, 0, time.Second, e1, urgent(e1, 1, 2, time.Second))
+	sendUntil(c, 0, time.Second, e1, urgent(e1, 2, 2, 100*time.Millisecond))
+	sendUntil(c, 0, time.Second, e2, urgent(e2, 3, 0, 500*time.Millisecond))
+	out := sendUntil(c, 0, time.Second, e2, urgent(e2, 4, 0, 400*time.Millisecond))
+	if got := refusals(out, e1); got[ids.RequestOf(e1, 2)] != verdict.NoCredit {
+		t.Errorf("refused %v, want the task of the lowest priority", got)
+	}
+	out = sendUntil(c, 0, time.Second, e1, urgent(e1, 5, 2, 50*time.Millisecond))
+	if got := refusals(out, e1); got[ids.RequestOf(e1, 5)] != verdict.NoCredit {
+		t.Errorf("refused %v, want the task that is less urgent than the queue", got)
+	}
+	c.Finished(0, wire.Answer{Key: ids.RequestOf(e1, 1), Verdict: verdict.Ran, Reason: verdict.Complete, Status: 200})
+	if run := c.Tick(0).Run; len(run) != 1 || run[0].Key != ids.RequestOf(e2, 4) {
+		t.Errorf("started %v, want the task that is due first", run)
+	}
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -1,6 +1,7 @@
 package executor
 
 import (
+	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
@@ -67,8 +68,20 @@
 	s.hold(r.team, 1)
 	c.queued++
 	c.queuedSize = c.queuedSize.Add(r.size)
-	c.queue = append(c.queue, r)
+	c.insert(r)
 	c.learnSize(r.size)
+	if c.sized() {
+		c.trimQueue()
+	}
+}
+
+// insert queues a row in order of urgency. Rows without one keep their order.
+func (c *Core) insert(r *row) {
+	at := len(c.queue)
+	for at > 0 && r.start.MoreUrgent(&c.queue[at-1].start) {
+		at--
+	}
+	c.queue = slices.Insert(c.queue, at, r)
 }
 
 // reopenedBy reports whether st is a later placement of a task that this agent
--- a/wire/task.go
+++ b/wire/task.go
@@ -67,6 +67,18 @@
 	DeclaredMS int64 `json:"q,omitempty"`
 	// Batch is the index of the first task of a sized task's batch.
 	Batch uint64 `json:"bt,omitempty"`
+	// Priority orders the sized tasks that wait at an agent, 0 first, and DueMS those
+	// of one priority: the time on the agent's clock by which the task should start.
+	Priority int   `json:"p,omitempty"`
+	DueMS    int64 `json:"du,omitempty"`
+}
+
+// MoreUrgent reports whether s goes before o at an agent.
+func (s *Start) MoreUrgent(o *Start) bool {
+	if s.Priority != o.Priority {
+		return s.Priority < o.Priority
+	}
+	return s.DueMS < o.DueMS
 }
 
 // Recall names one try of a task that the entry takes back.
