wire: give the priority of a start its own name in the encoding

Cause: the priority took the name of the path, and the encoding drops both of two fields with one name.

--- a/wire/task.go
+++ b/wire/task.go
@@ -69,7 +69,7 @@
 	Batch uint64 `json:"bt,omitempty"`
 	// Priority orders the sized tasks that wait at an agent, 0 first, and DueMS those
 	// of one priority: the time on the agent's clock by which the task should start.
-	Priority int   `json:"p,omitempty"`
+	Priority int   `json:"pr,omitempty"`
 	DueMS    int64 `json:"du,omitempty"`
 }
 
