consensus, clock: elect soon after a restart of all nodes, count suspended time

And Go's monotonic clock stands still while a VM is suspended, so leases and deadlines of a process that wakes were too long: an agent could take a start message that had waited for seconds for a new one.

Ruled out: a shorter election timeout, which would depose leaders on busy machines.

--- a/consensus/config.go
+++ b/consensus/config.go
@@ -13,18 +13,23 @@
 	DefaultElectionTicks         = 10
 	// DefaultLeaseTicks is below the election timeout by one tick of counting
 	// error and one tick of clock drift.
-	DefaultLeaseTicks             = 8
-	DefaultSnapshotTicks          = 40
-	DefaultMaxMessageBytes        = 256 << 10
-	DefaultMaxUncommitted         = 8 << 20
-	DefaultWindow                 = 16
-	DefaultKeepEntries            = 1024
-	DefaultCatchUpEntries         = 256
-	minRetryTicks                 = 3 // a vote takes a round trip and a synced write
-	retrySpreadTicks              = 8
-	entryOverheadBytes            = 32
-	firstIndex, firstTerm         = 1, 1
-	seedStream             uint64 = 0x9e3779b97f4a7c15
+	DefaultLeaseTicks      = 8
+	DefaultSnapshotTicks   = 40
+	DefaultMaxMessageBytes = 256 << 10
+	DefaultMaxUncommitted  = 8 << 20
+	DefaultWindow          = 16
+	DefaultKeepEntries     = 1024
+	DefaultCatchUpEntries  = 256
+	minRetryTicks          = 3 // a vote takes a round trip and a synced write
+	// A node that has just started campaigns after startTicks to startTicks +
+	// startSpreadTicks. When all nodes have started together there is no leader to
+	// wait for, and where there is one the others refuse the pre-vote.
+	startTicks                   = 2
+	startSpreadTicks             = 4
+	retrySpreadTicks             = 8
+	entryOverheadBytes           = 32
+	firstIndex, firstTerm        = 1, 1
+	seedStream            uint64 = 0x9e3779b97f4a7c15
 )
 
 // Config holds what a Node starts from. A numeric field that is zero takes its
@@ -109,6 +114,6 @@
 	n.commit = min(n.commit, n.log.last())
 	n.noteGroups(cfg.Entries)
 	n.saved = HardState{Term: n.term, Vote: n.vote, Commit: n.commit}
-	n.resetDeadline()
+	n.deadline = n.now + startTicks + uint64(n.rng.Int64N(startSpreadTicks+1))
 	return n
 }
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -86,9 +86,19 @@
 		n.vote = m.From
 		n.resetDeadline()
 	}
+	if grant && pre && n.role == preCandidate && m.From < n.cfg.ID {
+		n.yield()
+	}
 	n.send(reply)
 }
 
+// yield leaves the campaign to another node that has asked at the same time. Both
+// would otherwise win the pre-vote and split the votes.
+func (n *Node) yield() {
+	n.role = follower
+	n.deadline = n.now + minRetryTicks + uint64(n.rng.Int64N(retrySpreadTicks))
+}
+
 // admitsCandidate reports whether the candidate is in the group with a boot
 // count that is not below the recorded one. A candidate that this node does not
 // know is judged by the membership record in the request if that is the later
--- a/consensus/timing_test.go
+++ b/consensus/timing_test.go
@@ -60,6 +60,48 @@
 	}
 }
 
+// restartTicks is the 1 s within which a group has a leader again after all of its
+// nodes have started anew.
+const restartTicks = 20
+
+// TestElectionAfterRestartOfAll guards against nodes that all wait for a leader
+// which they have lost together, as after a loss of power.
+func TestElectionAfterRestartOfAll(t *testing.T) {
+	seeds := 2000
+	if testing.Short() {
+		seeds = 200
+	}
+	for _, nodes := range []int{3, 5} {
+		var ticks []uint64
+		for seed := range uint64(seeds) {
+			s := newSim(seed, nodes, faults{})
+			s.clients.idle = true
+			for s.leader() == nil {
+				s.step()
+			}
+			for _, m := range s.machines {
+				s.crash(m)
+			}
+			for _, m := range s.machines { // within two ticks
+				for range s.rng.Uint64N(2 * s.perTick / uint64(nodes)) {
+					s.step()
+				}
+				s.start(m)
+			}
+			start := s.now
+			for s.leader() == nil {
+				s.step()
+			}
+			ticks = append(ticks, (s.now-start+s.perTick-1)/s.perTick)
+		}
+		slices.Sort(ticks)
+		t.Logf("%d nodes: p50 %d, p99 %d, max %d ticks", nodes, ticks[seeds/2], ticks[seeds*99/100], ticks[seeds-1])
+		if ticks[seeds*99/100] > restartTicks {
+			t.Errorf("%d nodes: %d ticks at the 99th percentile exceed %d", nodes, ticks[seeds*99/100], restartTicks)
+		}
+	}
+}
+
 // admissions returns what a leader of three nodes commits in 10 s of virtual
 // time, in units of 1 ms, with a sync of 4 ms and a network of 1 ms. Each of the
 // callers proposes a record as soon as its former one is applied. With single
--- a/eventloop/loop.go
+++ b/eventloop/loop.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/baobabshore/baobabshore/clock"
 )
 
 // queueLength bounds the inputs that wait for the owner. Senders block when it
@@ -17,13 +19,14 @@
 // Input changes the state that the loop's goroutine owns.
 type Input func(now time.Duration)
 
-// Loop is one goroutine with its inputs. Its clock starts at zero.
+// Loop is one goroutine with its inputs. Its clock starts at zero and counts the
+// time for which the VM was suspended, so that leases run out meanwhile.
 type Loop struct {
 	inputs  chan Input
 	stop    chan struct{}
 	done    chan struct{}
 	once    sync.Once
-	origin  time.Time
+	clock   *clock.Stopwatch
 	tickMin time.Duration
 	tick    func(now time.Duration) time.Duration
 }
@@ -35,7 +38,7 @@
 		inputs:  make(chan Input, queueLength),
 		stop:    make(chan struct{}),
 		done:    make(chan struct{}),
-		origin:  time.Now(),
+		clock:   clock.NewStopwatch(),
 		tickMin: tickMin,
 		tick:    tick,
 	}
@@ -45,10 +48,7 @@
 func (l *Loop) Start() { go l.run() }
 
 // Now returns the time on the loop's clock.
-func (l *Loop) Now() time.Duration { return time.Since(l.origin) }
-
-// At returns the time of t on the loop's clock.
-func (l *Loop) At(t time.Time) time.Duration { return t.Sub(l.origin) }
+func (l *Loop) Now() time.Duration { return l.clock.Elapsed() }
 
 // Post queues an input. It returns false when the loop has stopped.
 func (l *Loop) Post(f Input) bool {
