entry, dispatch, member: serve soon after a restart of all, learn true run times

Cause 2: a batch was judged by its declared run time alone. Cause 3: admission counted the run time of a batch's own tasks as its wait, although the last one starts when others have ended.

Change: entries take requests in before they have registered and hold them for at most 0.7 s; batches wait for the first workers for 0.5 s, but never for more than half of their time; entries look at the view every 50 ms while it changes, and an agent asks for it at the hello of an entry that it does not know. dispatch/runtimes.go learns the run times of each queue from the declared ones by least squares. A task is risked on a worker that is not fast up to a probability of 0.12 of missing its deadline, before 0.2.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -11,6 +11,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/baobabshore/baobabshore/clock"
+	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -181,6 +182,9 @@
 
 func (a *Agent) hello(_ context.Context, c *rpc.Conn, h wire.Hello) (wire.HelloReply, error) {
 	l := a.life.Load()
+	if ids.Version(h.Entry) > l.session.View().Version {
+		l.session.Refresh() // starts of the entry are refused until the view shows it
+	}
 	if !l.attach(c, h.Entry) {
 		return wire.HelloReply{}, verdict.Refuse(verdict.Draining, "the incarnation has ended")
 	}
--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -68,8 +68,13 @@
 	Name func(step, index int) string
 	// Attempts is how often one task may fail, 1 or more.
 	Attempts int
+	// Queue names the queue through which the batch came. Batches of one queue are
+	// alike in how their run times differ from the declared ones.
+	Queue string
 	// Priority orders the batches that wait: 0 goes first.
 	Priority int
+	// Arrived is when the caller handed it in, from which the objective counts.
+	Arrived time.Duration
 	// Objective tells by when the answer should be there.
 	Objective Objective
 	// Deadline is the time after which nobody waits for the answer.
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -18,6 +18,8 @@
 	attempts int
 	priority int // 0 goes first
 
+	queue     string
+	prior     outlook // by the declared run times alone, on an average worker
 	objective Objective
 	begun     time.Duration // when the batch arrived
 	chain     float64       // declared run time of the longest chain of steps, in seconds
@@ -60,7 +62,7 @@
 	if c.requests[b.Key] != nil {
 		return verdict.Refuse(verdict.BadRequest, "batch %s is already in progress", b.Key)
 	}
-	j := newBatchJob(now, c.service(b.Service), b)
+	j := newBatchJob(c.service(b.Service), b)
 	c.requests[b.Key] = j
 	c.addJob(now, j, j.specsOf(b))
 	j.svc.sizes.learn(b.Steps)
@@ -88,10 +90,10 @@
 	return out
 }
 
-func newBatchJob(now time.Duration, s *service, b Batch) *job {
+func newBatchJob(s *service, b Batch) *job {
 	j := &job{
 		key: b.Key, team: b.Team, svc: s, deadline: b.Deadline, single: true, idem: true,
-		batch: &batch{attempts: max(b.Attempts, 1), priority: b.Priority, objective: b.Objective, begun: now, chain: Chain(b.Steps).Seconds()},
+		batch: &batch{attempts: max(b.Attempts, 1), priority: b.Priority, queue: b.Queue, objective: b.Objective, begun: b.Arrived, chain: Chain(b.Steps).Seconds()},
 	}
 	work, tasks := 0.0, 0
 	for i, st := range b.Steps {
@@ -102,13 +104,14 @@
 		tasks += st.Tasks
 		work += st.RunTime.Seconds() * float64(st.Tasks)
 	}
+	j.batch.prior = s.runTimes(b.Queue).expect(j.batch.chain)
 	j.batch.setRest()
 	j.tasks = make([]task, tasks)
 	j.next = tasks // steps are released through the list of tasks to place again
 	if tasks > 0 {
 		j.declared = work / float64(tasks)
 	}
-	j.batch.latest = now + s.latestStartOf(b)
+	j.batch.latest = b.Arrived + s.latestStartOf(b)
 	j.batch.arrived = s.fair.arrived + 1
 	return j
 }
--- a/dispatch/batch_test.go
+++ b/dispatch/batch_test.go
@@ -41,8 +41,8 @@
 	}
 	return f.Batch(f.now, Batch{
 		Key: ids.RequestOf(me, seq), Service: svc, Team: "batches", Steps: steps, Attempts: 2,
-		Name:      func(step, i int) string { return fmt.Sprintf("%d.%d", step, i) },
-		Objective: Objective{Fixed: 60 * time.Millisecond, Stretch: 1.6}, Deadline: f.now + 1500*time.Millisecond,
+		Name:    func(step, i int) string { return fmt.Sprintf("%d.%d", step, i) },
+		Arrived: f.now, Objective: Objective{Fixed: 60 * time.Millisecond, Stretch: 1.6}, Deadline: f.now + 1500*time.Millisecond,
 	})
 }
 
@@ -164,3 +164,39 @@
 		t.Errorf("%d tasks were taken in for ten places", taken)
 	}
 }
+
+// Guards against batches that are refused for want of a worker while the workers of
+// an entry that has just started are about to connect, as after a loss of all VMs,
+// and against batches that are then held for longer than half of their time.
+func TestBatchesWaitForFirstWorkers(t *testing.T) {
+	f := newFixture(1)
+	rows := members(1, 0)
+	rows[0].Capacity = wire.Resources{CPU: 16000, Memory: 32768}
+	f.Core = New(Config{Self: me, Services: map[ids.Service]Service{svc: {Slots: 8, Connections: 64}}}, 1)
+	f.Started(f.now)
+	if err := f.batch(1, Step{Tasks: 1}); err != nil {
+		t.Fatalf("refused before workers had time to connect: %v", err)
+	}
+	f.now += 300 * time.Millisecond
+	f.tick()
+	f.SetUpstreams(f.now, rows)
+	f.Connected(f.now, 1)
+	f.workerReport(1, 10)
+	if n := len(f.tick()[1]); n != 1 {
+		t.Errorf("%d tasks were placed at the first worker, want 1", n)
+	}
+
+	f.Core = New(Config{Self: me, Services: map[ids.Service]Service{svc: {Slots: 8, Connections: 64}}}, 1)
+	f.Started(f.now)
+	if err := f.batch(2, Step{Tasks: 1}); err != nil {
+		t.Fatal(err)
+	}
+	f.now += startupWait
+	f.tick()
+	if len(f.out.Finished) != 1 || f.out.Finished[0].Err.Verdict != verdict.NotRun {
+		t.Errorf("finished %+v once the time of the workers has passed, want a refusal", f.out.Finished)
+	}
+	if err := f.batch(3, Step{Tasks: 1}); err == nil || err.Reason != verdict.NoUpstream {
+		t.Errorf("without a worker: %v", err)
+	}
+}
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/baobabshore/baobabshore/verdict"
@@ -22,6 +23,8 @@
 		return verdict.Refuse(verdict.Infeasible, "%d tasks exceed the maximum of %d", tasks, maxTasks)
 	case b.Deadline <= now:
 		return verdict.Refuse(verdict.DeadlinePassed, "the deadline passed %v ago", now-b.Deadline)
+	case now < c.settledAt:
+		return nil // workers are about to connect
 	case s.capacity() <= 0:
 		return verdict.Refuse(verdict.NoUpstream, "no worker of service %s is usable now", b.Service).After(noUpstreamRetry)
 	case !s.anyHolds(b):
@@ -30,6 +33,14 @@
 	return s.onTime(now, b, tasks)
 }
 
+// startupWait is how long after the start of an entry workers are expected to
+// connect. After a loss of all VMs they register together with it.
+const startupWait = 500 * time.Millisecond
+
+// Started tells that the entry has begun to connect to its workers. Until they have
+// had time for it, batches wait for a worker rather than being refused for want of one.
+func (c *Core) Started(now time.Duration) { c.settledAt = now + startupWait }
+
 // anyHolds reports whether each step fits some worker by itself.
 func (s *service) anyHolds(b Batch) bool {
 	for _, st := range b.Steps {
@@ -57,10 +68,12 @@
 	if room >= tasks {
 		return nil // what waits can't use that room, or placement would have used it
 	}
-	latest := now + s.latestStartOf(b)
+	latest := b.Arrived + s.latestStartOf(b)
 	ahead := s.workBefore(&batch{priority: b.Priority, latest: latest, arrived: s.fair.arrived + 1})
-	own := b.work() * float64(tasks-room) / float64(tasks)
-	wait := seconds((ahead + own) * s.outlook().factor / capacity)
+	// The last task starts once as many others have ended as there is no room for:
+	// tasks of other batches, or of this one where these are shorter.
+	own := float64(tasks-room) * min(b.meanRun()*s.outlookOf(b).factor, s.typicalRun())
+	wait := seconds((ahead + own) / capacity)
 	if now+wait <= latest || s.mayWait(now, b, wait) {
 		return nil
 	}
@@ -72,16 +85,16 @@
 // time on one after twice the expected wait. Its own run time leaves so little of
 // the time that the margin of other batches would have it refused at any wait.
 func (s *service) mayWait(now time.Duration, b Batch, wait time.Duration) bool {
-	o, run := s.outlook(), Chain(b.Steps).Seconds()
+	o, run := s.outlookOf(b), Chain(b.Steps).Seconds()
 	return o.needsFast(now, b.Deadline, run) &&
-		o.late(2*wait, b.Objective, run, run, 0, s.fastest) <= maxLateness &&
+		o.late(now+2*wait-b.Arrived, b.Objective, run, run, 0, s.fastest) <= maxLateness &&
 		o.missing(now+2*wait, b.Deadline, run, s.fastest) <= maxLateness
 }
 
 // latestStartOf returns after which wait the last task of a batch should start on
 // the fastest worker to be on time.
 func (s *service) latestStartOf(b Batch) time.Duration {
-	return s.outlook().latestWait(b.Objective, Chain(b.Steps).Seconds(), s.fastest, startMargin)
+	return s.outlookOf(b).latestWait(b.Objective, Chain(b.Steps).Seconds(), s.fastest, startMargin)
 }
 
 // startMargin is the number of standard errors by which a batch should start early.
@@ -90,7 +103,7 @@
 // roomFor returns how many tasks would start at once on workers on which b is
 // expected to end before its deadline, and the work that these do each second.
 func (s *service) roomFor(now time.Duration, b Batch) (open int, capacity float64) {
-	o := s.outlook()
+	o := s.outlookOf(b)
 	longest := 0.0
 	for _, st := range b.Steps {
 		longest = max(longest, st.RunTime.Seconds())
@@ -108,25 +121,30 @@
 	return open, capacity
 }
 
-// workBefore is the declared run time, in seconds, of the waiting tasks that go
-// before those of b.
+// workBefore is the expected run time on average workers, in seconds, of the waiting
+// tasks that go before those of b.
 func (s *service) workBefore(b *batch) float64 {
 	sum := 0.0
 	for _, t := range s.fair.heap {
 		for _, j := range t.jobs {
 			if j.batch != nil && j.batch.before(b) {
-				sum += float64(j.waiting) * j.declared
+				sum += float64(j.waiting) * j.declared * j.outlook().factor
 			}
 		}
 	}
 	return sum
 }
 
-// work is the declared run time of all tasks, in seconds.
-func (b Batch) work() float64 {
-	sum := 0.0
+// meanRun is the mean declared run time of the tasks, in seconds.
+func (b Batch) meanRun() float64 {
+	sum, tasks := 0.0, 0
 	for _, st := range b.Steps {
 		sum += float64(st.Tasks) * st.RunTime.Seconds()
+		tasks += st.Tasks
 	}
-	return sum
+	return sum / float64(max(tasks, 1))
 }
+
+// typicalRun is the expected run time of a task of any batch on an average worker,
+// in seconds.
+func (s *service) typicalRun() float64 { return s.sizes.run * math.Exp(s.basePace) }
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -86,7 +86,7 @@
 
 // queueWait is how long a task is expected to wait in look-ahead at u.
 func (s *service) queueWait(u *upstream) time.Duration {
-	ends := s.sizes.run * s.outlook().factor * u.slow / float64(max(u.slots(), 1))
+	ends := s.typicalRun() * u.slow / float64(max(u.slots(), 1))
 	return seconds(float64(u.backlog()+1) * ends)
 }
 
@@ -104,8 +104,13 @@
 	for _, j := range s.fair.waitingJobs() {
 		switch {
 		case j.batch == nil:
+		case now < c.settledAt && !j.started():
+			// The caller is left the other half of its time to ask elsewhere.
+			if now-j.batch.begun > (j.deadline-j.batch.begun)/2 {
+				c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.NoUpstream, "no worker has connected in time").After(noUpstreamRetry))
+			}
 		case !j.started() && s.lateness(now, j, s.fastest) >= hopeless && c.workerFor(now, s, j) == nil:
-			wait := seconds(s.workBefore(j.batch) * s.outlook().factor / max(s.capacity(), 1))
+			wait := seconds(s.workBefore(j.batch) / max(s.capacity(), 1))
 			c.fail(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetry(wait)))
 		case !j.outlook().mayEnd(now, j.deadline, j.stepAt(j.peek()).runTime, s.fastest):
 			c.fail(now, j, wire.JobFailed, c.unfinished(j, verdict.DeadlinePassed, "the deadline can't be met"))
@@ -167,9 +172,10 @@
 
 // learnNeedy updates the number of tasks of the batches that need fast workers.
 func (s *service) learnNeedy(now time.Duration, b Batch) {
+	o := s.outlookOf(b)
 	tasks := 0
 	for _, st := range b.Steps {
-		if s.outlook().needsFast(now, b.Deadline, st.RunTime.Seconds()) {
+		if o.needsFast(now, b.Deadline, st.RunTime.Seconds()) {
 			tasks = max(tasks, st.Tasks)
 		}
 	}
--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -32,14 +33,17 @@
 	byClass map[string]int           // results by number of tasks
 	useful  time.Duration            // work of the batches that were answered
 	sent    int
-	results map[string]int // batches by how they ended
-	late    int            // batches refused later than a quarter of their target
+	spread  bool                                                  // batches of a class differ in size, and their declared times differ from it
+	sizes   map[string]batchSize                                  // where they do, by name
+	results map[string]int                                        // batches by how they ended
+	late    int                                                   // batches refused later than a quarter of their target
+	ended   func(class string, size time.Duration, answered bool) // nil if unused
 }
 
 var workerSize = wire.Resources{CPU: 16000, Memory: 32768}
 
 func newBatchWorld(seed uint64, entries, workers int) *batchWorld {
-	b := &batchWorld{world: newWorld(seed, entries, 0, 8), active: map[string]int{}, results: map[string]int{}, byClass: map[string]int{}, work: map[string]time.Duration{}}
+	b := &batchWorld{world: newWorld(seed, entries, 0, 8), active: map[string]int{}, results: map[string]int{}, byClass: map[string]int{}, work: map[string]time.Duration{}, sizes: map[string]batchSize{}}
 	b.world.batches = b
 	b.cfg.QuarantineShare = 0.3
 	for n := range workers {
@@ -137,20 +141,24 @@
 	if !e.alive {
 		return
 	}
+	mean := run
 	e.seq += uint64(tasks)
 	key := ids.RequestOf(e.inc, e.seq-uint64(tasks)+1)
 	begin := b.now
+	if b.spread {
+		run = b.sizeOf(name, run).declared
+	}
 	target := 60*time.Millisecond + time.Duration(1.6*float64(run))
 	due := 60*time.Millisecond + time.Duration(1.6*float64(b.drawWork(name, tasks, run)))
 	batch := dispatch.Batch{
-		Key: key, Team: "batches", Service: svc, Attempts: 3, Objective: dispatch.Objective{Fixed: 60 * time.Millisecond, Stretch: 1.6}, Deadline: b.now + 1480*time.Millisecond,
+		Key: key, Team: "batches", Service: svc, Attempts: 3, Arrived: b.now, Objective: dispatch.Objective{Fixed: 60 * time.Millisecond, Stretch: 1.6}, Deadline: b.now + 1480*time.Millisecond,
 		Steps:    []dispatch.Step{{Tasks: tasks, RunTime: run, Spec: wire.TaskSpec{Size: wire.Resources{CPU: 1600, Memory: 64}}}},
 		Name:     func(_, i int) string { return fmt.Sprintf("%s.%d", name, i) },
-		Priority: priorityOf(tasks),
+		Priority: priorityOf(tasks), Queue: mean.String(),
 	}
 	again := func() {
 		if tries > 0 {
-			b.after(resendAfter, func() { b.hand(name, b.entries[b.rng.IntN(len(b.entries))], tasks, run, tries-1) })
+			b.after(resendAfter, func() { b.hand(name, b.entries[b.rng.IntN(len(b.entries))], tasks, mean, tries-1) })
 		}
 	}
 	ended := func(err *verdict.Error) {
@@ -167,6 +175,9 @@
 			how = "late"
 		}
 		b.results[how]++
+		if b.ended != nil {
+			b.ended(mean.String(), b.sizes[name].size, err == nil)
+		}
 		b.byClass[fmt.Sprint(tasks, " ", how)]++
 		switch {
 		case err != nil && err.Verdict == verdict.MayHaveRun:
@@ -195,6 +206,21 @@
 	return 2
 }
 
+// batchSize is the run time of a batch's tasks, true and declared.
+type batchSize struct{ size, declared time.Duration }
+
+// sizeOf draws the size of a batch of a class with the given mean, and what its
+// caller takes it for.
+func (b *batchWorld) sizeOf(name string, mean time.Duration) batchSize {
+	s, ok := b.sizes[name]
+	if !ok {
+		s.size = time.Duration(float64(mean) * math.Exp(0.4*b.rng.NormFloat64()))
+		s.declared = time.Duration(float64(s.size) * math.Exp(0.4*b.rng.NormFloat64()))
+		b.sizes[name] = s
+	}
+	return s
+}
+
 // drawWork gives the tasks of a batch their true run times, and returns the
 // longest. Declared times are wrong by a factor for the whole batch, and the tasks
 // of a batch differ a little.
@@ -204,7 +230,11 @@
 	for i := range tasks {
 		task := fmt.Sprintf("%s.%d", name, i)
 		if b.work[task] == 0 {
-			b.work[task] = time.Duration(float64(declared) * off * math.Exp(0.14*b.rng.NormFloat64()))
+			size := float64(declared) * off
+			if b.spread {
+				size = float64(b.sizes[name].size)
+			}
+			b.work[task] = time.Duration(size * math.Exp(0.14*b.rng.NormFloat64()))
 		}
 		longest = max(longest, b.work[task])
 	}
@@ -341,6 +371,49 @@
 	}
 }
 
+// Guards against long batches that only fast workers end in time and that are crowded
+// out by short ones, and against a wrong declared size that decides who is served: of
+// each class, the largest tenth included, at least half as many are answered as of all.
+func TestSizesAreServedAlike(t *testing.T) {
+	answered, all := map[string]int{}, map[string]int{}
+	for seed := range uint64(6) {
+		b := newBatchWorld(seed, 7, 11)
+		b.spread = true
+		b.ended = func(class string, size time.Duration, ok bool) {
+			part := class
+			if size > largestTenth(class) {
+				part += " largest"
+			}
+			for _, p := range []string{class, part} {
+				all[p]++
+				if ok {
+					answered[p]++
+				}
+			}
+		}
+		b.load(time.Second, 10*time.Second, 0.66)
+		b.run(14 * time.Second)
+	}
+	for part, n := range all {
+		class, _, _ := strings.Cut(part, " ")
+		share, ofClass := float64(answered[part])/float64(n), float64(answered[class])/float64(all[class])
+		t.Logf("%s: %.3f of %d", part, share, n)
+		if share < ofClass/2 {
+			t.Errorf("%s: %.3f answered, of the class %.3f", part, share, ofClass)
+		}
+	}
+}
+
+// largestTenth is the size that a tenth of the batches of a class exceed: sizes differ
+// by a factor whose logarithm has a standard deviation of 0.4.
+func largestTenth(class string) time.Duration {
+	mean, err := time.ParseDuration(class)
+	if err != nil {
+		panic(err) // classes are named by their mean
+	}
+	return time.Duration(float64(mean) * math.Exp(1.28*0.4))
+}
+
 // Guards against a burst that takes the goodput down: while 1.3 times the capacity
 // is asked for, 95 % of it (design section 1.5) goes into batches that are answered.
 func TestGoodputOfBatchesInABurst(t *testing.T) {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -37,6 +37,7 @@
 	sweepAt    time.Duration
 	now        time.Duration // of the tick, for the texts of errors
 	hopelessAt time.Duration // next pass over the waiting batches
+	settledAt  time.Duration // when the workers have had time to connect
 	leaseAt    time.Duration // next pass over the leases at workers
 	msgs       Messages
 	ring       decisionRing
@@ -57,14 +58,14 @@
 	busy        fenwick     // busy slots by cost bucket
 	rate        fenwick     // completions per unit of work by cost bucket
 
-	sizes      sizeEstimate // of sized tasks
-	basePace   float64      // average pace of the workers
-	fastest    float64      // slowness of the fastest worker, set by each sweep
-	fastCount  int          // workers of about that slowness
-	needyTasks float64      // average width of the batches that need fast workers, zero if there are none
-	needyShare float64      // their share of the batches
-	unplaced   int          // tasks of batches that arrived since the last placement
-	runError   float64      // variance of the logarithm of run times over expected ones, of sized tasks
+	sizes      sizeEstimate         // of sized tasks
+	basePace   float64              // average pace of the workers
+	fastest    float64              // slowness of the fastest worker, set by each sweep
+	fastCount  int                  // workers of about that slowness
+	needyTasks float64              // average width of the batches that need fast workers, zero if there are none
+	needyShare float64              // their share of the batches
+	unplaced   int                  // tasks of batches that arrived since the last placement
+	queues     map[string]*runTimes // by queue
 
 	spread float64  // variance of the logarithm of run times at one speed
 	work   estimate // normalized run time of tasks, in seconds
@@ -209,7 +210,7 @@
 	if s != nil {
 		return s
 	}
-	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1, runError: initialRunError, fastest: 1}
+	s = &service{name: name, cfg: c.cfg.Services[name], spread: 1, fastest: 1, queues: map[string]*runTimes{}}
 	s.fair.init()
 	c.services[name] = s
 	at, _ := slices.BinarySearchFunc(c.svcOrder, name, func(o *service, n ids.Service) int {
--- a/dispatch/lateness.go
+++ b/dispatch/lateness.go
@@ -30,12 +30,9 @@
 	// resolution is the least standard deviation, in seconds, of when an answer is
 	// there: messages take about as long.
 	resolution = 2e-3
-	// minRunError keeps the probability of being late smooth when all run times have
-	// been as declared.
-	minRunError = 0.01
 	// maxMissRisk is the probability of missing the deadline that is taken on a
 	// worker that is not among the fastest.
-	maxMissRisk = 0.2
+	maxMissRisk = 0.12
 	// needyRisk is the probability of missing the deadline on an average worker above
 	// which a task needs a fast one. fastRange is the range of slowness, from that of
 	// the fastest worker, that counts as fast.
@@ -47,27 +44,29 @@
 	doomed = 0.95
 )
 
-// outlook returns what is known of a batch before any of its tasks has ended.
-func (s *service) outlook() outlook {
-	return outlook{factor: math.Exp(s.basePace), sigma: math.Sqrt(max(s.runError, minRunError))}
-}
-
 // outlook returns what is known of j. Its tasks share most of the error of their
 // declared run times, so those that have ended tell of the others.
 func (j *job) outlook() outlook {
-	o := j.svc.outlook()
 	b := j.batch
+	scale := math.Exp(j.svc.basePace)
 	if b.ended == 0 {
-		return o
+		return outlook{factor: scale * b.prior.factor, sigma: b.prior.sigma}
 	}
-	prior, seen := 1/(o.sigma*o.sigma), float64(b.ended)/(unevenness*unevenness)
-	mean := seen / (prior + seen) * b.ratio / float64(b.ended)
+	prior, seen := 1/(b.prior.sigma*b.prior.sigma), float64(b.ended)/(unevenness*unevenness)
+	mean := (prior*math.Log(b.prior.factor) + seen*b.ratio/float64(b.ended)) / (prior + seen)
 	return outlook{
-		factor: o.factor * math.Exp(mean),
+		factor: scale * math.Exp(mean),
 		sigma:  math.Sqrt(1/(prior+seen) + unevenness*unevenness),
 	}
 }
 
+// outlookOf returns what is known of a batch before it has been taken in.
+func (s *service) outlookOf(b Batch) outlook {
+	o := s.runTimes(b.Queue).expect(Chain(b.Steps).Seconds())
+	o.factor *= math.Exp(s.basePace)
+	return o
+}
+
 // missing is the probability that a task of the given declared run time, in
 // seconds, that starts now ends after a time on a worker of the given slowness.
 func (o outlook) missing(now, by time.Duration, runTime, slow float64) float64 {
--- a/dispatch/lateness_test.go
+++ b/dispatch/lateness_test.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -102,3 +104,28 @@
 		t.Error("of one priority, the batch with the later start goes first")
 	}
 }
+
+// Guards against declared run times that are taken at their word: among batches of a
+// queue, the one that declares most tends to run less than it declares, and a declared
+// time far below the true ones of a queue is corrected.
+func TestRunTimesAreLearntFromDeclaredOnes(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	r := (&service{queues: map[string]*runTimes{}}).runTimes("q")
+	const mean, spread, low = 0.9, 0.4, 2.0 // declared times are half of the true ones
+	for range 4000 {
+		size := math.Log(mean) + spread*rng.NormFloat64()
+		declared := size + spread*rng.NormFloat64() - math.Log(low)
+		r.learn(math.Exp(declared), size-declared)
+	}
+	middle := r.expect(mean / low)
+	if middle.factor < 0.85*low || middle.factor > 1.15*low {
+		t.Errorf("a typical batch runs %.2f times as long as declared, want about %v", middle.factor, low)
+	}
+	// Size and error vary alike, so half of an excess is an error.
+	if got, want := r.expect(4*mean/low).factor/middle.factor, 0.5; got < 0.8*want || got > 1.2*want {
+		t.Errorf("a batch that declares 4 times the mean runs %.2f times that, want about %v", got, want)
+	}
+	if want := spread / math.Sqrt2; middle.sigma < 0.8*want || middle.sigma > 1.2*want {
+		t.Errorf("standard deviation %.2f, want about %.2f", middle.sigma, want)
+	}
+}
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -9,11 +9,6 @@
 )
 
 const (
-	// initialRunError is the variance of the logarithm of run times over expected
-	// ones before any task has ended.
-	initialRunError = 0.2
-	// runErrorWeight is the weight of a task in that variance.
-	runErrorWeight = 0.01
 	// priorTasks is the number of tasks that the pace of a worker's former
 	// incarnation counts for.
 	priorTasks = 4
@@ -88,8 +83,7 @@
 	e := math.Log(float64(a.RunUS)/1e6/st.runTime) - u.pace
 	j.batch.ended++
 	j.batch.ratio += e
-	s := u.svc
-	s.runError += runErrorWeight * (e*e - s.runError)
+	u.svc.runTimes(j.batch.queue).learn(st.runTime, e)
 }
 
 // expectedRun is the time that a task of a step is expected to take on u.
@@ -110,7 +104,7 @@
 		if j.batch == nil || a.orphan || a.restarting || !a.overdue(now) {
 			continue
 		}
-		again := seconds(j.stepAt(a.index).runTime * s.outlook().factor * costOf(best))
+		again := seconds(j.stepAt(a.index).runTime * j.outlook().factor * costOf(best))
 		if now+again > j.deadline {
 			continue
 		}
--- /dev/null
+++ b/dispatch/runtimes.go
@@ -0,0 +1,70 @@
+package dispatch
+
+import "math"
+
+// runTimes is what has been learnt of a queue: how the true run times of its batches
+// follow from the declared ones. Declared times are the true ones with an error, so a
+// batch that declares far more than others of its queue tends to run less than that.
+// The relation is a straight line through the logarithms, by least squares.
+type runTimes struct {
+	weight   float64 // number of tasks, at most runTimesMemory
+	declared float64 // mean logarithm of the declared run times, in seconds
+	excess   float64 // mean logarithm of the true ones over the declared ones
+
+	// Variances and covariance of the two around their means.
+	varDeclared, varExcess, covariance float64
+}
+
+const (
+	// runTimesMemory is the number of tasks over which the relation is averaged.
+	runTimesMemory = 400
+	// initialRunError is the variance of the logarithm of run times over expected
+	// ones before any task has ended; it counts for priorTasksOfQueue tasks.
+	initialRunError   = 0.2
+	priorTasksOfQueue = 20
+	// minRunError keeps the probability of being late smooth when all run times have
+	// been as declared.
+	minRunError = 0.01
+	// priorSpread is added to the variance of the declared times, so that few of them
+	// that hardly differ tell nothing of the slope.
+	priorSpread = 0.05
+)
+
+// runTimes returns what has been learnt of a queue.
+func (s *service) runTimes(queue string) *runTimes {
+	r := s.queues[queue]
+	if r == nil {
+		r = &runTimes{weight: priorTasksOfQueue, varExcess: initialRunError}
+		s.queues[queue] = r
+	}
+	return r
+}
+
+// learn takes in a task: its declared run time in seconds, and the logarithm of its
+// true one over it, both on an average worker.
+func (r *runTimes) learn(declared, excess float64) {
+	x := math.Log(declared)
+	if r.weight == priorTasksOfQueue {
+		r.declared = x
+	}
+	r.weight = min(r.weight+1, runTimesMemory)
+	w := 1 / r.weight
+	dx, de := x-r.declared, excess-r.excess
+	r.declared += w * dx
+	r.excess += w * de
+	r.varDeclared += w * ((1-w)*dx*dx - r.varDeclared)
+	r.varExcess += w * ((1-w)*de*de - r.varExcess)
+	r.covariance += w * ((1-w)*dx*de - r.covariance)
+}
+
+// expect returns what is known of a batch by its declared run time, in seconds, on an
+// average worker.
+func (r *runTimes) expect(declared float64) outlook {
+	if declared <= 0 {
+		return outlook{factor: 1, sigma: math.Sqrt(initialRunError)}
+	}
+	slope := min(max(r.covariance/(r.varDeclared+priorSpread), -1), 0)
+	excess := r.excess + slope*(math.Log(declared)-r.declared)
+	rest := r.varExcess - slope*(2*r.covariance-slope*r.varDeclared)
+	return outlook{factor: math.Exp(excess), sigma: math.Sqrt(max(rest, minRunError))}
+}
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -19,14 +19,16 @@
 	Steps    []dispatch.Step
 	Name     func(step, index int) string // of a task at its worker
 	Attempts int
-	Priority int // 0 goes first
+	Queue    string
+	Priority int       // 0 goes first
+	Arrived  time.Time // at the entry
 	// Objective tells by when the answer should be there.
 	Objective dispatch.Objective
-	// Deadline is the time from now after which nobody waits for the answer.
+	// Deadline is the time from the arrival after which nobody waits for the answer.
 	Deadline time.Duration
 }
 
-// Target is the time from now by which the answer should be there if the run
+// Target is the time from the arrival by which the answer should be there if the run
 // times are as declared.
 func (b Batch) Target() time.Duration {
 	return b.Objective.Fixed + time.Duration(b.Objective.Stretch*float64(dispatch.Chain(b.Steps)))
@@ -68,7 +70,7 @@
 		return err
 	}
 	// The core ends the batch at its deadline, so this wait only bounds a fault.
-	w := watch{until: time.Now().Add(b.Deadline + e.opts.SuspectAfter), conn: conn}
+	w := watch{until: b.Arrived.Add(b.Deadline + e.opts.SuspectAfter), conn: conn}
 	switch w.wait(r.done, e.ctx.Done()) {
 	case waitDone:
 	case waitLimit:
@@ -90,9 +92,10 @@
 	r := &request{key: ids.RequestOf(l.self, l.seq.Add(span)-span+1), done: make(chan struct{})}
 	var refused *verdict.Error
 	ok := l.loop.Call(func(now time.Duration) {
+		arrived := now - time.Since(b.Arrived)
 		refused = l.core.Batch(now, dispatch.Batch{
-			Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name,
-			Attempts: b.Attempts, Priority: b.Priority, Objective: b.Objective, Deadline: now + b.Deadline,
+			Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
+			Queue: b.Queue, Priority: b.Priority, Arrived: arrived, Objective: b.Objective, Deadline: arrived + b.Deadline,
 		})
 		if refused == nil {
 			l.requests[r.key] = r
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -28,20 +28,25 @@
 	registerPause = 200 * time.Millisecond
 	// expireInterval is the time between two passes over the ended jobs.
 	expireInterval = time.Second
+	// registerWait is how long a request waits for the first registration of the
+	// entry. After a loss of all VMs the control group needs about as long to be back.
+	registerWait = 700 * time.Millisecond
 )
 
 // Entry is a running entry.
 type Entry struct {
-	opts     Options
-	rpc      *rpc.Server
-	http     *fasthttp.Server
-	callers  net.Listener
-	peers    *peers
-	jobs     *table
-	metrics  *metrics
-	life     atomic.Pointer[life]
-	leaving  atomic.Bool // asks for no further callers
-	draining atomic.Bool // refuses new work
+	opts    Options
+	rpc     *rpc.Server
+	http    *fasthttp.Server
+	callers net.Listener
+	peers   *peers
+	jobs    *table
+	metrics *metrics
+	life    atomic.Pointer[life]
+	// registered is closed once there is a life.
+	registered chan struct{}
+	leaving    atomic.Bool // asks for no further callers
+	draining   atomic.Bool // refuses new work
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -56,7 +61,10 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{opts: o, jobs: newTable(o.AnswerBytes), metrics: newMetrics(o.Scope)}
+	e := &Entry{
+		opts: o, jobs: newTable(o.AnswerBytes), metrics: newMetrics(o.Scope),
+		registered: make(chan struct{}),
+	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.peers = newPeers(o.Security, o.Counters)
 	l, err := net.Listen("tcp", o.Listen)
@@ -70,15 +78,19 @@
 	if e.opts.Advertise == "" {
 		e.opts.Advertise = l.Addr().String()
 	}
+	// Requests are taken in before the registration: each is answered within its
+	// time, rather than found in the listener's queue when nobody waits any more.
+	e.http = e.httpServer()
+	e.done.Go(e.serveCallers)
 	if err := e.register(ctx, member.NewNonce()); err != nil {
 		e.cancel()
 		l.Close()
 		e.callers.Close()
+		_ = e.http.Shutdown() // the failed registration is the cause
 		return nil, err
 	}
+	close(e.registered)
 	e.rpc = rpc.NewServer(l, o.Security, e.mux(), o.Counters)
-	e.http = e.httpServer()
-	e.done.Go(e.serveCallers)
 	e.done.Go(e.supervise)
 	e.done.Go(e.expire)
 	klog.Infof("entry: Serving callers at %s.", e.Callers())
@@ -91,6 +103,24 @@
 	}
 }
 
+// AwaitRegistration reports whether the entry has registered, waiting for it for a
+// moment after the given arrival of a request.
+func (e *Entry) AwaitRegistration(arrived time.Time) bool {
+	select {
+	case <-e.registered:
+		return true
+	default:
+	}
+	select {
+	case <-e.registered:
+		return true
+	case <-e.ctx.Done():
+		return false
+	case <-time.After(time.Until(arrived.Add(registerWait))):
+		return false
+	}
+}
+
 // register opens a session and starts the life of its incarnation.
 func (e *Entry) register(ctx context.Context, nonce string) error {
 	s, err := e.opts.Session(ctx, wire.Registration{
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -147,6 +147,7 @@
 func (s *fakeSession) Changes() <-chan struct{}     { return s.changes }
 func (s *fakeSession) Gone() <-chan struct{}        { return s.gone }
 func (s *fakeSession) SetDraining(bool)             {}
+func (s *fakeSession) Refresh()                     {}
 func (s *fakeSession) Close()                       {}
 
 func (s *fakeSession) View() *member.View {
--- a/entry/http.go
+++ b/entry/http.go
@@ -78,6 +78,10 @@
 			writeError(ctx, verdict.Unknown(verdict.Internal, "the entry failed on this request"))
 		}
 	}()
+	if !e.AwaitRegistration(ctx.Time()) {
+		writeError(ctx, verdict.Refuse(verdict.Stale, "the entry has not registered yet").After(defaultRetryAfter))
+		return
+	}
 	path := string(ctx.Path())
 	switch {
 	case path == pathJobs:
--- a/entry/life.go
+++ b/entry/life.go
@@ -62,6 +62,7 @@
 func (l *life) start() {
 	l.loop.Start()
 	l.loop.Call(l.applyView)
+	l.loop.Call(l.core.Started)
 	go l.follow()
 	go l.checkAgents()
 }
--- a/member/converge_test.go
+++ b/member/converge_test.go
@@ -240,7 +240,7 @@
 	}
 	s.run(s.now + simWarmUp)
 	for i, m := range s.nodes[0].state.Members() {
-		sm := &simMember{sim: s, tracker: newTracker(simNodes, i, wire.RenewIntervalOf(m.Kind)), inc: m.Incarnation}
+		sm := &simMember{sim: s, tracker: newTracker(simNodes, i, m.Kind), inc: m.Incarnation}
 		s.members = append(s.members, sm)
 		s.after(time.Duration(s.rng.IntN(1000))*time.Millisecond, sm.renew)
 	}
--- a/member/decide.go
+++ b/member/decide.go
@@ -19,6 +19,7 @@
 	confirmed time.Time // when the view is known to have been current
 	gone      bool
 	interval  time.Duration // between renewals
+	settle    time.Duration // between renewals while the view changes
 	spread    int           // varies which server follows the leader
 	stay      int           // renewals at the leader before the others are tried again
 	changedAt time.Time     // when the content of the view changed last
@@ -27,20 +28,26 @@
 const (
 	// settleInterval replaces the interval between renewals while the view has
 	// changed within settleTime. Changes come in groups: processes that restart
-	// together register one after the other.
-	settleInterval = 200 * time.Millisecond
-	settleTime     = 2 * time.Second
+	// together register one after the other. Entries are few and place work on the
+	// agents that register, so they look more often.
+	settleInterval      = 200 * time.Millisecond
+	entrySettleInterval = 50 * time.Millisecond
+	settleTime          = 2 * time.Second
 )
 
 // leaderStay is how many renewals a member makes at the leader after the others
 // have failed. Trying two others that don't answer costs 1.1 s of currency.
 const leaderStay = 8
 
-func newTracker(servers, first int, interval time.Duration) *tracker {
-	return &tracker{
+func newTracker(servers, first int, kind wire.Kind) *tracker {
+	t := &tracker{
 		servers: servers, server: first % servers, view: &View{},
-		interval: interval, spread: first / servers,
+		interval: wire.RenewIntervalOf(kind), settle: settleInterval, spread: first / servers,
 	}
+	if kind == wire.KindEntry {
+		t.settle = entrySettleInterval
+	}
+	return t
 }
 
 // accept takes over the reply to a renewal that was sent at the given time, and
@@ -122,7 +129,7 @@
 	}
 	t.moves = 0
 	if now.Sub(t.changedAt) < settleTime {
-		return min(settleInterval, t.interval)
+		return min(t.settle, t.interval)
 	}
 	return t.interval
 }
--- a/member/decide_test.go
+++ b/member/decide_test.go
@@ -18,7 +18,7 @@
 
 // Guards against a configuration that reverts when a stale node answers first.
 func TestOlderVersionIsNeverAccepted(t *testing.T) {
-	tr := newTracker(3, 0, wire.RenewInterval)
+	tr := newTracker(3, 0, wire.KindEntry)
 	start := time.Now()
 	tr.accept(start, configReply(10, "new", 0))
 	stale := configReply(9, "old", 0)
@@ -40,7 +40,7 @@
 // Guards against currency that is counted from the arrival of a delayed reply, or
 // that ignores the age of the node's own confirmation.
 func TestCurrencyCountsFromTheQuestion(t *testing.T) {
-	tr := newTracker(1, 0, wire.RenewInterval)
+	tr := newTracker(1, 0, wire.KindEntry)
 	sent := time.Now()
 	if tr.current(sent) {
 		t.Fatal("current without any confirmation")
@@ -64,7 +64,7 @@
 // server, against one that asks failed servers without any pause, and against a
 // view that never arrives because it takes longer than the time limit.
 func TestChangeOfServer(t *testing.T) {
-	tr := newTracker(3, 2, wire.RenewInterval)
+	tr := newTracker(3, 2, wire.KindEntry)
 	var pauses []time.Duration
 	for range 6 {
 		tr.failed()
@@ -116,7 +116,7 @@
 	now, reply := time.Now(), wire.RenewReply{Version: 1, Leads: true}
 	var at [3]int
 	for first := range 60 {
-		tr := newTracker(3, first, wire.RenewInterval)
+		tr := newTracker(3, first, wire.KindEntry)
 		for range 2 {
 			reply.Leads = tr.server == leader
 			tr.accept(now, reply)
@@ -129,7 +129,7 @@
 	if at[leader] != 0 || at[0] != at[2] {
 		t.Errorf("members at the nodes: %v, of which %d leads", at, leader)
 	}
-	tr := newTracker(3, leader, wire.AgentRenewInterval)
+	tr := newTracker(3, leader, wire.KindAgent)
 	var elapsed, good, longest time.Duration
 	tried := map[int]bool{}
 	for range 100 {
@@ -148,7 +148,7 @@
 	if longest >= wire.StaleAfter || len(tried) != 2 {
 		t.Errorf("%v between good replies, tried %v", longest, tried)
 	}
-	single := newTracker(1, 0, wire.RenewInterval)
+	single := newTracker(1, 0, wire.KindEntry)
 	if single.accept(now, reply); single.server != 0 {
 		t.Error("the only server was left")
 	}
@@ -158,20 +158,24 @@
 // after the other: after all processes had restarted, entries refused work for
 // want of agents that had registered a second before.
 func TestChangesBringTheNextRenewalForward(t *testing.T) {
-	tr := newTracker(3, 0, time.Second)
-	at := time.Unix(1000, 0)
-	tr.accept(at, wire.RenewReply{Version: 5, Whole: true})
-	if p := tr.pause(at); p != settleInterval {
-		t.Errorf("pause after a change: %v, want %v", p, settleInterval)
-	}
-	at = at.Add(settleTime - time.Millisecond)
-	tr.accept(at, wire.RenewReply{Version: 5})
-	if p := tr.pause(at); p != settleInterval {
-		t.Errorf("pause within the settling time: %v, want %v", p, settleInterval)
-	}
-	at = at.Add(settleTime)
-	tr.accept(at, wire.RenewReply{Version: 5})
-	if p := tr.pause(at); p != time.Second {
-		t.Errorf("pause of a settled view: %v, want %v", p, time.Second)
+	for kind, settle := range map[wire.Kind]time.Duration{
+		wire.KindEntry: entrySettleInterval, wire.KindAgent: settleInterval,
+	} {
+		tr := newTracker(3, 0, kind)
+		at := time.Unix(1000, 0)
+		tr.accept(at, wire.RenewReply{Version: 5, Whole: true})
+		if p := tr.pause(at); p != settle {
+			t.Errorf("%v: pause after a change: %v, want %v", kind, p, settle)
+		}
+		at = at.Add(settleTime - time.Millisecond)
+		tr.accept(at, wire.RenewReply{Version: 5})
+		if p := tr.pause(at); p != settle {
+			t.Errorf("%v: pause within the settling time: %v, want %v", kind, p, settle)
+		}
+		at = at.Add(settleTime)
+		tr.accept(at, wire.RenewReply{Version: 5})
+		if p := tr.pause(at); p != wire.RenewIntervalOf(kind) {
+			t.Errorf("%v: pause of a settled view: %v, want %v", kind, p, wire.RenewIntervalOf(kind))
+		}
 	}
 }
--- a/member/session.go
+++ b/member/session.go
@@ -81,7 +81,7 @@
 		gone:    make(chan struct{}),
 		kick:    make(chan struct{}, 1),
 		agent:   o.Self.Kind == wire.KindAgent,
-		tracker: newTracker(len(o.Servers), firstServer(o.Self.Nonce), wire.RenewIntervalOf(o.Self.Kind)),
+		tracker: newTracker(len(o.Servers), firstServer(o.Self.Nonce), o.Self.Kind),
 	}
 	s.view.Store(s.tracker.view)
 	if err := s.start(ctx, o.Self); err != nil {
@@ -189,9 +189,13 @@
 
 // SetDraining announces with the next renewals whether the member is draining.
 func (s *Session) SetDraining(d bool) {
-	if s.draining.Swap(d) == d {
-		return
+	if s.draining.Swap(d) != d {
+		s.Refresh()
 	}
+}
+
+// Refresh asks for a renewal at once.
+func (s *Session) Refresh() {
 	select {
 	case s.kick <- struct{}{}:
 	default:
