--- a/agent/run.go
+++ b/agent/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/runner"
@@ -37,6 +38,6 @@
 		Listen: s.Listen, Advertise: s.Advertise, Upstream: s.Upstream,
 		Slots: s.Slots, Connections: s.Connections,
 		Security: sec, Counters: counters,
-		Session: ControlGroup(s.Control, sec, counters),
+		Session: ControlGroup(member.NewDirectory(s.Control...), sec, counters),
 	}
 }
--- a/agent/session.go
+++ b/agent/session.go
@@ -30,10 +30,10 @@
 // OpenSession registers an incarnation. It retries until ctx ends.
 type OpenSession func(ctx context.Context, self wire.Registration) (Session, error)
 
-// ControlGroup opens sessions with the control nodes at the given addresses.
-func ControlGroup(servers []string, sec rpc.Security, counters *rpc.Counters) OpenSession {
+// ControlGroup opens sessions with the control nodes of a directory.
+func ControlGroup(dir *member.Directory, sec rpc.Security, counters *rpc.Counters) OpenSession {
 	return func(ctx context.Context, self wire.Registration) (Session, error) {
-		s, err := member.Open(ctx, member.Options{Servers: servers, Security: sec, Self: self, Counters: counters})
+		s, err := member.Open(ctx, member.Options{Directory: dir, Security: sec, Self: self, Counters: counters})
 		if err != nil {
 			return nil, err
 		}
--- a/agent/upstream_test.go
+++ b/agent/upstream_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/upstreamsim"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
@@ -24,7 +25,7 @@
 func upstreamAt(t *testing.T, o Options) *upstream {
 	t.Helper()
 	o.Node, o.Service = "a", "s"
-	o.Session = ControlGroup(nil, o.Security, nil)
+	o.Session = ControlGroup(member.NewDirectory(), o.Security, nil)
 	o, err := o.withDefaults()
 	if err != nil {
 		t.Fatal(err)
--- a/bench/capacity/child.go
+++ b/bench/capacity/child.go
@@ -15,6 +15,7 @@
 	"github.com/baobabshore/baobabshore/control"
 	"github.com/baobabshore/baobabshore/entry"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/settings"
@@ -86,7 +87,7 @@
 		s.Listen, s.Callers = "127.0.0.1:0", "127.0.0.1:0"
 		o := entry.FromSettings(s, rpc.Security{})
 		o.Scope, o.Counters = pages.Scope(), counters
-		o.Session = entry.ControlGroup(s.Control, rpc.Security{}, counters)
+		o.Session = entry.ControlGroup(member.NewDirectory(s.Control...), rpc.Security{}, counters)
 		e, err := entry.Start(ctx, o)
 		if err != nil {
 			return ready{}, nil, err
@@ -112,7 +113,7 @@
 	if pages != nil {
 		o.Scope = pages.Scope()
 	}
-	o.Session = agent.ControlGroup(s.Control, rpc.Security{}, counters)
+	o.Session = agent.ControlGroup(member.NewDirectory(s.Control...), rpc.Security{}, counters)
 	return agent.Start(ctx, o)
 }
 
--- a/bench/capacity/control.go
+++ b/bench/capacity/control.go
@@ -125,7 +125,7 @@
 func openSession(k wire.Kind, i int, servers []string) (*member.Session, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
-	return member.Open(ctx, member.Options{Servers: servers, Self: registration(k, i, "")})
+	return member.Open(ctx, member.Options{Directory: member.NewDirectory(servers...), Self: registration(k, i, "")})
 }
 
 // crowd is a set of sessions, each with its own connection as a process has.
--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -43,7 +43,7 @@
 
 func benchEntry(b *testing.B, n *Node) *member.Session {
 	self := wire.Registration{Kind: wire.KindEntry, Node: "entry-01", Addr: "10.21.0.17:7400", Weight: 1}
-	s, err := member.Open(b.Context(), member.Options{Servers: []string{n.Addr()}, Self: self})
+	s, err := member.Open(b.Context(), member.Options{Directory: member.NewDirectory(n.Addr()), Self: self})
 	if err != nil {
 		b.Fatal(err)
 	}
@@ -100,7 +100,7 @@
 	}
 	for i := range 13 {
 		self := wire.Registration{Kind: wire.KindAgent, Node: ids.Node(fmt.Sprint("a", i)), Addr: "10.21.0.17:7400", Service: "mostrador"}
-		s, err := member.Open(b.Context(), member.Options{Servers: servers, Self: self})
+		s, err := member.Open(b.Context(), member.Options{Directory: member.NewDirectory(servers...), Self: self})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -182,7 +182,7 @@
 	if kind == wire.KindAgent {
 		self.Service, self.Slots, self.Connections = "mostrador", 8, 64
 	}
-	s, err := member.Open(g.ctx(), member.Options{Servers: servers, Self: self, Dial: g.net.dialer(node)})
+	s, err := member.Open(g.ctx(), member.Options{Directory: member.NewDirectory(servers...), Self: self, Dial: g.net.dialer(node)})
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -341,7 +341,7 @@
 		}
 		return nil
 	})
-	stale := member.Options{Servers: []string{g.opts[lost].Listen}, Self: wire.Registration{Kind: wire.KindAgent, Node: "a4", Addr: "x", Service: "s"}}
+	stale := member.Options{Directory: member.NewDirectory(g.opts[lost].Listen), Self: wire.Registration{Kind: wire.KindAgent, Node: "a4", Addr: "x", Service: "s"}}
 	ctx, cancel := context.WithTimeout(g.ctx(), time.Second)
 	defer cancel()
 	if _, err := member.Open(ctx, stale); verdict.From(err).Reason != verdict.NoQuorum {
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -381,6 +381,59 @@
 	fresh := g.add(self, peers)
 	auto(&g.opts[fresh])
 	g.start(fresh)
+	g.waitVoters(c, g.running())
+	g.waitJoined(c, wire.Join{Node: "fresh", Addr: self.Addr, Instance: g.nodes[fresh].Instance()})
+	g.stop((lost + 1) % 3)
+	g.apply(g.clientAt([]string{g.opts[(lost+2)%3].Listen, self.Addr}), "cmd-3", "3")
+}
+
+// Guards against members that know only the control nodes of their settings: once all
+// of these have been exchanged, their view would never change again.
+func TestMembersFollowExchangedNodes(t *testing.T) {
+	auto := func(o *Options) { o.AutoJoin, o.LostAfter = true, time.Second }
+	g := newGroupWith(t, 3, auto)
+	c := g.client()
+	g.apply(c, "cmd-0", "0")
+	members := []*member.Session{g.session(wire.KindEntry, "e1"), g.session(wire.KindAgent, "a1")}
+	for old := range 3 {
+		g.stop(old)
+		self := Peer{Node: ids.Node(fmt.Sprint("fresh-", old)), Addr: freeAddr(t)}
+		fresh := g.add(self, append(g.running(), self))
+		auto(&g.opts[fresh])
+		g.start(fresh)
+		c = g.clientAt(addrsOf(g.running()))
+		g.waitVoters(c, g.running())
+		g.waitJoined(c, wire.Join{Node: self.Node, Addr: self.Addr, Instance: g.nodes[fresh].Instance()})
+	}
+	g.apply(c, "cmd-1", "after the exchange")
+	for _, m := range members {
+		g.waitValue(m, "after the exchange")
+		g.waitCurrent(m)
+	}
+}
+
+// running lists the nodes that have not been stopped.
+func (g *group) running() []Peer {
+	var list []Peer
+	for i, n := range g.nodes {
+		if n != nil {
+			list = append(list, Peer{Node: g.opts[i].Node, Addr: g.opts[i].Listen})
+		}
+	}
+	return list
+}
+
+func addrsOf(peers []Peer) []string {
+	var out []string
+	for _, p := range peers {
+		out = append(out, p.Addr)
+	}
+	return out
+}
+
+// waitVoters waits until exactly the given nodes vote.
+func (g *group) waitVoters(c *member.Client, want []Peer) {
+	g.t.Helper()
 	g.wait("the new node to vote in place of the lost one", func() error {
 		st, err := c.Status(g.ctx(), wire.Status{})
 		if err != nil {
@@ -390,12 +443,14 @@
 		for _, n := range st.Nodes {
 			voters[n.Node] = n.Voter
 		}
-		if len(voters) != 3 || !voters["fresh"] || voters[g.opts[lost].Node] {
+		for _, p := range want {
+			if !voters[p.Node] {
+				return errors.Errorf("%s does not vote: %+v", p.Node, st.Nodes)
+			}
+		}
+		if len(voters) != len(want) {
 			return errors.Errorf("%+v", st.Nodes)
 		}
 		return nil
 	})
-	g.waitJoined(c, wire.Join{Node: "fresh", Addr: self.Addr, Instance: g.nodes[fresh].Instance()})
-	g.stop((lost + 1) % 3)
-	g.apply(g.clientAt([]string{g.opts[(lost+2)%3].Listen, self.Addr}), "cmd-3", "3")
 }
--- a/control/serve.go
+++ b/control/serve.go
@@ -172,6 +172,9 @@
 		return wire.RenewReply{}, verdict.Refuse(verdict.Stale, "node %s has not reached incarnation %d", c.opt.Node, p.Incarnation)
 	}
 	r := wire.RenewReply{ConfirmedAge: ceilMS(age), Leads: c.leading}
+	if addrs := c.groupAddrs(); wire.GroupHash(addrs) != p.Group {
+		r.Control = addrs
+	}
 	r.SetVersion(p.Have, ids.Version(c.state.Index()))
 	if r.Version > p.Have {
 		r.Changes, r.Whole = c.state.Changes(p.Have, p.Incarnation)
@@ -179,6 +182,17 @@
 	return r, nil
 }
 
+// groupAddrs lists the addresses of the nodes that stay in the group.
+func (c *core) groupAddrs() []string {
+	var out []string
+	for _, p := range c.raft.Group().Peers {
+		if !p.Leaving {
+			out = append(out, p.Addr)
+		}
+	}
+	return out
+}
+
 func ceilMS(d time.Duration) int64 { return int64((d + time.Millisecond - 1) / time.Millisecond) }
 
 func (n *Node) serveLeave(ctx context.Context, _ *rpc.Conn, p wire.Leave) (wire.Empty, error) {
--- a/entry/control_test.go
+++ b/entry/control_test.go
@@ -63,7 +63,7 @@
 		ups = append(ups, u)
 		a, err := agent.Start(t.Context(), agent.Options{
 			Node: ids.Node(fmt.Sprintf("a%d", i+1)), Domain: "d", Service: "s", Upstream: u.Addr(), Slots: 4, Connections: 4,
-			Session: agent.ControlGroup(servers, rpc.Security{}, nil),
+			Session: agent.ControlGroup(member.NewDirectory(servers...), rpc.Security{}, nil),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -75,7 +75,7 @@
 	for i := range 2 {
 		e, err := Start(t.Context(), Options{
 			Node: ids.Node(fmt.Sprintf("e%d", i+1)), Domain: "d",
-			Session: ControlGroup(servers, rpc.Security{}, nil),
+			Session: ControlGroup(member.NewDirectory(servers...), rpc.Security{}, nil),
 		})
 		if err != nil {
 			t.Fatal(err)
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/runner"
@@ -37,7 +38,7 @@
 		Node: s.Node, Region: s.Region, Domain: s.FailureDomain, Weight: s.Weight,
 		Callers: s.Callers, Listen: s.Listen, Advertise: s.Advertise,
 		Security: sec, Counters: counters,
-		Session:     ControlGroup(s.Control, sec, counters),
+		Session:     ControlGroup(member.NewDirectory(s.Control...), sec, counters),
 		Seed:        rand.Uint64(),
 		Connections: s.Limits.Connections,
 		BodyBytes:   s.Limits.BodyBytes,
--- a/member/client.go
+++ b/member/client.go
@@ -31,7 +31,7 @@
 		return nil, verdict.Refuse(verdict.BadRequest, "no control servers are given")
 	}
 	dial := Options{Security: o.Security, Counters: o.Counters, Dial: o.Dial}.dialer()
-	return &Client{servers: newServers(o.Servers, dial)}, nil
+	return &Client{servers: newServers(NewDirectory(o.Servers...), dial)}, nil
 }
 
 // Close ends the client's connections.
@@ -68,7 +68,7 @@
 // from StatusReply.Leader.
 func (c *Client) Status(ctx context.Context, q wire.Status) (wire.StatusReply, error) {
 	var first *wire.StatusReply
-	for _, server := range c.servers.addrs {
+	for _, server := range c.servers.dir.Addrs() {
 		r, err := c.StatusAt(ctx, server, q)
 		if err != nil {
 			continue
--- a/member/client_test.go
+++ b/member/client_test.go
@@ -48,7 +48,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	c.servers.setLeader(c.servers.addrs[0])
+	c.servers.setLeader(c.servers.dir.Addrs()[0])
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
 	r, err := c.Apply(ctx, wire.Apply{Revision: 4})
--- a/member/decide.go
+++ b/member/decide.go
@@ -106,6 +106,19 @@
 	t.move()
 }
 
+// allFailed reports whether every server has failed twice since the last good reply.
+func (t *tracker) allFailed() bool { return t.failures >= 2*t.servers }
+
+// resize adapts to another list of servers. at is the position of the server in use
+// there, negative if it is not in the list.
+func (t *tracker) resize(servers, at int) {
+	t.servers = servers
+	if at < 0 {
+		at = t.spread % servers
+	}
+	t.server = at
+}
+
 // timeout returns how long to wait for the reply to the next renewal. It grows
 // while no server answers, so that a large view gets through a slow network.
 func (t *tracker) timeout() time.Duration {
--- a/member/servers.go
+++ b/member/servers.go
@@ -36,8 +36,8 @@
 
 // servers keeps at most one connection to each control node and finds the leader.
 type servers struct {
-	dial  Dialer
-	addrs []string
+	dial Dialer
+	dir  *Directory
 
 	mu     sync.Mutex
 	conns  map[string]*rpc.Conn
@@ -46,8 +46,8 @@
 	closed bool
 }
 
-func newServers(addrs []string, dial Dialer) *servers {
-	return &servers{dial: dial, addrs: addrs, conns: map[string]*rpc.Conn{}}
+func newServers(dir *Directory, dial Dialer) *servers {
+	return &servers{dial: dial, dir: dir, conns: map[string]*rpc.Conn{}}
 }
 
 func (s *servers) close() {
@@ -130,7 +130,8 @@
 	if s.leader != "" {
 		return s.leader
 	}
-	return s.addrs[s.next%len(s.addrs)]
+	addrs := s.dir.Addrs()
+	return addrs[s.next%len(addrs)]
 }
 
 func (s *servers) setLeader(addr string) {
@@ -198,7 +199,8 @@
 // ctx ends.
 func (s *servers) callAny(ctx context.Context, method string, params, result any) error {
 	for n := 0; ; n++ {
-		err := s.call(ctx, attemptTimeout(ctx), s.addrs[n%len(s.addrs)], method, params, result)
+		addrs := s.dir.Addrs()
+		err := s.call(ctx, attemptTimeout(ctx), addrs[n%len(addrs)], method, params, result)
 		if err == nil {
 			return nil
 		}
--- a/member/session.go
+++ b/member/session.go
@@ -8,6 +8,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,9 +25,9 @@
 
 // Options configures a session.
 type Options struct {
-	// Servers are the addresses of the control nodes, host:port.
-	Servers  []string
-	Security rpc.Security
+	// Directory holds the addresses of the control nodes.
+	Directory *Directory
+	Security  rpc.Security
 	// Self is what the process announces. An empty nonce is replaced by a random one.
 	Self     wire.Registration
 	Counters *rpc.Counters // may be nil
@@ -59,6 +60,7 @@
 
 	mu      sync.Mutex
 	tracker *tracker
+	addrs   []string // of the control nodes, to which the tracker's indexes refer
 	agent   bool
 	served  string // address of the latest good reply
 
@@ -69,19 +71,21 @@
 // Open registers the process and waits for its first view. It retries until ctx
 // ends and then returns a *verdict.Error.
 func Open(ctx context.Context, o Options) (*Session, error) {
-	if len(o.Servers) == 0 {
+	addrs := o.Directory.Addrs()
+	if len(addrs) == 0 {
 		return nil, verdict.Refuse(verdict.BadRequest, "no control servers are given")
 	}
 	if o.Self.Nonce == "" {
 		o.Self.Nonce = NewNonce()
 	}
 	s := &Session{
-		servers: newServers(o.Servers, o.dialer()),
+		servers: newServers(o.Directory, o.dialer()),
+		addrs:   addrs,
 		changes: make(chan struct{}, 1),
 		gone:    make(chan struct{}),
 		kick:    make(chan struct{}, 1),
 		agent:   o.Self.Kind == wire.KindAgent,
-		tracker: newTracker(len(o.Servers), firstServer(o.Self.Nonce), o.Self.Kind),
+		tracker: newTracker(len(addrs), firstServer(o.Self.Nonce), o.Self.Kind),
 	}
 	s.view.Store(s.tracker.view)
 	if err := s.start(ctx, o.Self); err != nil {
@@ -284,9 +288,10 @@
 // renew sends one renewal and takes over the reply.
 func (s *Session) renew(ctx context.Context) {
 	s.mu.Lock()
-	addr := s.servers.addrs[s.tracker.server]
+	s.followDirectory()
+	addr := s.addrs[s.tracker.server]
 	timeout := s.tracker.timeout()
-	req := wire.Renew{Incarnation: s.inc, Have: s.tracker.view.Version, Draining: s.draining.Load()}
+	req := wire.Renew{Incarnation: s.inc, Have: s.tracker.view.Version, Draining: s.draining.Load(), Group: wire.GroupHash(s.addrs)}
 	s.mu.Unlock()
 	var r wire.RenewReply
 	sent := time.Now()
@@ -298,7 +303,14 @@
 	changed := false
 	if err != nil {
 		s.tracker.failed()
+		if s.tracker.allFailed() {
+			s.servers.dir.forgetGroup()
+		}
 	} else {
+		if len(r.Control) > 0 {
+			klog.InfoS("member: Control group told", "nodes", r.Control)
+			s.servers.dir.setGroup(r.Control)
+		}
 		changed = s.tracker.accept(sent, r)
 		s.view.Store(s.tracker.view)
 	}
@@ -321,6 +333,17 @@
 	}
 }
 
+// followDirectory goes on with the addresses that the directory holds now. The caller
+// holds s.mu.
+func (s *Session) followDirectory() {
+	addrs := s.servers.dir.Addrs()
+	if slices.Equal(addrs, s.addrs) {
+		return
+	}
+	s.tracker.resize(len(addrs), slices.Index(addrs, s.addrs[s.tracker.server]))
+	s.addrs = addrs
+}
+
 // Admit asks for the record of a job. Admissions that arrive while a message is
 // on its way share the next one. The owner is set to this incarnation, and an
 // empty nonce to a random one.
--- a/member/session_test.go
+++ b/member/session_test.go
@@ -90,7 +90,7 @@
 	leader, follower := newFakeNode(t), newFakeNode(t)
 	follower.leader = leader.server.Addr()
 	leader.lose = 2
-	o := Options{Servers: []string{follower.server.Addr()}, Self: wire.Registration{Nonce: "x"}}
+	o := Options{Directory: NewDirectory(follower.server.Addr()), Self: wire.Registration{Nonce: "x"}}
 	s, err := Open(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
@@ -134,7 +134,7 @@
 // Guards against a call that hangs or claims a run when no control node answers.
 func TestAdmitGivesUpWithAVerdict(t *testing.T) {
 	leader := newFakeNode(t)
-	s, err := Open(t.Context(), Options{Servers: []string{leader.server.Addr()}})
+	s, err := Open(t.Context(), Options{Directory: NewDirectory(leader.server.Addr())})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/wire/member.go
+++ b/wire/member.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"hash/fnv"
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
@@ -60,6 +61,19 @@
 	Incarnation ids.Incarnation `json:"i"`
 	Have        ids.Version     `json:"v"`
 	Draining    bool            `json:"d,omitempty"`
+	// Group is GroupHash of the addresses that the member has of the control nodes.
+	Group uint32 `json:"g,omitempty"`
+}
+
+// GroupHash identifies a list of addresses of control nodes, in any order.
+func GroupHash(addrs []string) uint32 {
+	sum := uint32(0)
+	for _, a := range addrs {
+		h := fnv.New32a()
+		_, _ = h.Write([]byte(a)) // never fails
+		sum += h.Sum32()
+	}
+	return sum
 }
 
 // RenewReply brings a member's view to Version.
@@ -79,6 +93,9 @@
 	// Gone is set when the incarnation has been ended. The member must stop
 	// new work and register again as a new incarnation.
 	Gone bool `json:"g,omitempty"`
+	// Control lists the addresses of the control nodes if they are others than
+	// those that Renew.Group stands for.
+	Control []string `json:"m,omitempty"`
 }
 
 // SetVersion sets the version for a member that holds have.
