dispatch, executor: hold back from risky placements, judge a stalled worker sooner

Cause: at 1.3 times the capacity 9 % of the work went into long batches that missed their deadline: a probability of 0.12 for each task adds up over a batch and over the time that its later tasks wait. An aborted task could be counted down twice when the queue was cut.

Change: the risk taken on a worker that is not fast is 0.03; the first expectation of a queue believes half of a declared time; overdue tasks that were taken back count against the worker until one ends as it should.

--- a/dispatch/lateness.go
+++ b/dispatch/lateness.go
@@ -32,7 +32,7 @@
 	resolution = 2e-3
 	// maxMissRisk is the probability of missing the deadline that is taken on a
 	// worker that is not among the fastest.
-	maxMissRisk = 0.12
+	maxMissRisk = 0.03
 	// needyRisk is the probability of missing the deadline on an average worker above
 	// which a task needs a fast one. fastRange is the range of slowness, from that of
 	// the fastest worker, that counts as fast.
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -25,16 +25,21 @@
 	// minRunError keeps the probability of being late smooth when all run times have
 	// been as declared.
 	minRunError = 0.01
-	// priorSpread is added to the variance of the declared times, so that few of them
-	// that hardly differ tell nothing of the slope.
-	priorSpread = 0.05
+	// Until a queue has been seen, half of the logarithm by which a declared time
+	// differs from others is believed: sizes and errors are taken to vary alike, with
+	// a variance of priorSpread.
+	priorSlope  = -0.5
+	priorSpread = 0.3
 )
 
 // runTimes returns what has been learnt of a queue.
 func (s *service) runTimes(queue string) *runTimes {
 	r := s.queues[queue]
 	if r == nil {
-		r = &runTimes{weight: priorTasksOfQueue, varExcess: initialRunError}
+		r = &runTimes{
+			weight: priorTasksOfQueue, varExcess: initialRunError,
+			varDeclared: priorSpread, covariance: priorSlope * priorSpread,
+		}
 		s.queues[queue] = r
 	}
 	return r
@@ -63,7 +68,7 @@
 	if declared <= 0 {
 		return outlook{factor: 1, sigma: math.Sqrt(initialRunError)}
 	}
-	slope := min(max(r.covariance/(r.varDeclared+priorSpread), -1), 0)
+	slope := min(max(r.covariance/max(r.varDeclared, minRunError), -1), 0)
 	excess := r.excess + slope*(math.Log(declared)-r.declared)
 	rest := r.varExcess - slope*(2*r.covariance-slope*r.varDeclared)
 	return outlook{factor: math.Exp(excess), sigma: math.Sqrt(max(rest, minRunError))}
--- a/executor/cancel.go
+++ b/executor/cancel.go
@@ -51,13 +51,13 @@
 			c.unqueue(r)
 			c.refuse(r, verdict.Canceled)
 		case wire.TaskRunning:
-			c.abortRow(r)
+			c.abortRow(now, r)
 		}
 	}
 }
 
 // abortRequest ends a single request whose answer nobody waits for.
-func (c *Core) abortRequest(s *session, key ids.TaskKey) {
+func (c *Core) abortRequest(now time.Duration, s *session, key ids.TaskKey) {
 	r := c.rows[key]
 	switch {
 	case r == nil || r.owner != s:
@@ -66,7 +66,7 @@
 		c.unqueue(r)
 		c.refuse(r, verdict.Canceled)
 	case r.state == wire.TaskRunning:
-		c.abortRow(r)
+		c.abortRow(now, r)
 	}
 }
 
--- a/executor/pace.go
+++ b/executor/pace.go
@@ -57,6 +57,9 @@
 	// failures in a row, each of another batch.
 	failures  int
 	lastBatch batchID
+	// stalled counts the overdue tasks that entries have taken back since a task last
+	// ended as it should. They run elsewhere by now, and still tell of the worker.
+	stalled int
 }
 
 // batchID identifies the batch of a sized task at an agent.
@@ -81,7 +84,7 @@
 		return
 	}
 	if a.Reason == verdict.Complete {
-		f.failures = 0
+		f.failures, f.stalled = 0, 0
 		c.setFit(now, true, "a task ended as it should")
 		return
 	}
@@ -119,8 +122,7 @@
 	return c.running+c.queued == 0 && now >= c.fitness.probeAt
 }
 
-// checkStall finds out whether most running tasks are overdue, and returns when to
-// look again.
+// checkStall finds out whether most tasks are overdue, and returns when to look again.
 func (c *Core) checkStall(now time.Duration) time.Duration {
 	f := &c.fitness
 	if !c.sized() || len(c.active) == 0 {
@@ -133,14 +135,25 @@
 		return f.checkAt
 	}
 	f.checkAt = now + stallCheck
-	overdue := 0
+	c.judgeStall(now)
+	return f.checkAt
+}
+
+// judgeStall holds the overdue tasks against all.
+func (c *Core) judgeStall(now time.Duration) {
+	overdue := c.fitness.stalled
 	for _, r := range c.active {
-		if r.declared > 0 && now-r.began > time.Duration(overdueFactor*float64(c.expected(r)))+overdueSlack {
+		if !r.aborted && c.overdue(now, r) {
 			overdue++
 		}
 	}
-	if overdue >= minOverdue && 2*overdue > len(c.active) {
+	if overdue >= minOverdue && 2*overdue > len(c.active)+c.fitness.stalled {
 		c.setFit(now, false, "most tasks run far longer than they should")
 	}
-	return f.checkAt
+}
+
+// overdue reports whether a running task takes far longer than it should.
+func (c *Core) overdue(now time.Duration, r *row) bool {
+	limit := time.Duration(overdueFactor*float64(c.expected(r))) + overdueSlack
+	return r.declared > 0 && now-r.began > limit
 }
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -79,8 +79,12 @@
 
 // displaces reports whether a start goes before the least urgent queued task.
 func (c *Core) displaces(st *wire.Start) bool {
-	n := len(c.queue)
-	return n > 0 && st.MoreUrgent(&c.queue[n-1].start)
+	for _, r := range slices.Backward(c.queue) {
+		if r.state == wire.TaskQueued { // others have been taken back since the last tick
+			return st.MoreUrgent(&r.start)
+		}
+	}
+	return false
 }
 
 // trimQueue refuses the least urgent tasks beyond the bound of the queue.
@@ -88,8 +92,10 @@
 	for c.queued > c.cfg.LookAhead+c.overcommit() && !c.free().Holds(wire.Resources{}) {
 		r := c.queue[len(c.queue)-1]
 		c.queue = c.queue[:len(c.queue)-1]
-		c.unqueue(r)
-		c.refuse(r, verdict.NoCredit)
+		if r.state == wire.TaskQueued {
+			c.unqueue(r)
+			c.refuse(r, verdict.NoCredit)
+		}
 	}
 }
 
@@ -138,7 +144,7 @@
 		switch {
 		case s.holding == 0 || s.validUntil == 0:
 		case s.validUntil <= now:
-			c.endTasksOf(s)
+			c.endTasksOf(now, s)
 		default:
 			next = earliest(next, s.validUntil)
 		}
@@ -147,7 +153,7 @@
 }
 
 // endTasksOf refuses the queued tasks of an entry and aborts the running ones.
-func (c *Core) endTasksOf(s *session) {
+func (c *Core) endTasksOf(now time.Duration, s *session) {
 	for _, r := range c.queue {
 		if r.owner == s && r.state == wire.TaskQueued {
 			c.unqueue(r)
@@ -156,17 +162,21 @@
 	}
 	for _, r := range c.active {
 		if r.owner == s && !r.aborted {
-			c.abortRow(r)
+			c.abortRow(now, r)
 		}
 	}
 	slices.SortFunc(c.abort, func(a, b ids.TaskKey) int { return cmp.Compare(a.Index, b.Index) })
 }
 
 // abortRow asks once for the end of a running task.
-func (c *Core) abortRow(r *row) {
+func (c *Core) abortRow(now time.Duration, r *row) {
 	if r.aborted {
 		return
 	}
 	r.aborted = true
+	if c.sized() && c.overdue(now, r) {
+		c.fitness.stalled++
+		c.judgeStall(now)
+	}
 	c.abort = append(c.abort, r.key)
 }
--- a/executor/sized_test.go
+++ b/executor/sized_test.go
@@ -179,3 +179,47 @@
 		t.Errorf("started %v, want the task that is due first", run)
 	}
 }
+
+// Guards against a worker that hangs and keeps the trust of its agent because entries
+// take the overdue tasks back before most of what runs there is overdue.
+func TestTasksTakenBackTellOfAStall(t *testing.T) {
+	c := newSized()
+	var long []wire.Start
+	for i := range uint64(4) {
+		st := sizedStart(e1, 100+i, 1000)
+		st.DeclaredMS = 5000
+		long = append(long, st)
+	}
+	sendUntil(c, 0, time.Second, e1, long...)
+	now := time.Duration(0)
+	for i := range uint64(6) {
+		sendUntil(c, now, now+time.Second, e1, sizedStart(e1, i, 1000))
+		now += 300 * time.Millisecond // twice the declared 100 ms and the slack of 50 ms
+		c.Receive(now, wire.Exchange{Entry: e1, Aborts: []ids.TaskKey{ids.RequestOf(e1, i)}, ValidUntilMS: (now + time.Second).Milliseconds()})
+		c.Finished(now, wire.Answer{Key: ids.RequestOf(e1, i), Verdict: verdict.Ran, Reason: verdict.Canceled, RunUS: 300_000})
+		c.Tick(now)
+	}
+	if c.Unfit() == "" {
+		t.Error("six overdue tasks were taken back, and the worker is still trusted")
+	}
+}
+
+// Guards against a task that is given back twice when the queue is cut to its bound
+// after an entry has taken it back.
+func TestTrimmedQueueCountsOnce(t *testing.T) {
+	c := newSized()
+	sendUntil(c, 0, time.Second, e1, sizedStart(e1, 1, 16000))
+	queued := []wire.Start{sizedStart(e1, 2, 16000), sizedStart(e1, 3, 16000)}
+	for i := range queued {
+		queued[i].Priority = 1
+	}
+	sendUntil(c, 0, time.Second, e1, queued...)
+	c.Receive(0, wire.Exchange{Entry: e1, Aborts: []ids.TaskKey{queued[1].Key}, ValidUntilMS: 1000})
+	out := sendUntil(c, 0, time.Second, e2, sizedStart(e2, 4, 16000), sizedStart(e2, 5, 16000))
+	if n := len(answers(out, e1)); n != 2 {
+		t.Errorf("%d answers for two tasks that were taken or given back", n)
+	}
+	if c.queued != 2 {
+		t.Errorf("%d tasks are counted as queued, want 2", c.queued)
+	}
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -29,7 +29,7 @@
 		c.cancelJob(now, s, o)
 	}
 	for _, k := range m.Aborts {
-		c.abortRequest(s, k)
+		c.abortRequest(now, s, k)
 	}
 	for _, k := range m.Acks {
 		c.ack(now, s, k)
