executor: take a row out of the queue when it is taken back

Cause: a queued task that its entry took back stayed in the agent's list until the next tick. A later try of it that arrived before was queued a second time, and both entries of the list ran: the same task twice.

Change: unqueue removes the row at once; the loops that drop rows go over a copy.

Test: TestTaskTakenBackAndPlacedAgainRunsOnce, on the code before: two starts.

--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -336,3 +336,18 @@
 		t.Fatalf("a dropped answer is repeated as %+v", got)
 	}
 }
+
+// Guards against a task that runs twice because it was taken back and placed again
+// before the queue was next looked at.
+func TestTaskTakenBackAndPlacedAgainRunsOnce(t *testing.T) {
+	c := newTest(2)
+	send(c, e1, start(0, 1, 1), start(1, 1, 1))
+	send(c, e1, start(2, 1, 1)) // waits in look-ahead
+	c.Receive(0, wire.Exchange{Entry: e1, Recalls: []wire.Recall{{Key: ids.TaskOf(job7, 2), Epoch: 1, Try: 1}}})
+	c.Receive(0, wire.Exchange{Entry: e1, Starts: []wire.Start{start(2, 1, 2)}})
+	c.Finished(0, wire.Answer{Key: ids.TaskOf(job7, 0), Verdict: verdict.Ran, Status: 200})
+	c.Finished(0, wire.Answer{Key: ids.TaskOf(job7, 1), Verdict: verdict.Ran, Status: 200})
+	if run := c.Tick(0).Run; len(run) != 1 {
+		t.Errorf("one task waited, and %d were started: %+v", len(run), run)
+	}
+}
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -79,23 +79,16 @@
 
 // displaces reports whether a start goes before the least urgent queued task.
 func (c *Core) displaces(st *wire.Start) bool {
-	for _, r := range slices.Backward(c.queue) {
-		if r.state == wire.TaskQueued { // others have been taken back since the last tick
-			return st.MoreUrgent(&r.start)
-		}
-	}
-	return false
+	n := len(c.queue)
+	return n > 0 && st.MoreUrgent(&c.queue[n-1].start)
 }
 
 // trimQueue refuses the least urgent tasks beyond the bound of the queue.
 func (c *Core) trimQueue() {
 	for c.queued > c.cfg.LookAhead+c.overcommit() && !c.free().Holds(wire.Resources{}) {
 		r := c.queue[len(c.queue)-1]
-		c.queue = c.queue[:len(c.queue)-1]
-		if r.state == wire.TaskQueued {
-			c.unqueue(r)
-			c.refuse(r, verdict.NoCredit)
-		}
+		c.unqueue(r)
+		c.refuse(r, verdict.NoCredit)
 	}
 }
 
@@ -154,8 +147,8 @@
 
 // endTasksOf refuses the queued tasks of an entry and aborts the running ones.
 func (c *Core) endTasksOf(now time.Duration, s *session) {
-	for _, r := range c.queue {
-		if r.owner == s && r.state == wire.TaskQueued {
+	for _, r := range slices.Clone(c.queue) {
+		if r.owner == s {
 			c.unqueue(r)
 			c.refuse(r, verdict.OwnerLost)
 		}
--- a/executor/start.go
+++ b/executor/start.go
@@ -226,8 +226,12 @@
 	r.owner.answers = append(r.owner.answers, r)
 }
 
-// unqueue takes a queued row out of the counts.
+// unqueue takes a row out of the queue. One that is left there could be queued a
+// second time by a later try, and run twice.
 func (c *Core) unqueue(r *row) {
+	if at := slices.Index(c.queue, r); at >= 0 {
+		c.queue = slices.Delete(c.queue, at, at+1)
+	}
 	c.queued--
 	c.queuedSize = c.queuedSize.Sub(r.size)
 	r.owner.hold(r.team, -1)
@@ -235,11 +239,8 @@
 
 // refuseQueued answers everything that waits with not-run.
 func (c *Core) refuseQueued(reason verdict.Reason) {
-	for _, r := range c.queue {
-		if r.state == wire.TaskQueued {
-			c.unqueue(r)
-			c.refuse(r, reason)
-		}
+	for _, r := range slices.Clone(c.queue) {
+		c.unqueue(r)
+		c.refuse(r, reason)
 	}
-	c.queue = c.queue[:0]
 }
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -35,9 +35,8 @@
 // the next one passes.
 func (c *Core) expireQueued(now time.Duration) time.Duration {
 	var next time.Duration
-	for _, r := range c.queue {
+	for _, r := range slices.Clone(c.queue) {
 		switch {
-		case r.state != wire.TaskQueued:
 		case r.deadline <= now:
 			c.unqueue(r)
 			c.refuse(r, verdict.DeadlinePassed)
@@ -45,7 +44,6 @@
 			next = earliest(next, r.deadline)
 		}
 	}
-	c.queue = slices.DeleteFunc(c.queue, func(r *row) bool { return r.state != wire.TaskQueued })
 	return next
 }
 
