ctl, upstreamsim: log each start before the task runs

Cause: the sample upstream wrote its log every 20 ms.

Ruled out: waiting in the check, which would not help against a kill.

Change: the upstream tells of each start before it runs the task, and the log writes it then. A failed write is reported at the end.

--- a/ctl/dev.go
+++ b/ctl/dev.go
@@ -146,23 +146,17 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
-	s, err := upstreamsim.Start(upstreamsim.Options{Addr: c.Listen, Slots: c.Slots, Speed: c.Speed, RunTime: time.Duration(c.RunTime)})
+	s, err := upstreamsim.Start(upstreamsim.Options{
+		Addr: c.Listen, Slots: c.Slots, Speed: c.Speed, RunTime: time.Duration(c.RunTime), Started: log.write,
+	})
 	if err != nil {
+		_ = log.Close() // nothing has been written
 		return err
 	}
-	defer s.Close()
 	c.app.printf("Sample upstream on %s.\n", s.Addr())
-	ticker := time.NewTicker(runLogInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-c.app.ctx.Done():
-			return log.write(s.Runs())
-		case <-ticker.C:
-			if err := log.write(s.Runs()); err != nil {
-				return err
-			}
-		}
+	<-c.app.ctx.Done()
+	if err := s.Close(); err != nil {
+		return err
 	}
+	return log.Close()
 }
--- a/ctl/runlog.go
+++ b/ctl/runlog.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"os"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -11,10 +12,6 @@
 	"github.com/baobabshore/baobabshore/upstreamsim"
 )
 
-// runLogInterval is how often a sample upstream appends to its log. A sample
-// upstream that is killed loses at most the starts of this time.
-const runLogInterval = 20 * time.Millisecond
-
 // runLine is one start of a task in the log of a sample upstream.
 type runLine struct {
 	Task    string    `json:"task"`
@@ -23,10 +20,12 @@
 	Started time.Time `json:"started"`
 }
 
-// runLog appends starts to a file.
+// runLog appends starts to a file. Each is written before the task runs, so a sample
+// upstream that is killed has logged every start that anybody can know of.
 type runLog struct {
-	file    io.WriteCloser // nil for none
-	written int
+	mu   sync.Mutex
+	file io.WriteCloser // nil for none
+	err  error          // of the first write that failed
 }
 
 func openRunLog(path string) (*runLog, error) {
@@ -40,30 +39,32 @@
 	return &runLog{file: f}, nil
 }
 
-// write appends the starts that are not in the log yet.
-func (l *runLog) write(runs []upstreamsim.Run) error {
-	if l.file == nil || len(runs) == l.written {
-		return nil
+// write appends a start. A failure is returned by Close.
+func (l *runLog) write(r upstreamsim.Run) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.file == nil || l.err != nil {
+		return
 	}
-	var lines []byte
-	for _, r := range runs[l.written:] {
-		line, err := json.Marshal(runLine{Task: r.Task, Job: r.Job, Path: r.Path, Started: r.Started})
-		if err != nil {
-			return errors.Wrap(err, "log")
-		}
-		lines = append(append(lines, line...), '\n')
+	line, err := json.Marshal(runLine{Task: r.Task, Job: r.Job, Path: r.Path, Started: r.Started})
+	if err == nil {
+		_, err = l.file.Write(append(line, '\n'))
 	}
-	if _, err := l.file.Write(lines); err != nil {
-		return errors.Wrap(err, "log")
+	if err != nil {
+		l.err = errors.Wrap(err, "log")
 	}
-	l.written = len(runs)
-	return nil
 }
 
-// Close closes the file.
+// Close closes the file. It returns the first failure of all.
 func (l *runLog) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.file == nil {
 		return nil
 	}
-	return l.file.Close()
+	err := l.file.Close()
+	if l.err != nil {
+		return l.err
+	}
+	return err
 }
--- a/upstreamsim/sim.go
+++ b/upstreamsim/sim.go
@@ -55,6 +55,8 @@
 	Speed float64
 	// RunTime is the run time of a request that names none.
 	RunTime time.Duration
+	// Started is told of each start before the task runs. Nil for nobody.
+	Started func(Run)
 }
 
 // Run is one start of a task.
@@ -210,6 +212,9 @@
 		Path:    string(ctx.RequestURI()),
 		Started: time.Now(),
 	}
+	if s.opts.Started != nil {
+		s.opts.Started(r)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.now++
