entry: move callers away before a planned stop refuses them

Ruled out: taking in work until the end without a bound, which would cut off answers.

The group's addresses are told once each; a node with an emptied folder was listed twice.

Tests: TestLeavingEntryMovesCallers, TestBatchEndsBeforeTheProcess.

--- a/control/serve.go
+++ b/control/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/controlstate"
@@ -182,11 +183,12 @@
 	return r, nil
 }
 
-// groupAddrs lists the addresses of the nodes that stay in the group.
+// groupAddrs lists the addresses of the nodes that stay in the group, each once: a node
+// with an emptied folder is in it under two instances for a moment.
 func (c *core) groupAddrs() []string {
 	var out []string
 	for _, p := range c.raft.Group().Peers {
-		if !p.Leaving {
+		if !p.Leaving && !slices.Contains(out, p.Addr) {
 			out = append(out, p.Addr)
 		}
 	}
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -65,6 +65,7 @@
 	case l.hasEnded():
 		return verdict.Refuse(verdict.Stale, "the entry is registering again").After(defaultRetryAfter)
 	}
+	b.Deadline = e.leaving.Load().shorten(b.Arrived, b.Deadline)
 	r, err := l.startBatch(b)
 	if err != nil {
 		return err
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,8 +45,8 @@
 	life    atomic.Pointer[life]
 	// registered is closed once there is a life.
 	registered chan struct{}
-	leaving    atomic.Bool // asks for no further callers
-	draining   atomic.Bool // refuses new work
+	leaving    atomic.Pointer[departure] // set once the entry asks for no further callers
+	draining   atomic.Bool               // refuses new work
 
 	ctx    context.Context // ends with Close
 	cancel context.CancelFunc
@@ -182,7 +182,7 @@
 
 // Ready returns why the entry takes no new work, or nil.
 func (e *Entry) Ready() error {
-	if e.leaving.Load() {
+	if e.leaving.Load() != nil {
 		return verdict.Refuse(verdict.Draining, "the entry is leaving")
 	}
 	if err := e.refusal(e.life.Load()); err != nil {
@@ -207,7 +207,7 @@
 // Drain refuses new work, finishes the jobs in progress, and leaves the control
 // group. It returns earlier when ctx ends. Close must still be called.
 func (e *Entry) Drain(ctx context.Context) error {
-	e.leaving.Store(true)
+	e.leaving.Store(newDeparture(ctx, e.opts.MoveAfter))
 	klog.Infof("entry: Draining.")
 	clock.Sleep(ctx, e.opts.Grace)
 	e.draining.Store(true)
--- a/entry/http.go
+++ b/entry/http.go
@@ -65,10 +65,11 @@
 
 // handler returns the interface for callers.
 func (e *Entry) handler() fasthttp.RequestHandler {
-	if e.opts.Handler == nil {
-		return e.handle
+	h := e.handle
+	if e.opts.Handler != nil {
+		h = e.opts.Handler(e)
 	}
-	return e.opts.Handler(e)
+	return e.moveCallers(h)
 }
 
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
--- a/entry/options.go
+++ b/entry/options.go
@@ -61,6 +61,10 @@
 	// Grace is how long work is still taken in after Drain has begun. A balancer
 	// sends connections until it has seen twice that the entry is not ready.
 	Grace time.Duration
+	// MoveAfter is the time after Drain has begun from which an answer closes its
+	// connection. The caller's next one goes to another entry then, while one that
+	// stays open would be used until the entry refuses what arrives on it.
+	MoveAfter time.Duration
 	// TickMin is the least time between two ticks of the core.
 	TickMin time.Duration
 	// PingAfter is the silence of an agent with work after which it is asked
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -55,7 +55,7 @@
 	l := e.life.Load()
 	t := l.queues.Load()
 	switch {
-	case e.leaving.Load():
+	case e.leaving.Load() != nil:
 		return verdict.Refuse(verdict.Draining, "the entry is leaving")
 	case l.hasEnded():
 		return verdict.Refuse(verdict.Stale, "the entry is registering again")
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/baobabshore/baobabshore/settings"
 	"github.com/baobabshore/baobabshore/wire"
@@ -63,3 +64,52 @@
 		e.Close()
 	}
 }
+
+// Guards against callers that go on using open connections to an entry that leaves,
+// until it refuses what they send: from a moment on an answer closes its connection.
+func TestLeavingEntryMovesCallers(t *testing.T) {
+	s := newSystem(t, testCluster(), 1, Options{MoveAfter: 50 * time.Millisecond, Grace: 10 * time.Second})
+	e := s.entries[0]
+	closes := func() bool {
+		resp, err := http.Get("http://" + e.Callers() + "/v1/jobs/1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if got := resp.Header.Get("Baobab-Reason"); got != "unknown-job" {
+			t.Errorf("refused while work is still taken in: %s", got)
+		}
+		return resp.Close
+	}
+	if closes() {
+		t.Error("a connection is closed without need")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	drained := make(chan error, 1)
+	go func() { drained <- e.Drain(ctx) }()
+	eventually(t, "answers that close their connections", closes)
+	cancel()
+	<-drained // the drain was cut off
+}
+
+// Guards against a batch that is taken in by a process that leaves, and whose caller
+// loses the answer when the process ends.
+func TestBatchEndsBeforeTheProcess(t *testing.T) {
+	now := time.Now()
+	var staying *departure
+	if got := staying.shorten(now, time.Minute); got != time.Minute {
+		t.Errorf("deadline %v at an entry that stays", got)
+	}
+	ctx, cancel := context.WithDeadline(t.Context(), now.Add(2*time.Second))
+	defer cancel()
+	d := newDeparture(ctx, time.Second)
+	if got := d.shorten(now, time.Second); got != time.Second {
+		t.Errorf("deadline %v of a batch that ends in time", got)
+	}
+	if got := d.shorten(now.Add(time.Second), time.Minute); got != time.Second-answerTime {
+		t.Errorf("deadline %v of a batch that arrives 1 s before the end", got)
+	}
+	if got := newDeparture(t.Context(), 0).shorten(now, time.Minute); got != time.Minute {
+		t.Errorf("deadline %v without an end of the drain", got)
+	}
+}
