control, entry, agent: metrics of every role

Change: control nodes run under runner.Serve like the other daemons, on the platform too; control reports its role, term, commit, confirmed age, live members and a histogram of synced writes, entries batches by queue, verdict and reason, waiting tasks, starts and wasted messages, agents what is queued, running, used and refused by reason. The number of series is bounded. runner.Serve ends when a service stops by itself.

Tests: TestPagesShowTheNode, TestBatchCountersAreBounded, TestFiguresCountRefusals.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -65,6 +65,7 @@
 	}
 	a.server = rpc.NewServer(l, o.Security, a.mux(), o.Counters)
 	a.done.Go(a.supervise)
+	a.done.Go(a.measure)
 	klog.Infof("agent: Serving %s at %s for upstream %s.", o.Service, a.opts.Advertise, o.Upstream)
 	return a, nil
 }
@@ -118,6 +119,17 @@
 	}
 }
 
+// measureInterval is the time between two updates of the metrics of the core.
+const measureInterval = time.Second
+
+// measure keeps the metrics of the core up to date.
+func (a *Agent) measure() {
+	for clock.Sleep(a.ctx, measureInterval) {
+		l := a.life.Load()
+		l.loop.Call(func(time.Duration) { a.metrics.core(l.core.Figures()) })
+	}
+}
+
 // Ready returns why the agent takes no new work, or nil.
 func (a *Agent) Ready() error {
 	l := a.life.Load()
--- a/control/core.go
+++ b/control/core.go
@@ -30,6 +30,8 @@
 	start     time.Time           // tick 1 of raft
 	confirmed time.Time           // up to when the applied tables are known to be current, zero if never
 	leases    leases
+	metrics   *metrics
+	measured  time.Time // when the metrics were last updated
 	leading   bool
 	lastRun   time.Time
 	forwarded time.Time
@@ -62,6 +64,8 @@
 	forwardInterval = 500 * time.Millisecond
 	// checkInterval is how often the leader looks for leases that ran out.
 	checkInterval = 100 * time.Millisecond
+	// measureInterval is how often the metrics are brought up to date.
+	measureInterval = time.Second
 	// retentionInterval is how often the leader looks for rows to drop.
 	retentionInterval = time.Second
 	// pauseLimit is the gap between two runs of the loop above which renewals
@@ -82,6 +86,10 @@
 	c.noteLeadership(now)
 	c.noteConfirmation()
 	c.forward(now)
+	if now.Sub(c.measured) >= measureInterval {
+		c.measured = now
+		c.metrics.update(c, now)
+	}
 	if c.leading && now.Sub(c.checked) >= checkInterval {
 		c.checked = now
 		c.maintain(now)
@@ -128,9 +136,11 @@
 }
 
 func (c *core) persist(rd consensus.Ready) error {
+	begin := time.Now()
 	if err := c.log.Append(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
 		return errors.Wrap(err, "control: log")
 	}
+	c.metrics.sync.RecordDuration(time.Since(begin))
 	if rd.HardState != nil {
 		c.hard = *rd.HardState
 	}
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -6,20 +6,27 @@
 	"context"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"github.com/baobabshore/baobabshore/control"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/runner"
 	"github.com/baobabshore/baobabshore/settings"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
-// askTimeout bounds what a page asks of the node.
-const askTimeout = 2 * time.Second
-
-// countInterval is the time between two updates of the message counts.
-const countInterval = time.Second
+const (
+	// MetricsPrefix is the first part of the names of a control node's metrics.
+	MetricsPrefix = "baobab_control"
+	// askTimeout bounds what a page asks of the node.
+	askTimeout = 2 * time.Second
+	// countInterval is the time between two updates of the message counts.
+	countInterval = time.Second
+	// drainTimeout bounds a planned stop. A node has nothing to finish.
+	drainTimeout = 10 * time.Second
+)
 
 // Run runs a control node until ctx ends. It returns nil after a planned stop,
 // and the cause when the node had to stop.
@@ -28,23 +35,12 @@
 	if err != nil {
 		return err
 	}
-	n, err := control.Start(FromSettings(s, sec))
-	if err != nil {
-		return err
-	}
-	d := &daemon{node: n, sec: sec}
-	pages, err := ops.New(ops.Options{
-		Addr: s.Ops, Prefix: "baobab_control", Token: sec.Token, TLS: sec.TLS,
-		Ready: d.ready, Dump: d.dump,
+	pages := ops.Options{Addr: s.Ops, Prefix: MetricsPrefix, Token: sec.Token, TLS: sec.TLS}
+	return runner.Serve(ctx, pages, drainTimeout, func(_ context.Context, scope tally.Scope) (runner.Service, error) {
+		o := FromSettings(s, sec)
+		o.Scope = scope
+		return Open(o)
 	})
-	if err != nil {
-		_ = n.Close() // the listener's error is the cause
-		return err
-	}
-	defer pages.Close()
-	d.count(ctx, pages)
-	klog.Infof("control: Node %s stops.", s.Node)
-	return n.Close()
 }
 
 // FromSettings returns the options of a control node.
@@ -59,13 +55,39 @@
 	return o
 }
 
-// daemon asks its own node through the listener, as any other process does.
-type daemon struct {
+// Daemon is a running control node. It asks its own node through the listener, as
+// any other process does.
+type Daemon struct {
 	node *control.Node
 	sec  rpc.Security
 }
 
-func (d *daemon) ask(method string, params, result any) error {
+// Open starts a control node and counts its messages in the scope of the options.
+func Open(o control.Options) (*Daemon, error) {
+	n, err := control.Start(o)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{node: n, sec: o.Security}
+	if o.Scope != nil {
+		go d.count(o.Scope)
+	}
+	return d, nil
+}
+
+// Done is closed when the node has stopped, also by itself.
+func (d *Daemon) Done() <-chan struct{} { return d.node.Done() }
+
+// Drain implements runner.Service. The other nodes elect another leader.
+func (d *Daemon) Drain(context.Context) error {
+	klog.Infof("control: The node at %s stops.", d.node.Addr())
+	return nil
+}
+
+// Close stops the node and returns the failure that stopped it before, if any.
+func (d *Daemon) Close() error { return d.node.Close() }
+
+func (d *Daemon) ask(method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
 	defer cancel()
 	conn, err := rpc.Dial(ctx, d.node.Addr(), d.sec, nil, nil)
@@ -76,11 +98,11 @@
 	return conn.Call(ctx, method, params, result)
 }
 
-// ready reports whether the node's tables are confirmed as current.
-func (d *daemon) ready() error { return d.ask(wire.MethodGet, wire.Get{}, &wire.GetReply{}) }
+// Ready reports whether the node's tables are confirmed as current.
+func (d *Daemon) Ready() error { return d.ask(wire.MethodGet, wire.Get{}, &wire.GetReply{}) }
 
-// dump returns the state of the group and the configuration as this node holds them.
-func (d *daemon) dump() any {
+// Dump returns the state of the group and the configuration as this node holds them.
+func (d *Daemon) Dump() any {
 	var out struct {
 		Status wire.StatusReply `json:"status"`
 		Config wire.GetReply    `json:"config"`
@@ -96,15 +118,12 @@
 	return out
 }
 
-// count copies the node's message counts to its metrics until ctx or the node ends.
-func (d *daemon) count(ctx context.Context, pages *ops.Server) {
-	scope := pages.Scope()
+// count copies the node's message counts to its metrics until the node ends.
+func (d *Daemon) count(scope tally.Scope) {
 	ticker := time.NewTicker(countInterval)
 	defer ticker.Stop()
 	for {
 		select {
-		case <-ctx.Done():
-			return
 		case <-d.node.Done():
 			return
 		case <-ticker.C:
--- /dev/null
+++ b/control/daemon/daemon_test.go
@@ -0,0 +1,74 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/settings"
+)
+
+// freeAddr returns an address on loopback that nobody listens on.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// Guards against a control node whose role, age of confirmation and time of synced
+// writes can't be seen from outside, and against one that does not end with its context.
+func TestPagesShowTheNode(t *testing.T) {
+	s := settings.DefaultControl()
+	s.Node, s.FailureDomain, s.Data = "c1", "d1", filepath.Join(t.TempDir(), "data")
+	s.Listen, s.Ops = freeAddr(t), freeAddr(t)
+	s.Peers = []settings.Peer{{Node: ids.Node("c1"), Address: s.Listen}}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, s) }()
+	wanted := []string{
+		"baobab_control_leads 1", "baobab_control_term 2", "baobab_control_sync_seconds_bucket",
+		"baobab_control_confirmed_age_seconds", "baobab_control_members_live 0", "baobab_control_messages_in",
+	}
+	missing := fmt.Sprint(wanted)
+	for end := time.Now().Add(30 * time.Second); missing != "" && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		page := get("http://" + s.Ops + "/metrics")
+		missing = ""
+		for _, w := range wanted {
+			if !strings.Contains(page, w) {
+				missing += w + "; "
+			}
+		}
+	}
+	if missing != "" {
+		t.Errorf("not on the page: %s", missing)
+	}
+	cancel()
+	if err := <-ended; err != nil {
+		t.Errorf("a planned stop: %v", err)
+	}
+}
+
+// get returns the text of a page, empty while it can't be reached.
+func get(url string) string {
+	resp, err := http.Get(url)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return ""
+	}
+	return string(body)
+}
--- a/control/node.go
+++ b/control/node.go
@@ -115,7 +115,7 @@
 	now := time.Now()
 	c := &core{
 		opt: o, log: l, state: controlstate.New(),
-		start: now, lastRun: now, leases: newLeases(),
+		start: now, lastRun: now, leases: newLeases(), metrics: newMetrics(o.Scope),
 		pending: map[ids.Incarnation]bool{}, waiters: map[uint64]waiter{},
 		addrs: map[consensus.ID]string{},
 	}
--- a/control/options.go
+++ b/control/options.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
@@ -58,6 +59,8 @@
 	// FS and Dial replace the file system and the dialer in tests.
 	FS   wal.FS
 	Dial member.Dialer
+	// Scope receives metrics, nil for none.
+	Scope tally.Scope
 	// Counters counts the messages of the node. Default: counters of its own.
 	Counters *rpc.Counters
 }
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -98,6 +98,9 @@
 // Members returns all rows of the registry by incarnation.
 func (s *State) Members() []wire.Member { return s.members.all() }
 
+// LiveCount returns the number of members that have not been ended.
+func (s *State) LiveCount() int { return len(s.members.order) - s.members.expired }
+
 // LiveMembers returns the live incarnations in increasing order.
 func (s *State) LiveMembers() iter.Seq2[ids.Incarnation, wire.Kind] {
 	return func(yield func(ids.Incarnation, wire.Kind) bool) {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -246,7 +246,7 @@
 // nextTick returns when the next timer or sweep is due.
 func (c *Core) nextTick(now time.Duration) time.Duration {
 	next := c.timers.first()
-	if len(c.attempts) > 0 || c.waiting() > 0 {
+	if len(c.attempts) > 0 || c.Waiting() > 0 {
 		next = earliest(earliest(next, c.sweepAt), earliest(c.leaseAt, c.hopelessAt))
 	}
 	if next != 0 && next <= now {
@@ -255,8 +255,8 @@
 	return next
 }
 
-// waiting counts the tasks that wait at this entry.
-func (c *Core) waiting() int {
+// Waiting counts the tasks that wait at this entry.
+func (c *Core) Waiting() int {
 	n := 0
 	for _, s := range c.svcOrder {
 		n += s.fair.waiting
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -49,11 +49,12 @@
 func (e *Entry) RunBatch(b Batch, conn net.Conn) *verdict.Error {
 	begin := time.Now()
 	err := e.runBatch(b, conn)
-	v := verdict.Ran
+	end := batchEnd{queue: b.Queue, verdict: verdict.Ran, reason: verdict.Complete}
 	if err != nil {
-		v = err.Verdict
+		end.verdict, end.reason = err.Verdict, err.Reason
 	}
-	e.metrics.requestEnded(v, time.Since(begin))
+	e.metrics.requestEnded(end.verdict, time.Since(begin))
+	e.metrics.batches.inc(end)
 	return err
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -168,8 +168,10 @@
 		case <-e.ctx.Done():
 			return
 		case now := <-t.C:
-			e.jobs.expire(now, e.life.Load().retention())
+			l := e.life.Load()
+			e.jobs.expire(now, l.retention())
 			e.metrics.sizes(e.jobs.sizes())
+			l.measure(e.metrics)
 		}
 	}
 }
--- /dev/null
+++ b/entry/metrics_test.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/baobabshore/baobabshore/verdict"
+)
+
+// Guards against counters that grow without bound as queues come and go, and against
+// ends that are lost beyond the bound.
+func TestBatchCountersAreBounded(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	b := newBatchCounters(scope)
+	const queues = maxBatchCounters + 100
+	for i := range queues {
+		b.inc(batchEnd{queue: fmt.Sprint("q", i), verdict: verdict.NotRun, reason: verdict.Overloaded})
+	}
+	b.inc(batchEnd{queue: "q0", verdict: verdict.NotRun, reason: verdict.Overloaded})
+	sum, counters := int64(0), 0
+	for _, c := range scope.Snapshot().Counters() {
+		sum += c.Value()
+		counters++
+		if c.Tags()["queue"] == "q0" && c.Value() != 2 {
+			t.Errorf("q0 counts %d of 2 batches", c.Value())
+		}
+	}
+	if sum != queues+1 || counters > maxBatchCounters+1 {
+		t.Errorf("%d batches in %d counters, want %d in at most %d", sum, counters, queues+1, maxBatchCounters+1)
+	}
+}
--- a/executor/core.go
+++ b/executor/core.go
@@ -26,7 +26,7 @@
 	sessions map[ids.Incarnation]*session
 	order    []*session // sessions by incarnation, for a fixed order of output
 
-	queue   []*row // in order of arrival; rows that left the state queued are skipped
+	queue   []*row // in order of urgency, then of arrival
 	queued  int
 	running int
 	// lingering counts calls whose answer was given up. They hold their slots.
@@ -41,6 +41,8 @@
 	pace       pace
 	fitness    fitness
 
+	refused map[verdict.Reason]uint64 // starts refused since New
+
 	acked       []*row // ended rows in order of acknowledgement, bodies dropped first from the front
 	answerBytes int64
 	abort       []ids.TaskKey
@@ -114,6 +116,7 @@
 		live:     map[ids.Incarnation]bool{},
 		sessions: map[ids.Incarnation]*session{},
 		active:   map[ids.TaskKey]*row{},
+		refused:  map[verdict.Reason]uint64{},
 	}
 	c.SetTradeoff(DefaultTradeoff)
 	return c
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -1,7 +1,10 @@
 package executor
 
 import (
+	"maps"
+
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -31,6 +34,23 @@
 	Entries     []EntryDump            `json:"entries"`
 }
 
+// Figures are the numbers of an agent for its metrics.
+type Figures struct {
+	Queued, Running int
+	Used, Capacity  wire.Resources // of a worker
+	Unfit           bool
+	// Refused counts the starts refused since New by reason.
+	Refused map[verdict.Reason]uint64
+}
+
+// Figures returns the numbers of the agent. Refused is a copy.
+func (c *Core) Figures() Figures {
+	return Figures{
+		Queued: c.queued, Running: c.running, Used: c.used, Capacity: c.cfg.Capacity,
+		Unfit: c.fitness.unfit, Refused: maps.Clone(c.refused),
+	}
+}
+
 // Dump returns a summary of the tables.
 func (c *Core) Dump() Dump {
 	d := Dump{
--- a/executor/sized_test.go
+++ b/executor/sized_test.go
@@ -223,3 +223,13 @@
 		t.Errorf("%d tasks are counted as queued, want 2", c.queued)
 	}
 }
+
+// Guards against refusals that the metrics of an agent don't show.
+func TestFiguresCountRefusals(t *testing.T) {
+	c := newSized()
+	sendUntil(c, 0, time.Second, e1, sizedStart(e1, 1, 16000), sizedStart(e1, 2, 20000))
+	f := c.Figures()
+	if f.Running != 1 || f.Used.CPU != 16000 || f.Refused[verdict.Infeasible] != 1 {
+		t.Errorf("%+v, want one running task of 16 cores and one that is too large", f)
+	}
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -220,6 +220,7 @@
 
 // refuse ends a row that has not run with verdict not-run and reports it.
 func (c *Core) refuse(r *row, reason verdict.Reason) {
+	c.refused[reason]++
 	r.state = wire.TaskRecalled
 	r.start = wire.Start{}
 	r.answer = &wire.Answer{Key: r.key, Try: r.try, Verdict: verdict.NotRun, Reason: reason}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -68,8 +68,20 @@
 	Close() error
 }
 
-// Serve opens the pages for operators, starts a service, and drains it when
-// ctx ends. The pages answer, as not ready, while the service starts.
+// stopper is a service that may stop by itself.
+type stopper interface{ Done() <-chan struct{} }
+
+// stopped is closed when a service has stopped by itself, nil if it never does.
+func stopped(s Service) <-chan struct{} {
+	if d, ok := s.(stopper); ok {
+		return d.Done()
+	}
+	return nil
+}
+
+// Serve opens the pages for operators, starts a service, and drains and closes it
+// when ctx ends or it has stopped by itself. The pages answer, as not ready, while
+// the service starts.
 func Serve(ctx context.Context, pages ops.Options, drainTimeout time.Duration,
 	start func(ctx context.Context, scope tally.Scope) (Service, error)) error {
 	var h holder
@@ -84,11 +96,17 @@
 		return errors.Wrap(err, "start")
 	}
 	h.set(s)
-	defer s.Close()
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-stopped(s):
+	}
 	dctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
-	return s.Drain(dctx)
+	err = s.Drain(dctx)
+	if cerr := s.Close(); err == nil {
+		err = cerr
+	}
+	return err
 }
 
 // holder gives the pages a service that may not have started yet.
