settings, controlstate, entry: read a large configuration cheaply, send callers away from a cut-off entry

Reading 1,000 queues took 105 ms on a whole core, each setting looked up the tags of its struct anew, and every entry and agent read everything again at each change of a member. Cause 2: an entry that was cut off from all agents for 7 s refused 231 batches, as "infeasible" and without a time to come back, and stayed in the balancer's rotation.

Ruled out: a change of the merge of views, which took little of the time (profile).

Change: the fields of a struct are looked up once; members read the configuration only when its version changes; agents are not sent queues. An entry without a usable agent reports itself as not ready, closes its callers' connections with its answers, and refuses as no-upstream with a time to come back.

Tests: TestConfigurationIsReadOnce, TestAgentsAreSentNoQueues, TestEntryWithoutAgentsSendsCallersAway.

--- a/agent/life.go
+++ b/agent/life.go
@@ -28,8 +28,9 @@
 	metrics  *metrics
 	worker   Worker // nil for an upstream over HTTP
 
-	peers   map[ids.Incarnation]*peer
-	timeout time.Duration // of one task, from the configuration
+	configVer uint64 // of the configuration that was read last; the loop owns it
+	peers     map[ids.Incarnation]*peer
+	timeout   time.Duration // of one task, from the configuration
 
 	calls atomic.Int64 // calls to the upstream that have not ended
 	down  atomic.Bool
@@ -98,7 +99,11 @@
 func (l *life) applyView(now time.Duration) {
 	v := l.session.View()
 	l.core.SetEntries(now, v.Version, v.Members)
-	c, err := settings.FromPairs(v.Config)
+	if v.ConfigVer == l.configVer {
+		return
+	}
+	l.configVer = v.ConfigVer
+	c, err := settings.ReadPairs(v.Config)
 	if err != nil {
 		klog.Errorf("agent: Configuration %d is not usable: %v.", v.ConfigVer, err)
 		return
--- a/controlstate/changes.go
+++ b/controlstate/changes.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/settings"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -108,10 +109,18 @@
 	return r.Kind == wire.KindEntry || k == wire.KindEntry || other == r.Incarnation
 }
 
+// seesSetting reports whether a member needs a setting. Queues lead callers to services,
+// so agents need none of them, and they may be most of a configuration.
+func (r *memberRow) seesSetting(key string) bool {
+	return r.Kind == wire.KindEntry || !settings.IsQueueKey(key)
+}
+
 func (s *State) wholeView(row *memberRow) wire.Changes {
 	c := wire.Changes{ConfigVer: s.config.version}
 	for _, p := range s.config.sorted() {
-		c.Config = append(c.Config, p.Pair)
+		if row.seesSetting(p.Key) {
+			c.Config = append(c.Config, p.Pair)
+		}
 	}
 	for _, inc := range s.members.order {
 		m := s.members.rows[inc]
@@ -168,6 +177,9 @@
 		c.ConfigVer = s.config.version
 	}
 	for _, k := range slices.Sorted(maps.Keys(t.keys)) {
+		if !row.seesSetting(k) {
+			continue
+		}
 		if p, ok := s.config.pairs[k]; ok {
 			c.Config = append(c.Config, p.Pair)
 		} else {
--- a/controlstate/state_test.go
+++ b/controlstate/state_test.go
@@ -267,3 +267,40 @@
 		t.Fatalf("%d records in the change log", n)
 	}
 }
+
+// Guards against agents that are sent all queues of a configuration, which they don't
+// use: with many queues each change would keep a small VM busy.
+func TestAgentsAreSentNoQueues(t *testing.T) {
+	l := newLog(t)
+	apply := func(id string, expect uint64, value string) {
+		t.Helper()
+		pairs := []wire.Pair{{Key: "queues.q.host", Value: value}, {Key: "services.s.slots", Value: "8"}}
+		if r := l.apply(Command{Apply: &wire.Apply{CommandID: id, Expect: expect, Pairs: pairs}}); r.Apply.Err != nil {
+			t.Fatal(r.Apply.Err)
+		}
+	}
+	apply("a", 0, "x")
+	entry := l.apply(Command{Register: &wire.Registration{Kind: wire.KindEntry, Node: "e", Addr: "e", Weight: 1, Nonce: "e"}}).Incarnation
+	agent := l.apply(Command{Register: &wire.Registration{Kind: wire.KindAgent, Node: "a", Addr: "a", Service: "s", Slots: 1, Connections: 1, Nonce: "a"}}).Incarnation
+	before := ids.Version(l.index)
+	for _, tc := range []struct {
+		name  string
+		since ids.Version
+		inc   ids.Incarnation
+		want  int
+	}{
+		{"entry, whole", 0, entry, 2},
+		{"agent, whole", 0, agent, 1},
+	} {
+		if c, _ := l.state.Changes(tc.since, tc.inc); len(c.Config) != tc.want {
+			t.Errorf("%s: settings %v, want %d", tc.name, c.Config, tc.want)
+		}
+	}
+	apply("b", 1, "y")
+	if c, _ := l.state.Changes(before, entry); len(c.Config) != 1 || c.ConfigVer != 2 {
+		t.Errorf("entry, changes: %+v", c)
+	}
+	if c, _ := l.state.Changes(before, agent); len(c.Config)+len(c.Removed) != 0 || c.ConfigVer != 2 {
+		t.Errorf("agent, changes: %+v", c)
+	}
+}
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/baobabshore/baobabshore/verdict"
@@ -61,7 +62,10 @@
 // saturated a batch that ends late takes the room of one that would be on time.
 func (s *service) onTime(now time.Duration, b Batch, tasks int) *verdict.Error {
 	room, capacity := s.roomFor(now, b)
-	if capacity == 0 {
+	switch {
+	case capacity == 0 && !s.anyUsable():
+		return verdict.Refuse(verdict.NoUpstream, "no worker of service %s answers", b.Service).After(noUpstreamRetry)
+	case capacity == 0:
 		return verdict.Refuse(verdict.Infeasible, "no worker in service is fast enough for the time left")
 	}
 	room = max(room-s.unplaced, 0)
@@ -81,6 +85,17 @@
 		After(clampRetry(wait))
 }
 
+// anyUsable reports whether some worker may get new work.
+func (s *service) anyUsable() bool {
+	return slices.ContainsFunc(s.ups, func(u *upstream) bool { return u.usable() && u.health != Quarantined })
+}
+
+// Usable reports whether there is a service with a worker or an upstream that may get
+// new work. Callers are better off at another entry otherwise.
+func (c *Core) Usable() bool {
+	return slices.ContainsFunc(c.svcOrder, (*service).anyUsable)
+}
+
 // mayWait reports whether a batch that needs a fast worker would probably be in
 // time on one after twice the expected wait. Its own run time leaves so little of
 // the time that the margin of other batches would have it refused at any wait.
--- a/entry/departure.go
+++ b/entry/departure.go
@@ -33,12 +33,21 @@
 	return min(deadline, d.until.Sub(arrived))
 }
 
-// moveCallers has the answers of a leaving entry close their connections.
+// moveCallers has the answers of an entry that leaves, or that no agent can be reached
+// from, close their connections: the callers' next ones go to other entries.
 func (e *Entry) moveCallers(h fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
 		h(ctx)
-		if d := e.leaving.Load(); d != nil && time.Now().After(d.moves) {
+		if e.movesCallers() {
 			ctx.SetConnectionClose()
 		}
 	}
 }
+
+func (e *Entry) movesCallers() bool {
+	if d := e.leaving.Load(); d != nil && time.Now().After(d.moves) {
+		return true
+	}
+	l := e.life.Load()
+	return l != nil && l.cutOff.Load()
+}
--- a/entry/life.go
+++ b/entry/life.go
@@ -11,6 +11,7 @@
 	"github.com/baobabshore/baobabshore/dispatch"
 	"github.com/baobabshore/baobabshore/eventloop"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/settings"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
@@ -24,10 +25,12 @@
 	loop    *coreLoop
 	core    *dispatch.Core
 
-	agents   map[ids.Incarnation]*agentConn
-	requests map[ids.TaskKey]*request
+	configVer uint64 // of the configuration that was read last; the loop owns it
+	agents    map[ids.Incarnation]*agentConn
+	requests  map[ids.TaskKey]*request
 
 	seq    atomic.Uint64                    // of single requests
+	cutOff atomic.Bool                      // no agent can be reached
 	jobs   atomic.Pointer[settings.Cluster] // configuration in force
 	queues atomic.Pointer[queueTable]
 
@@ -37,6 +40,10 @@
 	work   sync.WaitGroup // completion records on their way
 }
 
+// cutOffAfter is how long after its start a life without a usable agent still takes
+// callers. Agents may be starting as well.
+const cutOffAfter = 2 * time.Second
+
 // request is a single request that waits for its outcome.
 type request struct {
 	key  ids.TaskKey
@@ -102,12 +109,9 @@
 
 func (l *life) applyView(now time.Duration) {
 	v := l.session.View()
-	if c, err := settings.FromPairs(v.Config); err != nil {
-		klog.Errorf("entry: Configuration %d is not usable: %v.", v.ConfigVer, err)
-	} else {
-		l.jobs.Store(&c)
-		l.queues.Store(newQueueTable(v.ConfigVer, c.Queues))
-		l.core.SetConfig(dispatch.FromCluster(c))
+	if v.ConfigVer != l.configVer {
+		l.configVer = v.ConfigVer
+		l.applyConfig(v)
 	}
 	l.core.SetUpstreams(now, v.Members)
 	l.connect(v.Members)
@@ -116,6 +120,19 @@
 	}
 }
 
+// applyConfig puts the configuration of a view in force. Most views differ in members
+// only, and reading a configuration with many queues takes milliseconds.
+func (l *life) applyConfig(v *member.View) {
+	c, err := settings.FromPairs(v.Config)
+	if err != nil {
+		klog.Errorf("entry: Configuration %d is not usable: %v.", v.ConfigVer, err)
+		return
+	}
+	l.jobs.Store(&c)
+	l.queues.Store(newQueueTable(v.ConfigVer, c.Queues))
+	l.core.SetConfig(dispatch.FromCluster(c))
+}
+
 func (l *life) retention() time.Duration {
 	return time.Duration(l.jobs.Load().Jobs.Retention)
 }
@@ -170,6 +187,7 @@
 func (l *life) tick(now time.Duration) time.Duration {
 	l.refresh()
 	out := l.core.Tick(now)
+	l.cutOff.Store(now > cutOffAfter && !l.core.Usable())
 	for _, e := range out.Send {
 		if a := l.agents[e.To]; a != nil {
 			a.send(e.Exchange)
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -59,6 +59,8 @@
 		return verdict.Refuse(verdict.Draining, "the entry is leaving")
 	case l.hasEnded():
 		return verdict.Refuse(verdict.Stale, "the entry is registering again")
+	case l.cutOff.Load():
+		return verdict.Refuse(verdict.NoUpstream, "no agent can be reached")
 	case t == nil || t.version == 0:
 		return verdict.Refuse(verdict.Stale, "no configuration has arrived yet")
 	}
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -113,3 +113,44 @@
 		t.Errorf("deadline %v without an end of the drain", got)
 	}
 }
+
+// Guards against a configuration that is read again for each change of the members: with
+// a thousand queues that takes milliseconds, and members change in groups.
+func TestConfigurationIsReadOnce(t *testing.T) {
+	s := newSystem(t, testCluster(), 1, Options{})
+	l := s.entries[0].life.Load()
+	before := l.jobs.Load()
+	version := l.session.View().Version
+	s.control.startAgent(t, "a2", s.upstream.Addr())
+	eventually(t, "the new member", func() bool { return l.session.View().Version > version })
+	eventually(t, "the view to be applied", func() bool {
+		agents := 0
+		l.loop.Call(func(time.Duration) { agents = len(l.agents) })
+		return agents == 2
+	})
+	if l.jobs.Load() != before {
+		t.Error("the configuration was read again although it has not changed")
+	}
+}
+
+// Guards against an entry that is cut off from all agents and goes on taking callers
+// whom it can only refuse, while other entries could serve them.
+func TestEntryWithoutAgentsSendsCallersAway(t *testing.T) {
+	s := newSystem(t, testCluster(), 1, Options{})
+	e := s.entries[0]
+	if err := e.Serving(); err != nil {
+		t.Errorf("with an agent: %v", err)
+	}
+	s.agent.Close()
+	eventually(t, "the entry to be out of service", func() bool { return e.Serving() != nil })
+	resp, err := http.Get("http://" + e.Callers() + "/v1/jobs/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if !resp.Close {
+		t.Error("the connection of a caller stays open at an entry that can't serve it")
+	}
+	s.control.startAgent(t, "a2", s.upstream.Addr())
+	eventually(t, "the entry to be back", func() bool { return e.Serving() == nil })
+}
--- a/settings/field.go
+++ b/settings/field.go
@@ -3,8 +3,10 @@
 import (
 	"math"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,15 +23,29 @@
 	max   string
 }
 
-// fieldsOf lists the settings of a struct in order, inlined ones in place.
+// knownFields keeps what fieldsOf has found: a configuration is read value by value,
+// and each value needs the fields of its struct.
+var knownFields sync.Map // reflect.Type to []field
+
+// fieldsOf lists the settings of a struct in order, inlined ones in place. The caller
+// must not change the list.
 func fieldsOf(t reflect.Type) []field {
+	if known, ok := knownFields.Load(t); ok {
+		return known.([]field)
+	}
+	out := readFields(t)
+	knownFields.Store(t, out)
+	return out
+}
+
+func readFields(t reflect.Type) []field {
 	var out []field
 	for i := range t.NumField() {
 		sf := t.Field(i)
 		tag := sf.Tag.Get("yaml")
 		if tag == ",inline" {
 			for _, f := range fieldsOf(sf.Type) {
-				f.index = append([]int{i}, f.index...)
+				f.index = slices.Insert(slices.Clone(f.index), 0, i)
 				out = append(out, f)
 			}
 			continue
--- a/settings/flat.go
+++ b/settings/flat.go
@@ -38,11 +38,27 @@
 // pairs at all give Defaults, as before the first apply; anything else is
 // checked whole, and an error is a Problems with all faults.
 func FromPairs(pairs []wire.Pair) (Cluster, error) {
-	c := Defaults()
-	if len(pairs) == 0 {
-		return c, nil
+	r := &report{}
+	c := readPairs(pairs, r)
+	if len(pairs) > 0 {
+		checkCluster(c, r)
 	}
+	return c, r.err()
+}
+
+// ReadPairs reads a part of a configuration that has been checked as a whole. An error
+// is a Problems with the keys that can't be read.
+func ReadPairs(pairs []wire.Pair) (Cluster, error) {
 	r := &report{}
+	c := readPairs(pairs, r)
+	return c, r.err()
+}
+
+// IsQueueKey reports whether a key of the flat form belongs to a queue.
+func IsQueueKey(key string) bool { return strings.HasPrefix(key, "queues.") }
+
+func readPairs(pairs []wire.Pair, r *report) Cluster {
+	c := Defaults()
 	seen := make(map[string]bool, len(pairs))
 	for _, p := range pairs {
 		if seen[p.Key] {
@@ -54,8 +70,7 @@
 			r.add(p.Key, err.Error(), "see baobabctl get --yaml for the keys and their values")
 		}
 	}
-	checkCluster(c, r)
-	return c, r.err()
+	return c
 }
 
 // assign sets the value at path below v, and makes map elements on the way.
@@ -84,9 +99,12 @@
 		return errors.New("the key names a group, not a value")
 	}
 	key := reflect.ValueOf(path[0]).Convert(v.Type().Key())
-	elem := newElem(v.Type().Elem())
+	var elem reflect.Value
 	if old := v.MapIndex(key); old.IsValid() {
+		elem = reflect.New(old.Type()).Elem()
 		elem.Set(old)
+	} else {
+		elem = newElem(v.Type().Elem())
 	}
 	if err := assign(elem, path[1:], text); err != nil {
 		return err
