member, platform: one line for each lost and regained control node, no doubled lines

Cause: each failed renewal was a line, without bound while a node was away, and klog wrote each warning twice, once for each severity that shares the output.

Change: a session logs when it loses its control node, with the version and the age of its view, and when it reaches one again, with the number of failures between. Warnings are one line. renew is split into its steps.

--- a/agent/options.go
+++ b/agent/options.go
@@ -21,8 +21,6 @@
 	Run(s wire.Start)
 	// Abort asks for the end of a task. The answer tells when it has ended.
 	Abort(key ids.TaskKey)
-	// Lost is closed when the worker's life is over or belongs to another agent.
-	Lost() <-chan struct{}
 	Close()
 }
 
--- a/member/session.go
+++ b/member/session.go
@@ -287,44 +287,64 @@
 
 // renew sends one renewal and takes over the reply.
 func (s *Session) renew(ctx context.Context) {
-	s.mu.Lock()
-	s.followDirectory()
-	addr := s.addrs[s.tracker.server]
-	timeout := s.tracker.timeout()
-	req := wire.Renew{Incarnation: s.inc, Have: s.tracker.view.Version, Draining: s.draining.Load(), Group: wire.GroupHash(s.addrs)}
-	s.mu.Unlock()
+	addr, timeout, req := s.nextRenewal()
 	var r wire.RenewReply
 	sent := time.Now()
 	err := s.servers.call(ctx, timeout, addr, wire.MethodRenew, req, &r)
-
+	if err != nil {
+		s.renewalFailed(ctx, addr, err)
+		return
+	}
 	r.Resolve(req.Have)
+	s.renewed(addr, sent, r)
+}
 
+// nextRenewal returns the control node to ask, for how long to wait, and the message.
+func (s *Session) nextRenewal() (addr string, timeout time.Duration, req wire.Renew) {
 	s.mu.Lock()
-	changed := false
-	if err != nil {
-		s.tracker.failed()
-		if s.tracker.allFailed() {
-			s.servers.dir.forgetGroup()
-		}
-	} else {
-		if len(r.Control) > 0 {
-			klog.InfoS("member: Control group told", "nodes", r.Control)
-			s.servers.dir.setGroup(r.Control)
-		}
-		changed = s.tracker.accept(sent, r)
-		s.view.Store(s.tracker.view)
+	defer s.mu.Unlock()
+	s.followDirectory()
+	req = wire.Renew{
+		Incarnation: s.inc, Have: s.tracker.view.Version,
+		Draining: s.draining.Load(), Group: wire.GroupHash(s.addrs),
 	}
-	moved := err == nil && s.agent && s.served != addr
-	if moved {
-		s.served = addr
+	return s.addrs[s.tracker.server], s.tracker.timeout(), req
+}
+
+// renewalFailed chooses another control node. One line tells that the control group was
+// lost, and one in renewed that it is back.
+func (s *Session) renewalFailed(ctx context.Context, addr string, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.failed()
+	if s.tracker.allFailed() {
+		s.servers.dir.forgetGroup()
+	}
+	if s.tracker.failures == 1 && ctx.Err() == nil {
+		klog.InfoS("member: Control node lost", "addr", addr, "incarnation", s.inc, "version", s.tracker.view.Version,
+			"confirmedAgeMs", time.Since(s.tracker.confirmed).Milliseconds(), "err", err)
 	}
+}
+
+// renewed takes over a reply.
+func (s *Session) renewed(addr string, sent time.Time, r wire.RenewReply) {
+	s.mu.Lock()
+	if s.tracker.failures > 0 {
+		klog.InfoS("member: Control node reached", "addr", addr, "incarnation", s.inc, "failures", s.tracker.failures,
+			"version", r.Version, "confirmedAgeMs", r.ConfirmedAge)
+	}
+	if len(r.Control) > 0 {
+		klog.InfoS("member: Control group told", "nodes", r.Control)
+		s.servers.dir.setGroup(r.Control)
+	}
+	changed := s.tracker.accept(sent, r)
+	s.view.Store(s.tracker.view)
+	moved := s.agent && s.served != addr
+	s.served = addr
 	s.mu.Unlock()
 	if moved {
 		s.servers.closeOthers(addr)
 	}
-	if err != nil && ctx.Err() == nil {
-		klog.Warningf("member: Renewal at %s failed: %v.", addr, err)
-	}
 	if changed {
 		select {
 		case s.changes <- struct{}{}:
--- a/worker/api.go
+++ b/worker/api.go
@@ -113,7 +113,6 @@
 	Sequence uint64
 	Service  ids.Service
 	Addr     string // host:port for orders
-	Domain   ids.Domain
 	Capacity wire.Resources
 	Labels   []string
 	Draining bool
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -29,7 +29,6 @@
 	port    Port
 	ended   func(wire.Answer)
 	adopted chan struct{}
-	lost    chan struct{}
 	budget  *logsink.Budget
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -38,7 +37,7 @@
 // NewRunner starts a runner. ended receives the answer of each task once; it is
 // called from the runner's loop and must not block.
 func NewRunner(cfg Config, port Port, ended func(wire.Answer)) *Runner {
-	r := &Runner{port: port, ended: ended, budget: logsink.NewBudget(maxLines), adopted: make(chan struct{}), lost: make(chan struct{})}
+	r := &Runner{port: port, ended: ended, budget: logsink.NewBudget(maxLines), adopted: make(chan struct{})}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.loop = eventloop.New(tickMin, r.tick)
 	r.core = New(r.loop.Now(), cfg)
@@ -56,9 +55,6 @@
 	}
 }
 
-// Lost is closed when the worker's life is over or belongs to another owner.
-func (r *Runner) Lost() <-chan struct{} { return r.lost }
-
 // Run begins a task.
 func (r *Runner) Run(s wire.Start) {
 	r.loop.Post(func(now time.Duration) { r.core.Run(now, s) })
@@ -92,7 +88,6 @@
 		r.ended(e.Answer)
 	}
 	closeOnce(r.adopted, r.core.Adopted())
-	closeOnce(r.lost, r.core.Replaced())
 	return out.NextTick
 }
 
