executor: smaller tasks pass a large one for 20 ms only

A queued task that needs more than what the end of another frees was passed by smaller ones each time.

Ruled out: the priority of queues (tasks of the first priority were among them), lost refusals (each had been placed again after its refusals).

Change: after 20 ms in the queue a task that does not fit holds up those behind it.

Test: TestLargeTaskIsNotPassedForEver, red without the change.

--- a/executor/core.go
+++ b/executor/core.go
@@ -60,6 +60,7 @@
 	start    wire.Start // emptied once the task is handed to the upstream
 	made     time.Duration
 	deadline time.Duration
+	queuedAt time.Duration // when it was accepted
 	began    time.Duration
 	answer   *wire.Answer // set when ended or recalled
 	acked    bool
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -23,6 +23,8 @@
 	// heartbeatReply is the age of the last report to an entry after which its
 	// next message is answered with one, so that the entry knows that the agent lives.
 	heartbeatReply = 100 * time.Millisecond
+	// maxPassed is how long smaller tasks may pass a queued one that does not fit.
+	maxPassed = 20 * time.Millisecond
 	// sizeWeight is the weight of a task in the average size.
 	sizeWeight = 16
 )
@@ -92,13 +94,17 @@
 	}
 }
 
-// runSized starts the queued tasks that fit, in order of arrival. A large task
-// does not hold up the smaller ones behind it.
+// runSized starts the queued tasks that fit, in order of urgency. Smaller tasks pass a
+// large one that does not fit, but not for long: on a busy worker what becomes free at
+// a time would never be enough for it.
 func (c *Core) runSized(now time.Duration) []wire.Start {
 	var run []wire.Start
 	waiting := c.queue[:0]
+	held := false
 	for _, r := range c.queue {
-		if !c.cfg.Capacity.Sub(c.used).Holds(r.size) {
+		fits := c.cfg.Capacity.Sub(c.used).Holds(r.size)
+		if held || !fits {
+			held = held || now-r.queuedAt >= maxPassed
 			waiting = append(waiting, r)
 			continue
 		}
--- a/executor/sized_test.go
+++ b/executor/sized_test.go
@@ -233,3 +233,30 @@
 		t.Errorf("%+v, want one running task of 16 cores and one that is too large", f)
 	}
 }
+
+// Guards against a task that needs more room than the tasks around it and that is passed
+// by them on a busy worker until its deadline.
+func TestLargeTaskIsNotPassedForEver(t *testing.T) {
+	c := newSized()
+	var small []wire.Start
+	for i := range uint64(10) {
+		small = append(small, sizedStart(e1, i, 1600))
+	}
+	running := sendUntil(c, 0, time.Second, e1, small...).Run
+	if len(running) != 10 {
+		t.Fatalf("%d of 10 tasks run", len(running))
+	}
+	large := sizedStart(e2, 1000, 2300)
+	sendUntil(c, 0, time.Second, e2, large)
+	for n := uint64(0); n < 20; n++ {
+		now := time.Duration(n) * 10 * time.Millisecond
+		c.Finished(now, wire.Answer{Key: running[0].Key, Verdict: verdict.Ran, Reason: verdict.Complete, Status: 200, RunUS: 100_000})
+		running = append(running[1:], sendUntil(c, now, now+time.Second, e1, sizedStart(e1, 100+n, 1600)).Run...)
+		for _, s := range running {
+			if s.Key == large.Key {
+				return
+			}
+		}
+	}
+	t.Error("the large task has not started after 20 smaller ones")
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -59,6 +59,7 @@
 		return
 	}
 	r.state = wire.TaskQueued
+	r.queuedAt = now
 	r.start = st
 	r.size = st.Size
 	r.declared = time.Duration(st.DeclaredMS) * time.Millisecond
