executor, dispatch, wire: acks name the try, ended tasks start again at the same worker

Two faults of the protocol between entries and agents: - An ack named the task only. The ack of a refusal goes with the next message, which may carry the next try to the same agent; when that was refused as well, the ack withdrew the new refusal before it was sent. - A sized task that had been stopped or had failed could not start again at the same agent: its row was taken for that of a copy, and the old answer was sent again every 8 s. An entry that placed it there a second time waited for ever.

Ruled out: a queue at the agent that is passed by others (no task waited there for 300 ms), lost messages (all starts had arrived).

Change: acks carry the try, others are ignored; a row whose task ended without being done is reopened by a later try.

Tests: TestAckOfEarlierTry and TestEndedTaskStartsAgain, both red without the change.

--- a/bench/capacity/cores.go
+++ b/bench/capacity/cores.go
@@ -216,9 +216,9 @@
 			r.core.Finished(r.now, answerTo(s))
 		}
 		for _, e := range r.core.Tick(r.now).Send {
-			var acks []ids.TaskKey
+			var acks []wire.Ack
 			for _, a := range e.Report.Answers {
-				acks = append(acks, a.Key)
+				acks = append(acks, wire.Ack{Key: a.Key, Try: a.Try})
 			}
 			r.core.Receive(r.now, wire.Exchange{Entry: e.To, Acks: acks})
 		}
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -55,7 +55,7 @@
 // else is dropped and counted, but acknowledged, or it would be sent for ever.
 func (c *Core) answer(now time.Duration, u *upstream, ans *wire.Answer) {
 	c.msgs.Answers++
-	u.mailbox.acks = append(u.mailbox.acks, ans.Key)
+	u.mailbox.acks = append(u.mailbox.acks, wire.Ack{Key: ans.Key, Try: ans.Try})
 	if u.draining {
 		c.mark(u)
 	} else {
--- a/dispatch/mail.go
+++ b/dispatch/mail.go
@@ -17,7 +17,7 @@
 	recalls []wire.Recall
 	cancels []wire.Ownership
 	aborts  []ids.TaskKey
-	acks    []ids.TaskKey
+	acks    []wire.Ack
 	ended   []ids.Job
 }
 
--- a/executor/answers.go
+++ b/executor/answers.go
@@ -72,14 +72,14 @@
 }
 
 // ack records that the owner has taken over an answer.
-func (c *Core) ack(now time.Duration, s *session, key ids.TaskKey) {
-	r := c.rows[key]
-	if r == nil || r.owner != s || r.answer == nil || r.acked {
+func (c *Core) ack(now time.Duration, s *session, a wire.Ack) {
+	r := c.rows[a.Key]
+	if r == nil || r.owner != s || r.answer == nil || r.answer.Try != a.Try || r.acked {
 		return
 	}
 	r.acked, r.ackedAt = true, now
 	r.withdraw()
-	if j := c.jobs[key.Job]; j != nil && j.ended {
+	if j := c.jobs[a.Key.Job]; j != nil && j.ended {
 		c.dropBody(r)
 	} else if len(r.answer.Body) > 0 {
 		c.acked = append(c.acked, r)
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -220,7 +220,7 @@
 	if c.Idle() {
 		t.Fatal("idle with an answer that is not acknowledged")
 	}
-	c.Receive(0, wire.Exchange{Entry: e1, Acks: []ids.TaskKey{ids.TaskOf(job7, 0)}})
+	c.Receive(0, wire.Exchange{Entry: e1, Acks: []wire.Ack{{Key: ids.TaskOf(job7, 0), Try: 1}}})
 	c.Connected(0, e1)
 	if got := answers(c.Tick(0), e1); len(got) != 0 || !c.Idle() {
 		t.Fatalf("%d answers after an acknowledgement, idle %v", len(got), c.Idle())
@@ -304,7 +304,7 @@
 	c := newTest(1)
 	send(c, e1, start(0, 1, 1))
 	finish(c, 0, "a")
-	c.Receive(0, wire.Exchange{Entry: e1, Acks: []ids.TaskKey{ids.TaskOf(job7, 0)}, Ended: []ids.Job{job7}})
+	c.Receive(0, wire.Exchange{Entry: e1, Acks: []wire.Ack{{Key: ids.TaskOf(job7, 0), Try: 1}}, Ended: []ids.Job{job7}})
 	for _, step := range []struct {
 		at      time.Duration
 		current bool
@@ -326,7 +326,7 @@
 	for i := range 4 {
 		send(c, e1, start(i, 1, 1))
 		finish(c, i, body)
-		c.Receive(0, wire.Exchange{Entry: e1, Acks: []ids.TaskKey{ids.TaskOf(job7, i)}})
+		c.Receive(0, wire.Exchange{Entry: e1, Acks: []wire.Ack{{Key: ids.TaskOf(job7, i), Try: 1}}})
 	}
 	c.Tick(0)
 	if c.answerBytes > c.cfg.AnswerBytes {
@@ -351,3 +351,24 @@
 		t.Errorf("one task waited, and %d were started: %+v", len(run), run)
 	}
 }
+
+// Guards against the ack of a refusal that withdraws the refusal of the next try before
+// it is sent: the entry would wait for an answer until its deadline. Acks go with the
+// next message, which may carry that try.
+func TestAckOfEarlierTry(t *testing.T) {
+	c := newTest(1)
+	send(c, e1, start(0, 1, 1), start(1, 1, 1), start(2, 1, 1)) // runs, waits, waits
+	if got := refusals(send(c, e1, start(3, 1, 1)), e1); got[ids.TaskOf(job7, 3)] != verdict.NoCredit {
+		t.Fatalf("refused %v", got)
+	}
+	c.Receive(0, wire.Exchange{
+		Entry: e1, Starts: []wire.Start{start(3, 1, 2)}, Acks: []wire.Ack{{Key: ids.TaskOf(job7, 3), Try: 1}},
+	})
+	found := false
+	for _, a := range answers(c.Tick(0), e1) {
+		found = found || a.Key == ids.TaskOf(job7, 3) && a.Try == 2
+	}
+	if !found {
+		t.Error("the second try has no answer")
+	}
+}
--- a/executor/sized_test.go
+++ b/executor/sized_test.go
@@ -260,3 +260,31 @@
 	}
 	t.Error("the large task has not started after 20 smaller ones")
 }
+
+// Guards against a task that was stopped or has failed and then never starts again at
+// the same worker, since its row is taken for that of a copy; and against one that is
+// done and runs again.
+func TestEndedTaskStartsAgain(t *testing.T) {
+	for _, tc := range []struct {
+		reason verdict.Reason
+		status int
+		again  int
+	}{
+		{verdict.Canceled, 0, 1},
+		{verdict.UpstreamFailed, 500, 1},
+		{verdict.Complete, 200, 0},
+	} {
+		c := newSized()
+		st := sizedStart(e1, 1, 1000)
+		sendUntil(c, 0, time.Second, e1, st)
+		c.Finished(0, wire.Answer{Key: st.Key, Verdict: verdict.Ran, Reason: tc.reason, Status: tc.status, RunUS: 1000})
+		c.Tick(0)
+		if run := sendUntil(c, 0, time.Second, e1, st).Run; len(run) != 0 {
+			t.Errorf("%s: a copy of the first try started", tc.reason)
+		}
+		st.Try = 2
+		if run := sendUntil(c, 0, time.Second, e1, st).Run; len(run) != tc.again {
+			t.Errorf("%s: the second try started %d times, want %d", tc.reason, len(run), tc.again)
+		}
+	}
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -31,8 +31,8 @@
 	for _, k := range m.Aborts {
 		c.abortRequest(now, s, k)
 	}
-	for _, k := range m.Acks {
-		c.ack(now, s, k)
+	for _, a := range m.Acks {
+		c.ack(now, s, a)
 	}
 	for _, id := range m.Ended {
 		c.endJob(now, s, id)
@@ -86,9 +86,10 @@
 }
 
 // reopenedBy reports whether st is a later placement of a task that this agent
-// has refused or returned. Anything else is a copy of a start already handled.
+// has refused or returned, or that has ended for certain without being done. Anything
+// else is a copy of a start already handled.
 func (r *row) reopenedBy(st wire.Start) bool {
-	if r.state != wire.TaskRecalled {
+	if r.state != wire.TaskRecalled && !r.endedUndone() {
 		return false
 	}
 	if st.Epoch != r.epoch {
@@ -97,6 +98,13 @@
 	return st.Try > r.try
 }
 
+// endedUndone reports whether a sized task has ended and may run again: it was stopped,
+// or it failed. Its entry counts the attempts.
+func (r *row) endedUndone() bool {
+	return r.state == wire.TaskEnded && !r.size.IsZero() && r.answer != nil &&
+		r.answer.Verdict == verdict.Ran && r.answer.Reason != verdict.Complete
+}
+
 // answerDuplicate repeats what the table says of a task.
 func (c *Core) answerDuplicate(s *session, r *row, st wire.Start) {
 	if r.owner != s {
--- a/wire/task.go
+++ b/wire/task.go
@@ -88,6 +88,13 @@
 	Try   uint32      `json:"y,omitempty"`
 }
 
+// Ack names one answer that an entry has taken over. Without the try, the ack of a
+// refusal would also withdraw the answer to the next try of the task.
+type Ack struct {
+	Key ids.TaskKey `json:"k"`
+	Try uint32      `json:"y,omitempty"`
+}
+
 // Exchange is the message of an entry to an agent.
 type Exchange struct {
 	Entry  ids.Incarnation `json:"e"`
@@ -100,7 +107,7 @@
 	Aborts []ids.TaskKey `json:"x,omitempty"`
 	// Acks lists answers that the entry has taken over. The agent may drop
 	// their bodies, but keeps the rows.
-	Acks []ids.TaskKey `json:"a,omitempty"`
+	Acks []Ack `json:"a,omitempty"`
 	// Ended lists jobs that need no further rows beyond the retention.
 	Ended []ids.Job `json:"z,omitempty"`
 	// Demand is how many tasks for this agent's service wait at the entry.
