member: pass over a control node that is off after 250 ms

Ruled out: the election (0.2 s), the pause between attempts (50 ms), the registration itself (entries on the control nodes' VMs had it at once).

Change: an attempt to connect to a control node takes 250 ms, doubling with each failure in a row up to 2 s, so that slow networks still connect.

TestConnectsOverSlowNetwork guards the new bound.

--- a/member/client_test.go
+++ b/member/client_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -32,6 +34,22 @@
 // Guards against a client that asks a frozen leader again with every call, so
 // that a configuration was not accepted until the leader came back.
 func TestCallPassesOverFrozenLeader(t *testing.T) {
+	c, err := NewClient(ClientOptions{Servers: []string{silentNode(t), liveNode(t)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	c.servers.setLeader(c.servers.dir.Addrs()[0])
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	r, err := c.Apply(ctx, wire.Apply{Revision: 4})
+	if err != nil || r.Revision != 4 {
+		t.Fatalf("a call of 1 s was not answered although one of two nodes leads: %v, %v", r, err)
+	}
+}
+
+// liveNode answers Apply.
+func liveNode(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -42,17 +60,57 @@
 	}))
 	live := rpc.NewServer(l, rpc.Security{}, mux, nil)
 	t.Cleanup(func() { live.Close() })
+	return live.Addr()
+}
+
+// Guards against a member that waits 1 s for the connection to a control node whose VM
+// is off while another node leads. After a loss of power all agents registered that
+// much late, and entries refused batches for want of workers.
+func TestCallPassesOverNodeThatIsOff(t *testing.T) {
+	const off = "192.0.2.1:1"
+	c, err := NewClient(ClientOptions{
+		Servers: []string{off, liveNode(t)},
+		Dial: func(ctx context.Context, addr string) (*rpc.Conn, error) {
+			if addr == off {
+				<-ctx.Done()
+				return nil, verdict.Refuse(verdict.ConnectionFailed, "dial %s: %v", addr, ctx.Err())
+			}
+			return rpc.Dial(ctx, addr, rpc.Security{}, nil, nil)
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	begin := time.Now()
+	if _, err := c.Apply(t.Context(), wire.Apply{Revision: 4}); err != nil {
+		t.Fatal(err)
+	}
+	// An entry that has just started waits 500 ms for its workers.
+	if took := time.Since(begin); took >= 500*time.Millisecond {
+		t.Errorf("a call took %v although one of two nodes leads", took)
+	}
+}
 
-	c, err := NewClient(ClientOptions{Servers: []string{silentNode(t), live.Addr()}})
+// Guards against a member that never connects over a slow network.
+func TestConnectsOverSlowNetwork(t *testing.T) {
+	const connects = 900 * time.Millisecond
+	c, err := NewClient(ClientOptions{
+		Servers: []string{liveNode(t)},
+		Dial: func(ctx context.Context, addr string) (*rpc.Conn, error) {
+			if !clock.Sleep(ctx, connects) {
+				return nil, verdict.Refuse(verdict.ConnectionFailed, "dial %s: %v", addr, ctx.Err())
+			}
+			return rpc.Dial(ctx, addr, rpc.Security{}, nil, nil)
+		},
+	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(c.Close)
-	c.servers.setLeader(c.servers.dir.Addrs()[0])
-	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	r, err := c.Apply(ctx, wire.Apply{Revision: 4})
-	if err != nil || r.Revision != 4 {
-		t.Fatalf("a call of 1 s was not answered although one of two nodes leads: %v, %v", r, err)
+	if _, err := c.Apply(ctx, wire.Apply{Revision: 4}); err != nil {
+		t.Error(err)
 	}
 }
--- a/member/servers.go
+++ b/member/servers.go
@@ -29,6 +29,11 @@
 	retryPause = 50 * time.Millisecond
 	// maxHops is how many hints are followed without a pause.
 	maxHops = 2
+	// connectTimeout bounds an attempt to connect. It doubles with each failure in a
+	// row, up to maxConnectTimeout. TCP repeats a lost connection request only after
+	// 1 s, so another node is reached faster than one whose VM was off a moment ago.
+	connectTimeout    = 250 * time.Millisecond
+	maxConnectTimeout = 2 * time.Second
 )
 
 // Dialer opens a connection to a control node.
@@ -44,6 +49,8 @@
 	leader string // address of the last known leader, empty if unknown
 	next   int
 	closed bool
+	// connectFailures counts the failed attempts to connect since one succeeded.
+	connectFailures int
 }
 
 func newServers(dir *Directory, dial Dialer) *servers {
@@ -70,7 +77,7 @@
 	if c != nil {
 		return c, nil
 	}
-	c, err := s.dial(ctx, addr)
+	c, err := s.connect(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -88,6 +95,35 @@
 	return c, nil
 }
 
+// connect opens a connection within the time of this attempt.
+func (s *servers) connect(ctx context.Context, addr string) (*rpc.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.attemptToConnect())
+	defer cancel()
+	c, err := s.dial(ctx, addr)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.connectFailures++
+		return nil, err
+	}
+	s.connectFailures = 0
+	return c, nil
+}
+
+// attemptToConnect returns how long the next attempt to connect may take.
+func (s *servers) attemptToConnect() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	limit := connectTimeout
+	for range s.connectFailures {
+		if limit >= maxConnectTimeout {
+			return maxConnectTimeout
+		}
+		limit *= 2
+	}
+	return limit
+}
+
 func (s *servers) drop(addr string, c *rpc.Conn) {
 	s.mu.Lock()
 	if s.conns[addr] == c {
