--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -116,7 +116,7 @@
 func (j *job) started() bool { return j.sent > 0 || j.done > 0 || j.maybeRan }
 
 // workerFor returns the open worker for the next task of j, or nil: the one with
-// the least sum of the probability of being late there and the price of its room.
+// the least sum of the loss expected there and the price of its room.
 func (c *Core) workerFor(now time.Duration, s *service, j *job) *upstream {
 	var best *upstream
 	least := math.Inf(1)
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -85,7 +85,8 @@
 	return n > 0 && st.MoreUrgent(&c.queue[n-1].start)
 }
 
-// trimQueue refuses the least urgent tasks beyond the bound of the queue.
+// trimQueue refuses the least urgent tasks beyond the bound of the queue. What fits
+// beside the running tasks doesn't count, since it starts with the next tick.
 func (c *Core) trimQueue() {
 	for c.queued > c.cfg.LookAhead+c.overcommit() && !c.free().Holds(wire.Resources{}) {
 		r := c.queue[len(c.queue)-1]
