--- a/member/servers.go
+++ b/member/servers.go
@@ -97,7 +97,7 @@
 
 // connect opens a connection within the time of this attempt.
 func (s *servers) connect(ctx context.Context, addr string) (*rpc.Conn, error) {
-	ctx, cancel := context.WithTimeout(ctx, s.attemptToConnect())
+	ctx, cancel := context.WithTimeout(ctx, s.nextConnectTimeout())
 	defer cancel()
 	c, err := s.dial(ctx, addr)
 	s.mu.Lock()
@@ -110,8 +110,8 @@
 	return c, nil
 }
 
-// attemptToConnect returns how long the next attempt to connect may take.
-func (s *servers) attemptToConnect() time.Duration {
+// nextConnectTimeout returns how long the next attempt to connect may take.
+func (s *servers) nextConnectTimeout() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	limit := connectTimeout
