entry, dispatch: a test that could not fail, and one for the limit of attempts

Cause: with the closing of connections removed in a trial, TestLeavingEntryMovesCallers still passed after 10 s: the end of its grace of 10 s closes connections as well. The grace is an hour now. The limit of attempts of a batch's task had no test; TestTaskIsStartedWithinItsAttempts fails when a task gets one attempt more or one less. No product code changed.

--- a/dispatch/batch_test.go
+++ b/dispatch/batch_test.go
@@ -82,6 +82,34 @@
 	}
 }
 
+// Guards against a task that is started again after it has failed as often as its batch
+// allows, and against one that is given up earlier.
+func TestTaskIsStartedWithinItsAttempts(t *testing.T) {
+	f := newBatchFixture(3)
+	if err := f.batch(1, Step{Tasks: 1}); err != nil { // allows two attempts
+		t.Fatal(err)
+	}
+	for attempt := 1; attempt <= 2; attempt++ {
+		up, st := f.only(t)
+		f.workerReport(up, 10, wire.Answer{Key: st.Key, Try: st.Try, Verdict: verdict.Ran, Reason: verdict.UpstreamFailed, Status: 500})
+	}
+	for range 10 {
+		for up, list := range f.tick() {
+			if len(list) > 0 {
+				t.Fatalf("a third attempt at worker %d", up)
+			}
+		}
+		if len(f.out.Finished) == 1 {
+			if err := f.out.Finished[0].Err; err == nil || err.Verdict != verdict.Ran || err.Reason != verdict.TaskFailed {
+				t.Errorf("the batch ended with %v", err)
+			}
+			return
+		}
+		f.now += 50 * time.Millisecond
+	}
+	t.Error("the batch does not end")
+}
+
 // Guards against the lease of a task for which nobody waits any more that is
 // renewed for ever, if the message that ends it was lost.
 func TestLeaseOfAbandonedTasksRunsOut(t *testing.T) {
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -68,7 +68,8 @@
 // Guards against callers that go on using open connections to an entry that leaves,
 // until it refuses what they send: from a moment on an answer closes its connection.
 func TestLeavingEntryMovesCallers(t *testing.T) {
-	s := newSystem(t, testCluster(), 1, Options{MoveAfter: 50 * time.Millisecond, Grace: 10 * time.Second})
+	// The end of the grace would close connections too, so the test ends long before.
+	s := newSystem(t, testCluster(), 1, Options{MoveAfter: 50 * time.Millisecond, Grace: time.Hour})
 	e := s.entries[0]
 	closes := func() bool {
 		resp, err := http.Get("http://" + e.Callers() + "/v1/jobs/1")
