--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -29,6 +29,8 @@
 type batchWorld struct {
 	*world
 	active  map[string]int           // runs of each task by name, at all workers
+	started map[ids.TaskKey]bool     // tasks of which a run has begun
+	refused map[ids.TaskKey]bool     // tasks of which the caller was told that they have not run
 	work    map[string]time.Duration // run time of each task on a worker of slowness 1
 	byClass map[string]int           // results by number of tasks
 	useful  time.Duration            // work of the batches that were answered
@@ -43,7 +45,7 @@
 var workerSize = wire.Resources{CPU: 16000, Memory: 32768}
 
 func newBatchWorld(seed uint64, entries, workers int) *batchWorld {
-	b := &batchWorld{world: newWorld(seed, entries, 0, 8), active: map[string]int{}, results: map[string]int{}, byClass: map[string]int{}, work: map[string]time.Duration{}, sizes: map[string]batchSize{}}
+	b := &batchWorld{world: newWorld(seed, entries, 0, 8), active: map[string]int{}, started: map[ids.TaskKey]bool{}, refused: map[ids.TaskKey]bool{}, results: map[string]int{}, byClass: map[string]int{}, work: map[string]time.Duration{}, sizes: map[string]batchSize{}}
 	b.world.batches = b
 	b.cfg.QuarantineShare = 0.3
 	for n := range workers {
@@ -76,6 +78,10 @@
 	if !x.capacity.Holds(x.used) {
 		w.violate("worker %d holds %+v of %+v", a.node, x.used, x.capacity)
 	}
+	b.started[s.Key] = true
+	if b.refused[s.Key] {
+		w.violate("task %s starts after its refusal", s.Name)
+	}
 	b.active[s.Name]++
 	if b.active[s.Name] > 1 {
 		w.violate("task %s runs %d times at once", s.Name, b.active[s.Name])
@@ -179,6 +185,9 @@
 			b.ended(mean.String(), b.sizes[name].size, err == nil)
 		}
 		b.byClass[fmt.Sprint(tasks, " ", how)]++
+		if err != nil && err.Verdict == verdict.NotRun {
+			b.checkRefusal(name, key, tasks)
+		}
 		switch {
 		case err != nil && err.Verdict == verdict.MayHaveRun:
 			again()
@@ -195,6 +204,17 @@
 	b.tickEntry(e)
 }
 
+// checkRefusal checks that no task of a refused batch has been started.
+func (b *batchWorld) checkRefusal(name string, first ids.TaskKey, tasks int) {
+	for i := range tasks {
+		key := ids.TaskKey{Entry: first.Entry, Index: first.Index + uint64(i)}
+		b.refused[key] = true
+		if b.started[key] {
+			b.violate("batch %s is refused, and its task %d has been started", name, i)
+		}
+	}
+}
+
 // priorityOf is the priority of the batches of a class, by their number of tasks.
 func priorityOf(tasks int) int {
 	switch tasks {
@@ -286,8 +306,8 @@
 	return float64(b.results[end]) / float64(b.sent)
 }
 
-// Guards against two runs of one task at a time and against a worker over its
-// capacity when entries die or fall silent, agents crash, connections are lost,
+// Guards against two runs of one task at a time, against a worker over its capacity,
+// and against a refused batch of which a task has been started or starts later, when entries die or fall silent, agents crash, connections are lost,
 // messages are delayed for seconds, and callers repeat their batches elsewhere.
 func TestBatchRunsDoNotOverlap(t *testing.T) {
 	for seed := range uint64(150) {
