--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -44,9 +44,20 @@
 
 var workerSize = wire.Resources{CPU: 16000, Memory: 32768}
 
-func newBatchWorld(seed uint64, entries, workers int) *batchWorld {
-	b := &batchWorld{world: newWorld(seed, entries, 0, 8), active: map[string]int{}, started: map[ids.TaskKey]bool{}, refused: map[ids.TaskKey]bool{}, results: map[string]int{}, byClass: map[string]int{}, work: map[string]time.Duration{}, sizes: map[string]batchSize{}}
+// newEmptyBatchWorld returns a world without workers.
+func newEmptyBatchWorld(seed uint64, entries int) *batchWorld {
+	b := &batchWorld{
+		world: newWorld(seed, entries, 0, 8), active: map[string]int{},
+		started: map[ids.TaskKey]bool{}, refused: map[ids.TaskKey]bool{},
+		results: map[string]int{}, byClass: map[string]int{},
+		work: map[string]time.Duration{}, sizes: map[string]batchSize{},
+	}
 	b.world.batches = b
+	return b
+}
+
+func newBatchWorld(seed uint64, entries, workers int) *batchWorld {
+	b := newEmptyBatchWorld(seed, entries)
 	b.cfg.QuarantineShare = 0.3
 	for n := range workers {
 		b.addWorker(n, []float64{1.6, 1, 0.6}[n%3])
@@ -489,11 +500,7 @@
 // Guards against a reserve for wide long batches that leaves nothing to others,
 // above all where all workers are equally fast.
 func TestReserveLeavesRoomForOthers(t *testing.T) {
-	b := &batchWorld{
-		world: newWorld(1, 3, 0, 8), active: map[string]int{}, results: map[string]int{},
-		byClass: map[string]int{}, work: map[string]time.Duration{},
-	}
-	b.world.batches = b
+	b := newEmptyBatchWorld(1, 3)
 	for n := range 6 {
 		b.addWorker(n, 1)
 	}
