control, platform: log and measure what keeps the group from electing a leader

Neither the voters of the group nor the losses that the settings ask to bear are in any line, and a node without a leader is silent.

Change: control logs each committed membership with names and instances, what it found in its log at the start, and every 3 s without a leader whose votes it has and whose it lacks. Metrics count voters, learners and silent voters.

Result: no decision changes. go test ./control ./consensus ./platform passes.

--- a/consensus/status.go
+++ b/consensus/status.go
@@ -1,5 +1,10 @@
 package consensus
 
+import (
+	"maps"
+	"slices"
+)
+
 // ID returns this node's id.
 func (n *Node) ID() ID { return n.cfg.ID }
 
@@ -45,3 +50,16 @@
 // index. It is 0 if that never happened. The entries up to the commit index may not
 // be applied yet.
 func (n *Node) ConfirmedTick() uint64 { return n.confirmedTick }
+
+// GroupIndex returns the log index of the membership record in effect.
+func (n *Node) GroupIndex() uint64 { return n.groups.latest().index }
+
+// GrantedVotes returns the voters that have granted their vote, or their pre-vote, in
+// the campaign of this node, itself included. It is empty while the node does not
+// campaign.
+func (n *Node) GrantedVotes() []ID {
+	if n.role != candidate && n.role != preCandidate {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(n.grantedVotes))
+}
--- a/control/core.go
+++ b/control/core.go
@@ -35,6 +35,8 @@
 	metricsUpdatedAt  time.Time
 	leading           bool
 	lastRunAt         time.Time
+	lastLeaderAt      time.Time // last time at which a leader was known
+	lastNoLeaderLogAt time.Time
 	lastForwardAt     time.Time
 	configIndex       ids.Version // log index of the latest configuration change applied since the start
 	lastMaintenanceAt time.Time
@@ -88,6 +90,7 @@
 	}
 	c.startSnapshot()
 	c.updateLeadership(now)
+	c.reportMissingLeader(now)
 	c.updateConfirmation()
 	c.forwardRenewals(now)
 	if now.Sub(c.metricsUpdatedAt) >= metricsInterval {
@@ -182,7 +185,8 @@
 			return err
 		}
 		state.Skip(s.Index)
-		c.state, c.committedGroup = state, s.Group
+		c.state = state
+		c.setCommittedGroup(s.Group, s.Index)
 		c.resetLogGrowth()
 		c.failWaiters()
 		c.dropEndedLeases()
@@ -214,7 +218,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "control: decode membership record %d", e.Index)
 		}
-		c.committedGroup = g
+		c.setCommittedGroup(g, e.Index)
 	}
 	if e.Kind != consensus.EntryCommand {
 		c.state.Skip(e.Index)
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -14,6 +14,9 @@
 	configVersion tally.Gauge // of the applied tables
 	liveMembers   tally.Gauge // entries and agents
 	confirmedAge  tally.Gauge // seconds since a leader confirmed the tables as current
+	voters        tally.Gauge // of the membership in effect
+	learners      tally.Gauge
+	silentVoters  tally.Gauge // voters without a reply for silentAfter; known to the leader only
 	syncTime      tally.Histogram
 }
 
@@ -28,6 +31,9 @@
 		configVersion: s.Gauge("config_version"),
 		liveMembers:   s.Gauge("members_live"),
 		confirmedAge:  s.Gauge("confirmed_age_seconds"),
+		voters:        s.Gauge("voters"),
+		learners:      s.Gauge("learners"),
+		silentVoters:  s.Gauge("voters_silent"),
 		syncTime:      s.Histogram("sync_seconds", tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)),
 	}
 }
@@ -42,7 +48,26 @@
 	m.commitIndex.Update(float64(c.raft.Commit()))
 	m.configVersion.Update(float64(c.state.ConfigVer()))
 	m.liveMembers.Update(float64(c.state.LiveCount()))
+	m.updateGroup(c)
 	if !c.confirmedAt.IsZero() {
 		m.confirmedAge.Update(now.Sub(c.confirmedAt).Seconds())
 	}
 }
+
+func (m *metrics) updateGroup(c *core) {
+	voters, learners, silent := 0, 0, 0
+	for _, p := range c.raft.Group().Peers {
+		switch {
+		case !p.Voter:
+			learners++
+		case c.silence(p.ID) >= silentAfter:
+			silent++
+			fallthrough
+		default:
+			voters++
+		}
+	}
+	m.voters.Update(float64(voters))
+	m.learners.Update(float64(learners))
+	m.silentVoters.Update(float64(silent))
+}
--- a/control/node.go
+++ b/control/node.go
@@ -116,7 +116,7 @@
 	now := time.Now()
 	c := &core{
 		opt: o, log: l, state: controlstate.New(),
-		firstTickAt: now, lastRunAt: now, leases: newLeases(), metrics: newMetrics(o.Scope),
+		firstTickAt: now, lastRunAt: now, lastLeaderAt: now, leases: newLeases(), metrics: newMetrics(o.Scope),
 		pendingMembers: map[ids.Incarnation]bool{}, waiters: map[uint64]waiter{},
 		senderAddrs: map[consensus.ID]string{},
 	}
@@ -150,6 +150,8 @@
 	}
 	c.hardState = disk.HardState
 	c.raft = c.newRaft(disk.HardState, disk.Snapshot, disk.Entries)
+	klog.InfoS("control: Log opened", "instance", c.instance.ID, "boot", c.instance.Boot, "lastIndex", c.raft.LastIndex(),
+		"membershipIndex", c.raft.GroupIndex(), "voters", peerNames(c.raft.Group(), true), "learners", peerNames(c.raft.Group(), false))
 	if !empty {
 		if !c.membership.Joined {
 			return c.saveJoined()
