--- a/control/options.go
+++ b/control/options.go
@@ -44,6 +44,9 @@
 	// place if AutoJoin is set. Default 10 s, which is longer than a VM is
 	// usually frozen or a restart takes.
 	LostAfter time.Duration
+	// Tolerance is what the group has to bear the loss of. The nodes of a group need
+	// the same value.
+	Tolerance Tolerance
 	Region    ids.Region
 	Domain    ids.Domain
 	// Data is the directory of the log.
@@ -65,6 +68,13 @@
 	Counters *rpc.Counters
 }
 
+// Tolerance is what may be lost at the same time, disks included, without the loss of
+// anything acknowledged.
+type Tolerance struct {
+	Nodes   int // control nodes
+	Domains int // failure domains, with all control nodes in them
+}
+
 const (
 	defaultListen          = "127.0.0.1:7400"
 	defaultSnapshotEntries = 20_000
