control, platform: size the group for the losses that the settings ask to bear

Cause: the group had three voters on every deployment, the seeds, which bear one loss. The deployment has six VMs with a disk and its settings ask to bear two. The class of fault: a quorum sized for one deployment. A node outside the seeds could only be a learner.

The operators' API follows changed seeds.

--- a/consensus/api.go
+++ b/consensus/api.go
@@ -50,6 +50,11 @@
 	// vote with a lower boot count is ignored, since the node then runs on an
 	// older copy of its disk.
 	Boot uint64 `json:"boot"`
+	// Domain is the failure domain of the node.
+	Domain string `json:"domain,omitempty"`
+	// Observer marks a node that must not become a voter, because its log does not
+	// survive a restart.
+	Observer bool `json:"observer,omitempty"`
 	// Leaving marks a former voter that is removed when the joint phase of the
 	// membership change ends.
 	Leaving bool `json:"leaving,omitempty"`
--- a/consensus/change.go
+++ b/consensus/change.go
@@ -62,8 +62,7 @@
 }
 
 func (n *Node) checkNewVoters(target Group) *verdict.Error {
-	record := n.groups.latest()
-	current := record.group
+	current := n.group()
 	for _, id := range target.Voters() {
 		if current.IsVoter(id) {
 			continue
@@ -71,15 +70,24 @@
 		if _, ok := current.Peer(id); !ok {
 			return verdict.Refuse(verdict.BadRequest, "node %s must be a learner first", id)
 		}
-		// The node must hold at least the record that made it a learner, so that
-		// it knows the membership if the other nodes are lost.
-		if match := n.Match(id); match < record.index || match+n.cfg.CatchUpEntries < n.commit {
+		if p, _ := target.Peer(id); p.Observer {
+			return verdict.Refuse(verdict.BadRequest, "node %s is an observer", id)
+		}
+		if !n.CaughtUp(id) {
 			return verdict.Refuse(verdict.Stale, "node %s has synced index %d of %d", id, n.Match(id), n.commit)
 		}
 	}
 	return nil
 }
 
+// CaughtUp reports whether a learner may become a voter. It must hold at least the
+// record that made it a learner, so that it knows the membership if the other nodes are
+// lost. Only the leader knows.
+func (n *Node) CaughtUp(id ID) bool {
+	match := n.Match(id)
+	return match >= n.groups.latest().index && match+n.cfg.CatchUpEntries >= n.commit
+}
+
 // changeInProgress reports whether the latest membership record is uncommitted
 // or a joint one.
 func (n *Node) changeInProgress() bool {
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -17,6 +17,15 @@
 // Leader returns the id of the leader, which may be this node, or "" if none is known.
 func (n *Node) Leader() ID { return n.leader }
 
+// TicksSinceLeader returns the number of ticks since the last message from a leader, or
+// since the start. It returns 0 if this node leads.
+func (n *Node) TicksSinceLeader() uint64 {
+	if n.role == leader {
+		return 0
+	}
+	return n.now - n.lastLeaderTick
+}
+
 // IsLeader reports whether this node leads and its lease held at the last tick. A
 // process that was paused may not have noticed yet that another node leads; only a
 // read that ReadIndex confirms rules that out.
--- a/control/core.go
+++ b/control/core.go
@@ -339,11 +339,11 @@
 	return m.Kind
 }
 
-// proposeMaintenance proposes the replacement of lost voters, the expiry of leases,
+// proposeMaintenance proposes changes of the voters, the expiry of leases,
 // changes of draining marks and the application of retention.
 func (c *core) proposeMaintenance(now time.Time) {
 	if c.opt.AutoJoin {
-		c.replaceLostVoter()
+		c.adjustVoters()
 	}
 	for _, inc := range c.leases.expired(now, c.state.LiveMembers()) {
 		if !c.pendingMembers[inc] {
--- a/control/formation.go
+++ b/control/formation.go
@@ -11,7 +11,6 @@
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
-	"github.com/baobabshore/baobabshore/wire"
 )
 
 // hello is the message, and its reply, in which the nodes of a new group announce
@@ -28,6 +27,8 @@
 	// Formed is set once the sender belongs to a group. Group is then the group that
 	// it formed, or empty if the sender was added later.
 	Formed bool `json:"formed,omitempty"`
+	// Observer is set if the sender must not vote. The group forms without it.
+	Observer bool `json:"observer,omitempty"`
 }
 
 // groupFormation agrees with the peers on the first group. A node announces the set of
@@ -46,6 +47,8 @@
 	peers  []Peer // all nodes, this one included
 	hellos map[ids.Node]hello
 	group  []consensus.Peer
+	// observers are the peers that must not vote.
+	observers map[ids.Node]bool
 	// locked is set once group has been synced to disk.
 	locked bool
 	// excluded is set once a peer has reported a group without this instance.
@@ -54,7 +57,7 @@
 
 // newFormation starts with the set that the node locked in an earlier run, if any.
 func newFormation(self consensus.Peer, peers []Peer, locked []consensus.Peer) *groupFormation {
-	f := &groupFormation{self: self, peers: peers, hellos: map[ids.Node]hello{}, group: locked, locked: len(locked) > 0}
+	f := &groupFormation{self: self, peers: peers, hellos: map[ids.Node]hello{}, observers: map[ids.Node]bool{}, group: locked, locked: len(locked) > 0}
 	f.updateGroup()
 	return f
 }
@@ -74,6 +77,7 @@
 	for _, p := range f.peers {
 		if p.Node == h.Node && p.Node != ids.Node(f.self.Name) {
 			f.hellos[h.Node] = h
+			f.observers[h.Node] = h.Observer
 			f.updateGroup()
 		}
 	}
@@ -92,7 +96,12 @@
 }
 
 func (f *groupFormation) allPeersAgree(ok func(hello) bool) bool {
+	founders := 0
 	for _, p := range f.peers {
+		if f.observers[p.Node] {
+			continue
+		}
+		founders++
 		if p.Node == ids.Node(f.self.Name) {
 			continue
 		}
@@ -100,7 +109,7 @@
 			return false
 		}
 	}
-	return len(f.group) == len(f.peers)
+	return len(f.group) == founders
 }
 
 // updateGroup computes the proposed group from the received announcements, unless
@@ -117,6 +126,9 @@
 			if !ok {
 				return
 			}
+			if h.Observer {
+				continue
+			}
 			id = h.Instance
 		}
 		group = append(group, consensus.Peer{ID: id, Name: string(p.Node), Addr: p.Addr, Voter: true})
@@ -127,10 +139,7 @@
 
 const (
 	helloInterval = 100 * time.Millisecond
-	// joinInterval is the time between two attempts of a node outside an existing
-	// group to be added.
-	joinInterval = time.Second
-	helloTimeout = time.Second
+	helloTimeout  = time.Second
 )
 
 // hello returns the announcement of this node, also after its group has formed.
@@ -138,7 +147,10 @@
 	if c.formation != nil {
 		return c.formation.hello()
 	}
-	return hello{Node: c.opt.Node, Instance: c.instance.ID, Formed: true, Group: c.membership.InitialGroup.Peers}
+	return hello{
+		Node: c.opt.Node, Instance: c.instance.ID, Formed: c.membership.Joined, Observer: c.opt.Observer,
+		Group: c.membership.InitialGroup.Peers,
+	}
 }
 
 // answerHello records an announcement and returns this node's own.
@@ -205,7 +217,6 @@
 		wait := helloInterval
 		if st.isExcluded {
 			wait = joinInterval
-			n.requestJoin(dial)
 		}
 		select {
 		case <-n.ctx.Done():
@@ -233,31 +244,3 @@
 		klog.Warningf("control: Discarded the hello reply of %s: %v.", p.Node, err)
 	}
 }
-
-// requestJoin asks the group to add this node, in place of a lost node if there is
-// one. It does nothing without AutoJoin. runFormation repeats it until the node
-// belongs to the group.
-func (n *Node) requestJoin(dial member.Dialer) {
-	if !n.opt.AutoJoin {
-		return
-	}
-	var servers []string
-	for _, p := range n.opt.Peers {
-		if p.Node != n.opt.Node {
-			servers = append(servers, p.Addr)
-		}
-	}
-	c, err := member.NewClient(member.ClientOptions{Servers: servers, Dial: dial})
-	if err != nil {
-		klog.Warningf("control: Can't create the client for a join request: %v.", err)
-		return
-	}
-	defer c.Close()
-	ctx, cancel := context.WithTimeout(n.ctx, joinTimeout)
-	defer cancel()
-	err = c.Join(ctx, wire.Join{Node: n.opt.Node, Addr: n.opt.Advertise, Instance: n.Instance()})
-	klog.Infof("control: Node %s, instance %s, sent a join request; error: %v.", n.opt.Node, n.Instance(), err)
-}
-
-// joinTimeout limits one join request, including the transfer of a snapshot.
-const joinTimeout = 3 * time.Second
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/wire"
@@ -20,7 +21,11 @@
 // nodes are the seeds that form the group. The others join it.
 func newTolerantGroup(t *testing.T, size int, tolerance Tolerance) *group {
 	const seeds = 3
-	g := newGroupWith(t, seeds, func(o *Options) { o.AutoJoin, o.Tolerance = true, tolerance })
+	domain := 0
+	g := newGroupWith(t, seeds, func(o *Options) {
+		o.AutoJoin, o.Tolerance, o.Domain = true, tolerance, testDomain(domain)
+		domain++
+	})
 	for i := seeds; i < size; i++ {
 		g.start(g.addJoining(ids.Node(fmt.Sprint("c", i)), tolerance))
 	}
@@ -31,10 +36,13 @@
 func (g *group) addJoining(name ids.Node, tolerance Tolerance) int {
 	self := Peer{Node: name, Addr: freeAddr(g.t)}
 	i := g.add(self, append([]Peer{self}, g.opts[0].Peers...))
-	g.opts[i].AutoJoin, g.opts[i].Tolerance = true, tolerance
+	g.opts[i].AutoJoin, g.opts[i].JoinOnly, g.opts[i].Tolerance, g.opts[i].Domain = true, true, tolerance, testDomain(i)
 	return i
 }
 
+// testDomain returns the failure domain of a node. There are three.
+func testDomain(node int) ids.Domain { return ids.Domain(fmt.Sprint("d", node%3)) }
+
 // waitForVoterCount waits until the given number of nodes vote and all running nodes
 // are members.
 func (g *group) waitForVoterCount(c *member.Client, want int) {
@@ -85,3 +93,70 @@
 		t.Fatalf("the group has forgotten an acknowledged change: %+v", r)
 	}
 }
+
+// waitUntilListed waits until a node is in the group with its present instance, and with
+// no other one.
+func (g *group) waitUntilListed(c *member.Client, i int) {
+	g.t.Helper()
+	g.waitFor("the node to be listed", func() error {
+		st, err := c.Status(g.ctx(), wire.Status{})
+		if err != nil {
+			return err
+		}
+		listed := 0
+		for _, n := range st.Nodes {
+			if n.Node == g.opts[i].Node {
+				listed++
+			}
+			if n.Instance == g.nodes[i].Instance() && listed == 1 {
+				return nil
+			}
+		}
+		return errors.Errorf("%+v", st.Nodes)
+	})
+}
+
+// Guards against a group whose majority is on disks that don't survive a restart, and
+// against one that never forms because a seed has no disk.
+func TestObserversDoNotVote(t *testing.T) {
+	const observer = 2
+	index := 0
+	g := newGroupWith(t, 3, func(o *Options) {
+		o.AutoJoin, o.Observer, o.JoinOnly = true, index == observer, index == observer
+		index++
+	})
+	fourth := g.addJoining("c3", Tolerance{Nodes: 1})
+	g.start(fourth)
+	c := g.client()
+	g.waitForVoterCount(c, 3)
+	g.waitUntilListed(c, observer)
+	st, err := c.Status(g.ctx(), wire.Status{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range st.Nodes {
+		if n.Instance == g.nodes[observer].Instance() && n.Voter {
+			t.Fatalf("the observer votes: %+v", st.Nodes)
+		}
+	}
+	g.waitFor("the observer to answer reads", func() error {
+		_, err := g.clientOfNode(observer).Get(g.ctx())
+		return err
+	})
+}
+
+// Guards against a group of an earlier version, whose membership lacks the failure
+// domains of its nodes, that never learns them.
+func TestNodesReportTheirFailureDomain(t *testing.T) {
+	g := newTolerantGroup(t, 3, Tolerance{Nodes: 1})
+	g.apply(g.client(), "cmd", "1")
+	g.waitFor("the failure domains", func() error {
+		peers, err := runInLoop(g.ctx(), g.nodes[g.leader()], func(c *core) []consensus.Peer { return c.raft.Group().Peers })
+		for _, p := range peers {
+			if p.Domain == "" {
+				return errors.Errorf("%+v %v", peers, err)
+			}
+		}
+		return err
+	})
+}
--- a/control/node.go
+++ b/control/node.go
@@ -12,6 +12,7 @@
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/controlstate"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wal"
@@ -71,6 +72,9 @@
 	if len(o.Peers) == 0 {
 		o.Peers = []Peer{{Node: o.Node, Addr: o.Advertise}}
 	}
+	if o.Directory == nil {
+		o.Directory = member.NewDirectory(o.peerAddrs()...)
+	}
 	n, err := open(o, l)
 	if err != nil {
 		l.Close()
@@ -99,6 +103,9 @@
 	if c.formation != nil {
 		n.wg.Go(func() { n.runFormation(dial) })
 	}
+	if o.AutoJoin {
+		n.wg.Go(func() { n.runJoin(dial) })
+	}
 	klog.Infof("control: Node %s, instance %s, serves on %s in failure domain %q.", o.Node, c.instance.ID, o.Advertise, o.Domain)
 	return n, nil
 }
@@ -158,6 +165,9 @@
 		}
 		return nil
 	}
+	if c.opt.JoinOnly {
+		return nil
+	}
 	self := consensus.Peer{ID: c.instance.ID, Name: string(c.opt.Node), Addr: c.opt.Advertise, Voter: true}
 	c.formation = newFormation(self, c.opt.Peers, c.membership.InitialGroup.Peers)
 	return c.advanceFormation()
--- a/control/options.go
+++ b/control/options.go
@@ -37,15 +37,25 @@
 	// need the same list. It has no effect once the group exists. Default: this node
 	// alone.
 	Peers []Peer
-	// AutoJoin makes a node that is not in the existing group ask to be added in
-	// place of a lost node. Without it an operator adds the node.
+	// JoinOnly makes a node with an empty data directory wait until an existing group
+	// has added it. A group that formed anew would have forgotten what the existing one
+	// has acknowledged.
+	JoinOnly bool
+	// AutoJoin makes a node that is not in the existing group ask to be added, and a
+	// leader decide which nodes vote. Without it an operator does both.
 	AutoJoin bool
-	// LostAfter is how long a voter has to be silent before a learner takes its
-	// place if AutoJoin is set. Default 10 s, which is longer than a VM is
-	// usually frozen or a restart takes.
+	// Directory holds the addresses of control nodes at which to ask. Default: those
+	// of Peers.
+	Directory *member.Directory
+	// Observer makes a node that never votes, because its data directory does not
+	// survive a restart.
+	Observer bool
+	// LostAfter is how long a voter has to be silent before a learner takes its place
+	// if AutoJoin is set. Default 10 s, which is longer than a VM is usually frozen or
+	// a restart takes.
 	LostAfter time.Duration
 	// Tolerance is what the group has to bear the loss of. The nodes of a group need
-	// the same value.
+	// the same value. Default one node.
 	Tolerance Tolerance
 	Region    ids.Region
 	Domain    ids.Domain
@@ -81,6 +91,7 @@
 	defaultSnapshotBytes   = 8 << 20
 	defaultTick            = 50 * time.Millisecond
 	defaultLostAfter       = 10 * time.Second
+	defaultLosses          = 1
 )
 
 func (o Options) withDefaults() Options {
@@ -102,6 +113,9 @@
 	if o.Counters == nil {
 		o.Counters = &rpc.Counters{}
 	}
+	if o.Tolerance == (Tolerance{}) {
+		o.Tolerance = Tolerance{Nodes: defaultLosses}
+	}
 	if o.FS == nil {
 		o.FS = wal.OSFS{}
 	}
@@ -115,7 +129,10 @@
 	if o.Data == "" {
 		return errors.New("control: no data directory is given")
 	}
-	if len(o.Peers) == 0 {
+	if o.Observer && !o.JoinOnly {
+		return errors.New("control: an observer can't form a group")
+	}
+	if len(o.Peers) == 0 || o.JoinOnly {
 		return nil
 	}
 	seen := map[ids.Node]bool{}
@@ -131,6 +148,14 @@
 	return nil
 }
 
+func (o Options) peerAddrs() []string {
+	var out []string
+	for _, p := range o.Peers {
+		out = append(out, p.Addr)
+	}
+	return out
+}
+
 // listen opens the listener. It refuses an address other than loopback without a
 // token or certificates, since the node would accept calls of anyone.
 func (o Options) listen() (net.Listener, error) {
--- a/control/replace.go
+++ b/control/replace.go
@@ -31,12 +31,18 @@
 	if p.Node == "" || p.Addr == "" || p.Instance == "" {
 		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "node, address and instance of the new node are needed")
 	}
+	return n.untilDone(ctx, p.Node, func(c *core) replaceStep { return c.advanceReplacement(p) })
+}
+
+// untilDone takes the steps of a membership change for a node until it is done, a step
+// fails or replaceTimeout has passed.
+func (n *Node) untilDone(ctx context.Context, node ids.Node, advance func(*core) replaceStep) (wire.Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
 	defer cancel()
 	for {
-		step, err := runInLoop(ctx, n, func(c *core) replaceStep { return c.advanceReplacement(p) })
+		step, err := runInLoop(ctx, n, advance)
 		if err != nil {
-			return wire.Empty{}, verdict.Refuse(verdict.Stale, "node %s has not caught up yet", p.Node).After(time.Second)
+			return wire.Empty{}, verdict.Refuse(verdict.Stale, "node %s has not caught up yet", node).After(time.Second)
 		}
 		if step.done {
 			return wire.Empty{}, nil
@@ -51,67 +57,7 @@
 	}
 }
 
-// serveJoin lets a new node take the place of a lost voter, or adds it as a learner
-// until a voter is lost.
-func (n *Node) serveJoin(ctx context.Context, c *rpc.Conn, p wire.Join) (wire.Empty, error) {
-	if p.Node == "" || p.Addr == "" || p.Instance == "" {
-		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "node, address and instance of the new node are needed")
-	}
-	old, err := runInLoop(ctx, n, func(c *core) ids.Node { return c.nodeToReplace(p) })
-	if err != nil {
-		return wire.Empty{}, err
-	}
-	return n.serveReplace(ctx, c, wire.Replace{Old: old, Node: p.Node, Addr: p.Addr, Instance: p.Instance})
-}
-
-// nodeToReplace returns the name of the voter whose place a new node takes, empty if
-// no voter is lost. A voter with the name and address of the new node is lost: its
-// data directory was emptied.
-func (c *core) nodeToReplace(p wire.Join) ids.Node {
-	var lostVoter ids.Node
-	for _, q := range c.raft.Group().Peers {
-		switch {
-		case !q.Voter || string(q.ID) == p.Instance:
-		case q.Name == string(p.Node) && q.Addr == p.Addr:
-			return p.Node
-		case c.lost(q):
-			lostVoter = ids.Node(q.Name)
-		}
-	}
-	return lostVoter
-}
-
-// lost reports whether a voter has been silent for so long that another node may
-// take its place.
-func (c *core) lost(p consensus.Peer) bool {
-	return p.Voter && time.Duration(c.raft.TicksSinceReply(p.ID))*c.opt.Tick >= c.opt.LostAfter
-}
-
-// replaceLostVoter replaces a lost voter by a learner that responds. Consensus
-// refuses the change until the learner has caught up, and while another change is in
-// progress.
-func (c *core) replaceLostVoter() {
-	g := c.raft.Group()
-	if g.IsJoint() || !c.groupCommitted() {
-		return
-	}
-	lost := slices.IndexFunc(g.Peers, c.lost)
-	learner := slices.IndexFunc(g.Peers, func(p consensus.Peer) bool {
-		return !p.Voter && time.Duration(c.raft.TicksSinceReply(p.ID))*c.opt.Tick < maxLearnerSilence
-	})
-	if lost < 0 || learner < 0 {
-		return
-	}
-	klog.Warningf("control: Node %s has been silent for at least %v; replacing it by learner %s.", g.Peers[lost].Name, c.opt.LostAfter, g.Peers[learner].Name)
-	if step := c.proposeGroup(swapPeer(g, g.Peers[lost], g.Peers[learner].ID)); step.err != nil {
-		klog.Warningf("control: The replacement was refused: %v.", step.err)
-	}
-}
-
-// maxLearnerSilence is the longest silence of a learner that may become a voter.
-const maxLearnerSilence = time.Second
-
-// replaceStep is the state of a replacement after one step.
+// replaceStep is the state of a membership change after one step.
 type replaceStep struct {
 	done bool
 	err  *verdict.Error
--- a/control/status.go
+++ b/control/status.go
@@ -75,6 +75,8 @@
 	return time.Duration(c.raft.TicksSinceReply(id)) * c.opt.Tick
 }
 
+func (c *core) ticks(d time.Duration) uint64 { return uint64(d / c.opt.Tick) }
+
 // setCommittedGroup records the membership as of the applied index.
 func (c *core) setCommittedGroup(g consensus.Group, index uint64) {
 	c.committedGroup = g
@@ -84,7 +86,7 @@
 // reportMissingLeader logs, while the node knows no leader, what keeps it from electing
 // one.
 func (c *core) reportMissingLeader(now time.Time) {
-	if c.raft.Leader() != "" || c.formation != nil {
+	if c.raft.TicksSinceLeader() < c.ticks(silentAfter) || !c.membership.Joined {
 		c.lastLeaderAt = now
 		return
 	}
--- a/member/client.go
+++ b/member/client.go
@@ -12,9 +12,11 @@
 // ClientOptions configures a Client.
 type ClientOptions struct {
 	// Servers are the addresses of the control nodes, host:port.
-	Servers  []string
-	Security rpc.Security
-	Counters *rpc.Counters // may be nil
+	Servers []string
+	// Directory holds the addresses in place of Servers if they may change.
+	Directory *Directory
+	Security  rpc.Security
+	Counters  *rpc.Counters // may be nil
 	// Dial replaces the dialer in tests. Nil dials with Security and Counters.
 	Dial Dialer
 }
@@ -27,11 +29,15 @@
 
 // NewClient returns a client. It opens its first connection with the first call.
 func NewClient(o ClientOptions) (*Client, error) {
-	if len(o.Servers) == 0 {
+	directory := o.Directory
+	if directory == nil {
+		directory = NewDirectory(o.Servers...)
+	}
+	if len(directory.Addrs()) == 0 {
 		return nil, verdict.Refuse(verdict.BadRequest, "no control servers are given")
 	}
 	dial := Options{Security: o.Security, Counters: o.Counters, Dial: o.Dial}.dialer()
-	return &Client{serverPool: newServerPool(NewDirectory(o.Servers...), dial)}, nil
+	return &Client{serverPool: newServerPool(directory, dial)}, nil
 }
 
 // Close closes the client's connections.
--- a/wire/control.go
+++ b/wire/control.go
@@ -221,12 +221,16 @@
 	Instance string   `json:"instance"`
 }
 
-// Join requests to replace a lost control node: the one of the same name whose data
-// folder was emptied, or one that has not answered for a long time.
+// Join requests to add a control node to the group, or to add it again. The group then
+// makes it a voter if it has too few, or if one is lost.
 type Join struct {
-	Node     ids.Node `json:"node"`
-	Addr     string   `json:"addr"`
-	Instance string   `json:"instance"`
+	Node     ids.Node   `json:"node"`
+	Addr     string     `json:"addr"`
+	Instance string     `json:"instance"`
+	Domain   ids.Domain `json:"domain,omitempty"`
+	// Observer marks a node that must not vote, because its log does not survive a
+	// restart.
+	Observer bool `json:"observer,omitempty"`
 }
 
 // DrainNode asks the leader of the control group to set or clear the draining mark of a
