control: let a learner join again after its data directory was emptied

What operators saw: nothing, and that is the fault. A learner whose disk is emptied stays out of the group, which then has no learner that could take the place of a lost voter.

Cause: its earlier instance keeps the name in the group, and the group refused a second node of that name. Only voters were exchanged for a new instance.

Change: a joining node takes the place of a learner at its address.

Result: TestEmptiedLearnerRejoins failed before (a trial with a limit of 20 s: the list still had the earlier instance) and passes.

--- a/control/join.go
+++ b/control/join.go
@@ -46,16 +46,18 @@
 		return c.proposeGroup(withDescription(g, p))
 	}
 	for _, q := range g.Peers {
-		if q.Name == string(p.Node) && (q.Addr != p.Addr || !q.Voter) {
+		if q.Name == string(p.Node) && q.Addr != p.Addr {
 			return replaceStep{err: verdict.Refuse(verdict.BadRequest, "a control node is named %q already, with address %s", q.Name, q.Addr)}
 		}
 	}
 	return c.proposeGroup(withLearner(g, p))
 }
 
-// withLearner returns g with the node as a learner.
+// withLearner returns g with the node as a learner. A learner at its address is an
+// earlier instance, which ended when the data directory was emptied.
 func withLearner(g consensus.Group, p wire.Join) consensus.Group {
-	return consensus.Group{Peers: append(slices.Clone(g.Peers), consensus.Peer{
+	peers := slices.DeleteFunc(slices.Clone(g.Peers), func(q consensus.Peer) bool { return !q.Voter && q.Addr == p.Addr })
+	return consensus.Group{Peers: append(peers, consensus.Peer{
 		ID: consensus.ID(p.Instance), Name: string(p.Node), Addr: p.Addr, Domain: string(p.Domain), Observer: p.Observer,
 	})}
 }
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -160,3 +160,21 @@
 		return err
 	})
 }
+
+// Guards against a learner that stays out of the group after its data directory was
+// emptied, because its earlier instance still holds its name.
+func TestEmptiedLearnerRejoins(t *testing.T) {
+	g := newTolerantGroup(t, 4, Tolerance{Nodes: 1})
+	c := g.client()
+	g.waitForVoterCount(c, 3)
+	const learner = 3
+	g.waitUntilListed(c, learner)
+	g.stop(learner)
+	g.emptyDisk(learner)
+	g.start(learner)
+	g.waitUntilListed(c, learner)
+	g.waitForVoterCount(c, 3)
+	g.stop(0)
+	g.emptyDisk(0)
+	g.apply(g.clientOf(addrsOf(g.running())), "cmd-1", "1")
+}
