control: let a voter that was replaced join again

What operators saw: a voter that was replaced while it was frozen or cut off kept its folder and answered every read as stale for ever (docs/findings.md). The group stayed smaller than the losses that it has to bear.

Cause: only a node with an empty data directory asked to be added. The nodes that remain send nothing to one that they have removed, so it took itself for a voter without a leader.

Change: a node that has not heard from a leader for 2 s asks to be added. It keeps its instance and its log, which are valid, and becomes a learner. For a member the request changes nothing.

--- a/control/join.go
+++ b/control/join.go
@@ -19,6 +19,9 @@
 	joinInterval = 500 * time.Millisecond
 	// joinTimeout limits one join request, which takes two synced writes of a majority.
 	joinTimeout = time.Second
+	// rejoinAfter is the time without a leader after which a node asks to be added
+	// again, in case it was removed from the group. An election takes less.
+	rejoinAfter = 2 * time.Second
 )
 
 // serveJoin adds a node to the group as a learner, and returns once that is committed.
@@ -103,7 +106,8 @@
 	servers []string
 }
 
-// needsToJoin reports whether this node is in no group, or has changed since it was added.
+// needsToJoin reports whether this node is in no group, may have been removed from it, or
+// has changed since it was added.
 func (c *core) needsToJoin() bool {
 	switch {
 	case c.formation != nil:
@@ -112,7 +116,7 @@
 		return true
 	}
 	self, ok := c.raft.Group().Peer(c.instance.ID)
-	return !ok || !describes(c.joinRequest(), self)
+	return !ok || !describes(c.joinRequest(), self) || c.raft.TicksSinceLeader() >= c.ticks(rejoinAfter)
 }
 
 func (c *core) joinRequest() wire.Join {
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -178,3 +178,38 @@
 	g.emptyDisk(0)
 	g.apply(g.clientOf(addrsOf(g.running())), "cmd-1", "1")
 }
+
+// Guards against a voter that was replaced while it could not be reached, and then keeps
+// its data directory but belongs to no group for ever.
+func TestReplacedVoterJoinsAgain(t *testing.T) {
+	g := newGroupWith(t, 3, func(o *Options) { o.AutoJoin, o.LostAfter = true, time.Second })
+	c := g.client()
+	g.apply(c, "cmd-1", "1")
+	cut := (g.leader() + 1) % 3
+	g.net.setIsolated(g.opts[cut].Listen, true)
+	fresh := g.addJoining("fresh", Tolerance{Nodes: 1})
+	g.opts[fresh].LostAfter = time.Second
+	g.start(fresh)
+	g.waitUntilUnlisted(c, cut)
+	g.net.setIsolated(g.opts[cut].Listen, false)
+	g.waitUntilListed(c, cut)
+	g.stop((cut + 1) % 3)
+	g.waitForVoters(g.clientOf(addrsOf(g.running())), g.running())
+	g.apply(g.clientOf(addrsOf(g.running())), "cmd-2", "2")
+}
+
+func (g *group) waitUntilUnlisted(c *member.Client, i int) {
+	g.t.Helper()
+	g.waitFor("the node to be replaced", func() error {
+		st, err := c.Status(g.ctx(), wire.Status{})
+		if err != nil {
+			return err
+		}
+		for _, n := range st.Nodes {
+			if n.Node == g.opts[i].Node {
+				return errors.Errorf("%+v", st.Nodes)
+			}
+		}
+		return nil
+	})
+}
