control, platform: form a group only at the first start of a deployment

What callers would see: two groups, one of which has forgotten what the other has acknowledged (CONFIG).

Cause: a node with an empty data directory formed a group with the seeds of its settings whenever these had no group either. After an exchange of seeds, or after emptied disks, that is possible while the existing group has its members at other addresses. Nothing read whether the deployment starts for the first time.

Change: only a seed of a first start may form a group. It writes that to its data directory, so that a restart before the group has formed doesn't keep it out.

--- a/control/formation.go
+++ b/control/formation.go
@@ -177,6 +177,16 @@
 	}
 }
 
+// allowFormation records that this node may form a group, so that it does so after a
+// restart with JoinOnly as well.
+func (c *core) allowFormation() error {
+	if c.membership.MayForm {
+		return nil
+	}
+	c.membership.MayForm = true
+	return c.membership.save(c.opt.FS, c.opt.Data)
+}
+
 // advanceFormation locks and forms the first group as far as the peers agree.
 func (c *core) advanceFormation() error {
 	if c.formation.shouldLock() {
--- a/control/identity.go
+++ b/control/identity.go
@@ -20,6 +20,9 @@
 	// log has lost the votes that it cast, so it must not start: it could vote twice
 	// in one term.
 	Joined bool `json:"joined"`
+	// MayForm is set on a node that was allowed to form a new group when its data
+	// directory was empty.
+	MayForm bool `json:"may_form,omitempty"`
 	// InitialGroup is the group that this node has locked, and has formed once
 	// Joined is set. It is empty on a node that was added later.
 	InitialGroup consensus.Group `json:"first"`
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"testing"
@@ -213,3 +214,27 @@
 		return nil
 	})
 }
+
+// Guards against a second group: nodes whose disks were emptied, or that replace others,
+// find only each other under the seeds of their settings and must not start anew.
+func TestNodesThatMayOnlyJoinFormNoGroup(t *testing.T) {
+	g := newGroupWith(t, 3, func(o *Options) { o.AutoJoin, o.JoinOnly = true, true })
+	ctx, cancel := context.WithTimeout(g.ctx(), 3*time.Second)
+	defer cancel()
+	r, err := g.client().Apply(ctx, wire.Apply{CommandID: "cmd", Expect: wire.AnyVersion})
+	if err == nil {
+		t.Fatalf("a group without its disks accepted a change: %+v", r)
+	}
+}
+
+// Guards against a new group that never forms because one of its nodes was restarted
+// before it had formed, and only the first start may form a group.
+func TestSeedRestartedBeforeTheGroupFormed(t *testing.T) {
+	g := newGroupWith(t, 3, func(o *Options) { o.AutoJoin = true }, 0)
+	g.stop(0)
+	g.opts[0].JoinOnly = true
+	for i := range 3 {
+		g.start(i)
+	}
+	g.apply(g.client(), "cmd", "1")
+}
--- a/control/node.go
+++ b/control/node.go
@@ -165,9 +165,12 @@
 		}
 		return nil
 	}
-	if c.opt.JoinOnly {
+	if c.opt.JoinOnly && !c.membership.MayForm {
 		return nil
 	}
+	if err := c.allowFormation(); err != nil {
+		return err
+	}
 	self := consensus.Peer{ID: c.instance.ID, Name: string(c.opt.Node), Addr: c.opt.Advertise, Voter: true}
 	c.formation = newFormation(self, c.opt.Peers, c.membership.InitialGroup.Peers)
 	return c.advanceFormation()
--- a/control/options.go
+++ b/control/options.go
@@ -39,7 +39,8 @@
 	Peers []Peer
 	// JoinOnly makes a node with an empty data directory wait until an existing group
 	// has added it. A group that formed anew would have forgotten what the existing one
-	// has acknowledged.
+	// has acknowledged. It has no effect on a node that was started without it and has
+	// kept its data directory.
 	JoinOnly bool
 	// AutoJoin makes a node that is not in the existing group ask to be added, and a
 	// leader decide which nodes vote. Without it an operator does both.
