control: log a membership only when its nodes change

Cause: each boot count and each reported failure domain is a membership record of its own, so a start of six nodes logged some sixty lines.

Change: the line is left out while voters and learners stay the same.

Result: no decision changes.

--- a/control/node.go
+++ b/control/node.go
@@ -153,7 +153,8 @@
 			return err
 		}
 		state.Skip(s.Index)
-		c.state, c.committedGroup = state, s.Group
+		c.state = state
+		c.setCommittedGroup(s.Group, s.Index)
 	}
 	c.hardState = disk.HardState
 	c.raft = c.newRaft(disk.HardState, disk.Snapshot, disk.Entries)
@@ -201,7 +202,7 @@
 	c.raft = c.newRaft(c.hardState, &s, nil)
 	c.firstTickAt = c.lastRunAt
 	c.state.Skip(s.Index)
-	c.committedGroup = g
+	c.setCommittedGroup(g, s.Index)
 	klog.Infof("control: Node %s formed a group of %d nodes.", c.opt.Node, len(g.Peers))
 	return c.saveJoined()
 }
--- a/control/status.go
+++ b/control/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -77,9 +78,14 @@
 
 func (c *core) ticks(d time.Duration) uint64 { return uint64(d / c.opt.Tick) }
 
-// setCommittedGroup records the membership as of the applied index.
+// setCommittedGroup records the membership as of the applied index. It logs a change of
+// the nodes, and none of their descriptions.
 func (c *core) setCommittedGroup(g consensus.Group, index uint64) {
+	previous := c.committedGroup
 	c.committedGroup = g
+	if slices.Equal(peerNames(g, true), peerNames(previous, true)) && slices.Equal(peerNames(g, false), peerNames(previous, false)) {
+		return
+	}
 	klog.InfoS("control: Membership committed", "index", index, "voters", peerNames(g, true), "learners", peerNames(g, false), "joint", g.IsJoint())
 }
 
