platform, agent: ignore heartbeats with values that no worker sends

What callers would see: tasks refused or lost at a worker that is well. It can happen here in part: no body ends the process, but a heartbeat with a port out of range, a resource or a clock that overflows, or without the start of its worker was accepted, took the place of the worker on the VM and closed its agent.

Deep nesting and numbers that don't fit were refused before.

--- a/agent/sidecar.go
+++ b/agent/sidecar.go
@@ -38,13 +38,17 @@
 }
 
 // SetWorker records a heartbeat of the worker. It ignores one that arrives after a
-// later heartbeat of the same instance.
-func (s *Sidecar) SetWorker(a worker.Announcement) {
+// later heartbeat of the same instance. It returns false for one that lacks the start of
+// a worker whose start is known: nothing shows that the worker has restarted.
+func (s *Sidecar) SetWorker(a worker.Announcement) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.workerPresent && s.latest.ID == a.ID && s.latest.Born != 0 && a.Born == 0 {
+		return false
+	}
 	sameWorker := s.workerPresent && s.latest.SameInstance(a)
 	if sameWorker && a.Sequence < s.latest.Sequence {
-		return
+		return true
 	}
 	changed := !sameWorker || a.Draining != s.latest.Draining
 	if !sameWorker {
@@ -54,8 +58,12 @@
 	if changed {
 		s.signalChange()
 	}
+	return true
 }
 
+// Worker returns the latest announcement of the worker. ok is false if there is none.
+func (s *Sidecar) Worker() (latest worker.Announcement, ok bool) { return s.latestWorker() }
+
 // RemoveWorker records that the worker has ended.
 func (s *Sidecar) RemoveWorker(id string) {
 	s.mu.Lock()
