control, member: serve confirmed reads at the leader

What operators saw: reads of the configuration refused with 503 by nodes that were well.

Cause: a follower answers a confirmed read once it has heard of a later confirmation, which takes three heartbeats of 100 ms. The first attempt of a client has 300 ms and each later one has less. The client tries the nodes of its list in turn, and the leader needn't be among the seeds.

Change: a follower names the leader at once, as it does for writes. The leader needs one heartbeat.

--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -12,6 +12,7 @@
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -238,3 +239,27 @@
 	}
 	g.apply(g.client(), "cmd", "1")
 }
+
+// Guards against a confirmed read that a node gives up before it can be confirmed: an
+// operator has 900 ms, and asks any node of a group whose leader is not among the seeds.
+func TestEveryNodeAnswersConfirmedReads(t *testing.T) {
+	g := newTolerantGroup(t, 6, Tolerance{Nodes: 2})
+	c := g.client()
+	g.waitForVoterCount(c, 5)
+	if _, err := c.Apply(g.ctx(), wire.Apply{Revision: 7, Pairs: []wire.Pair{{Key: "k", Value: "1"}}}); err != nil {
+		t.Fatal(err)
+	}
+	leader := g.leader()
+	for i, n := range g.nodes {
+		if r, err := g.clientOfNode(i).GetConfirmed(g.ctx()); err != nil || r.Revision != 7 {
+			t.Errorf("node %d: revision %d, %v", i, r.Revision, err)
+		}
+		if i == leader {
+			continue
+		}
+		r, err := runInLoop(g.ctx(), n, func(c *core) getResult { return c.getConfig(wire.Get{Confirmed: true}, time.Now()) })
+		if err != nil || r.unconfirmed || r.err == nil || r.err.Reason != verdict.NotLeader {
+			t.Errorf("node %d: %+v, %v; a follower has to name the leader at once", i, r, err)
+		}
+	}
+}
--- a/control/serve.go
+++ b/control/serve.go
@@ -267,8 +267,9 @@
 	unconfirmed bool // a later confirmation can still make the read succeed
 }
 
-// serveGet returns the configuration in the tables of this node. A confirmed read
-// waits until a leader has confirmed the tables as current since the call arrived.
+// serveGet returns the configuration in the tables of this node. Only the leader serves
+// a confirmed read: it waits until a quorum has confirmed it since the call arrived, which
+// takes one heartbeat. A follower would hear of that two heartbeats later.
 func (n *Node) serveGet(ctx context.Context, _ *rpc.Conn, p wire.Get) (wire.GetReply, error) {
 	arrived := time.Now()
 	for {
@@ -291,6 +292,9 @@
 const confirmPollInterval = 20 * time.Millisecond
 
 func (c *core) getConfig(p wire.Get, arrived time.Time) getResult {
+	if p.Confirmed && !c.raft.IsLeader() {
+		return getResult{err: c.notLeader()}
+	}
 	if e := c.checkReadable(); e != nil {
 		return getResult{err: e, unconfirmed: p.Confirmed}
 	}
--- a/member/client.go
+++ b/member/client.go
@@ -138,10 +138,10 @@
 }
 
 // GetConfirmed returns a configuration that was in force at the time of the call or
-// later. It tries the control nodes in turn until ctx ends.
+// later, from the leader.
 func (c *Client) GetConfirmed(ctx context.Context) (wire.GetReply, error) {
 	var r wire.GetReply
-	err := c.serverPool.callAny(ctx, wire.MethodGet, wire.Get{Confirmed: true}, &r)
+	err := c.serverPool.callLeader(ctx, wire.MethodGet, wire.Get{Confirmed: true}, &r)
 	return r, err
 }
 
