--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"os"
 	"testing"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
+	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -263,3 +265,47 @@
 		}
 	}
 }
+
+// Guards against a node that is back after a loss of power and hears nothing for seconds,
+// because the others still send over the connections from before.
+func TestLinkReconnectsToASilentPeer(t *testing.T) {
+	server := silentServer(t)
+	dials := make(chan struct{}, 16)
+	ls := newLinks(func(ctx context.Context, addr string) (*rpc.Conn, error) {
+		dials <- struct{}{}
+		return rpc.Dial(ctx, addr, rpc.Security{}, nil, nil)
+	}, "from", "from:1")
+	defer ls.close()
+	ticker := time.NewTicker(10 * time.Millisecond)
+	defer ticker.Stop()
+	timeout := time.After(testTimeout)
+	for seen := 0; seen < 2; {
+		select {
+		case <-ticker.C:
+			ls.queueMessage(server, consensus.Message{Kind: consensus.MsgAppend, From: "from", To: "to"})
+		case <-dials:
+			seen++
+		case <-timeout:
+			t.Fatalf("%d connections to a peer that does not answer", seen)
+		}
+	}
+}
+
+// silentServer accepts connections and answers nothing.
+func silentServer(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { c.Close() })
+		}
+	}()
+	return l.Addr().String()
+}
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -319,7 +319,7 @@
 	data := bytes.Repeat([]byte("x"), size)
 	snap := &consensus.Snapshot{Index: 7, Term: 1, Data: data, Group: consensus.Group{Peers: []consensus.Peer{{ID: "from", Voter: true}}}}
 	ls.queueMessage(server.Addr(), consensus.Message{Kind: consensus.MsgSnapshot, From: "from", To: "to", Term: 1, Snapshot: snap})
-	c := &core{raft: consensus.New(consensus.Config{ID: "to", Boot: 1}), senderAddrs: map[consensus.ID]string{}}
+	c := &core{raft: consensus.New(consensus.Config{ID: "to", Boot: 1}), senderAddrs: map[consensus.ID]string{}, links: ls}
 	(<-n.calls)(c)
 	if rd := c.raft.Ready(); rd.Snapshot == nil || !bytes.Equal(rd.Snapshot.Data, data) {
 		t.Fatal("the snapshot did not arrive as it was sent")
--- a/control/serve.go
+++ b/control/serve.go
@@ -323,6 +323,7 @@
 func (n *Node) serveStep(ctx context.Context, _ *rpc.Conn, p stepBatch) (wire.Empty, error) {
 	err := n.post(ctx, func(c *core) {
 		c.rememberSender(p)
+		c.links.recordMessageFrom(p.Addr)
 		for _, m := range p.Messages {
 			if m.From == p.From {
 				c.raft.Step(m)
