consensus: keep the boot count of a node that leaves and joins again

What operators would see: an acknowledged change lost, after a node came back on an older copy of its disk.

Cause: since a removed voter joins again by itself, its entry in the group started at boot count 0, and the check that keeps an older copy of a disk from voting was gone.

Change: the membership remembers the boot counts of the 64 nodes that were removed last.

Result: TestRemovedNodeKeepsItsBootCount fails without it (0 after 2) and passes. TestRemovedVotersJoinAgain, 120 schedules that remove healthy voters and add them again, also on outdated disks, passes; it passes without the guard as well, so it doesn't reach this case.

--- a/consensus/api.go
+++ b/consensus/api.go
@@ -68,6 +68,15 @@
 	// membership change. Elections and commits then need a majority of the new
 	// voters and one of the old voters. It is empty outside the joint phase.
 	OldVoters []ID `json:"old,omitempty"`
+	// Former holds the nodes that were removed last. A node that is added again keeps
+	// its recorded boot count, so that an older copy of its disk still doesn't vote.
+	Former []FormerPeer `json:"former,omitempty"`
+}
+
+// FormerPeer is a node that was removed from the group.
+type FormerPeer struct {
+	ID   ID     `json:"id"`
+	Boot uint64 `json:"boot"`
 }
 
 // HardState is the state that must be synced before messages that depend on it
--- a/consensus/change.go
+++ b/consensus/change.go
@@ -7,7 +7,7 @@
 )
 
 // ProposeGroup starts the change to the given membership. A recorded boot count
-// is never lowered, and target.OldVoters is ignored.
+// is never lowered, and target.OldVoters and target.Former are ignored.
 //
 // A change that adds or removes at most one voter takes effect with one record,
 // since every majority before it overlaps every majority after it. Any other
@@ -27,12 +27,10 @@
 		return e
 	}
 	current := n.group()
-	next := Group{Peers: slices.Clone(target.Peers)}
+	next := Group{Peers: slices.Clone(target.Peers), Former: formerAfter(current, target)}
 	for i, p := range next.Peers {
 		next.Peers[i].Leaving = false
-		if q, ok := current.Peer(p.ID); ok {
-			next.Peers[i].Boot = max(p.Boot, q.Boot)
-		}
+		next.Peers[i].Boot = max(p.Boot, current.recordedBoot(p.ID))
 	}
 	if countVoterChanges(current, next) > 1 {
 		next = jointGroup(current, next)
@@ -113,7 +111,7 @@
 // jointGroup returns the membership of the joint phase between current and next.
 // Voters that are removed by next stay in it as nodes that do not vote in next.
 func jointGroup(current, next Group) Group {
-	g := Group{Peers: slices.Clone(next.Peers), OldVoters: current.Voters()}
+	g := Group{Peers: slices.Clone(next.Peers), OldVoters: current.Voters(), Former: next.Former}
 	for _, p := range current.Peers {
 		if _, remains := next.Peer(p.ID); !remains && p.Voter {
 			p.Voter = false
@@ -123,3 +121,35 @@
 	}
 	return g
 }
+
+// maxFormerPeers limits the removed nodes that a group remembers.
+const maxFormerPeers = 64
+
+// formerAfter returns the former nodes of the group once current has changed to target.
+func formerAfter(current, target Group) []FormerPeer {
+	isTarget := func(f FormerPeer) bool {
+		_, ok := target.Peer(f.ID)
+		return ok
+	}
+	former := slices.DeleteFunc(slices.Clone(current.Former), isTarget)
+	for _, p := range current.Peers {
+		if f := (FormerPeer{ID: p.ID, Boot: p.Boot}); !isTarget(f) {
+			former = append(former, f)
+		}
+	}
+	return former[max(0, len(former)-maxFormerPeers):]
+}
+
+// recordedBoot returns the highest boot count of a node that the group has recorded, also
+// if the node was removed, and 0 if it has none.
+func (g Group) recordedBoot(id ID) uint64 {
+	if p, ok := g.Peer(id); ok {
+		return p.Boot
+	}
+	for _, f := range g.Former {
+		if f.ID == id {
+			return f.Boot
+		}
+	}
+	return 0
+}
--- a/consensus/disturb_test.go
+++ b/consensus/disturb_test.go
@@ -153,7 +153,8 @@
 // nodes whose disk is lost.
 func (s *sim) nextRepairStep(g Group) Group {
 	for _, m := range s.machines {
-		if _, ok := g.Peer(m.disk.id); !ok && m.node != nil && !s.lostIDs[m.disk.id] {
+		mayJoin := !s.lostIDs[m.disk.id] || s.faults.removeHealthy
+		if _, ok := g.Peer(m.disk.id); !ok && m.node != nil && mayJoin {
 			g.Peers = append(g.Peers, Peer{ID: m.disk.id, Name: m.name})
 			return g
 		}
@@ -171,7 +172,7 @@
 		return g
 	}
 	g.Peers[promote].Voter = true
-	if s.lostIDs[g.Peers[demote].ID] {
+	if s.lostIDs[g.Peers[demote].ID] || s.faults.removeHealthy {
 		g.Peers = append(g.Peers[:demote:demote], g.Peers[demote+1:]...)
 	} else {
 		g.Peers[demote].Voter = false
--- a/consensus/group.go
+++ b/consensus/group.go
@@ -77,7 +77,7 @@
 }
 
 func (g Group) clone() Group {
-	return Group{Peers: slices.Clone(g.Peers), OldVoters: slices.Clone(g.OldVoters)}
+	return Group{Peers: slices.Clone(g.Peers), OldVoters: slices.Clone(g.OldVoters), Former: slices.Clone(g.Former)}
 }
 
 func (g Group) encode() []byte {
--- a/consensus/learner_test.go
+++ b/consensus/learner_test.go
@@ -1,6 +1,9 @@
 package consensus
 
-import "testing"
+import (
+	"slices"
+	"testing"
+)
 
 // TestLearnerConfirmationAge guards against a learner whose last confirmation gets
 // older than the 1 s after which members switch to another node, and against one
@@ -65,3 +68,41 @@
 		t.Errorf("%d heartbeats in %d s, at most %d are needed", heartbeats, seconds, maxHeartbeats)
 	}
 }
+
+// TestRemovedNodeKeepsItsBootCount guards against an older copy of a disk that votes again
+// because its node was removed from the group and added again in between.
+func TestRemovedNodeKeepsItsBootCount(t *testing.T) {
+	s := newSim(1, 3, faults{})
+	run := func(ticks int) {
+		for range ticks * defaultUnitsPerTick {
+			s.step()
+		}
+	}
+	run(60)
+	m := s.leader()
+	removed := s.machines[0]
+	if removed == m {
+		removed = s.machines[1]
+	}
+	s.crash(removed)
+	s.start(removed) // raises the boot count
+	run(20)
+	before, _ := m.node.Group().Peer(removed.disk.id)
+	s.crash(removed) // so that it doesn't report its boot count again
+	without, with := m.node.Group().clone(), m.node.Group().clone()
+	without.Peers = slices.DeleteFunc(without.Peers, func(p Peer) bool { return p.ID == removed.disk.id })
+	with.Peers = append(slices.Clone(without.Peers), Peer{ID: removed.disk.id, Name: removed.name})
+	for _, g := range []Group{without, with} {
+		if err := m.node.ProposeGroup(g); err != nil {
+			t.Fatal(err)
+		}
+		run(20)
+	}
+	after, ok := m.node.Group().Peer(removed.disk.id)
+	if !ok || after.Voter || before.Boot < 2 || after.Boot < before.Boot {
+		t.Errorf("recorded boot count %d before the removal and %d after: %+v", before.Boot, after.Boot, m.node.Group())
+	}
+	if n := len(m.node.Group().Former); n != 0 {
+		t.Errorf("%d former nodes", n)
+	}
+}
--- a/consensus/maintain.go
+++ b/consensus/maintain.go
@@ -40,5 +40,5 @@
 // learners, without the voters that were removed. It modifies g.Peers.
 func finalGroup(g Group) Group {
 	leaves := func(p Peer) bool { return p.Leaving }
-	return Group{Peers: slices.DeleteFunc(g.Peers, leaves)}
+	return Group{Peers: slices.DeleteFunc(g.Peers, leaves), Former: g.Former}
 }
--- a/consensus/schedules_test.go
+++ b/consensus/schedules_test.go
@@ -124,6 +124,29 @@
 	}
 }
 
+// TestRemovedVotersJoinAgain guards against a voter that is removed while it is healthy,
+// is added again with the same id and disk, and then counts for more than it has synced;
+// and against one that comes back on an older copy of its disk and votes again.
+func TestRemovedVotersJoinAgain(t *testing.T) {
+	count := uint64(120)
+	if testing.Short() {
+		count = 30
+	}
+	commits := 0
+	for seed := range count {
+		f := randomFaults(seed)
+		f.removeHealthy, f.operatorStep = true, 0.03
+		s, found := runSchedule(seed, f)
+		if found != "" {
+			t.Fatalf("seed %d: %s", seed, found)
+		}
+		commits += len(s.check.committed)
+	}
+	if commits < 20*int(count) {
+		t.Errorf("only %d commits in %d schedules", commits, count)
+	}
+}
+
 // TestChecksDetectViolations guards against checks that can't fail: each breach of
 // the driver's contract must be detected, and no violation may be reported under
 // the same faults without a breach.
--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -87,6 +87,7 @@
 	meanDownTicks                  int     // mean time until a crashed node restarts, 0 for never
 	longPartition                  float64 // share of partitions that last long
 	loseDisk                       float64 // share of crashes that lose the disk
+	removeHealthy                  bool    // operators remove the voters that they exchange, and add them again, also on an outdated disk
 	// These breach the driver's contract, to show that the checks detect it.
 	sendBeforeSync, keepIDOnDiskLoss, unconfirmedReads bool
 }
