control: split the choice of the next membership into rules

Cause: one function held five rules, and the step type of a replacement had come to serve joins as well.

Change: each rule is a function, tried in order; replaceStep is now changeStep.

Result: go test ./control passes.

--- a/control/join.go
+++ b/control/join.go
@@ -30,27 +30,27 @@
 	if p.Node == "" || p.Addr == "" || p.Instance == "" {
 		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "node, address and instance of the new node are needed")
 	}
-	return n.untilDone(ctx, p.Node, func(c *core) replaceStep { return c.advanceJoin(p) })
+	return n.untilDone(ctx, p.Node, func(c *core) changeStep { return c.advanceJoin(p) })
 }
 
 // advanceJoin takes the next step to add a node to the group.
-func (c *core) advanceJoin(p wire.Join) replaceStep {
+func (c *core) advanceJoin(p wire.Join) changeStep {
 	if !c.raft.IsLeader() {
-		return replaceStep{err: c.notLeader()}
+		return changeStep{err: c.notLeader()}
 	}
 	g := c.raft.Group()
 	if g.IsJoint() || !c.groupCommitted() {
-		return replaceStep{}
+		return changeStep{}
 	}
 	if q, ok := g.Peer(consensus.ID(p.Instance)); ok {
 		if describes(p, q) {
-			return replaceStep{done: true}
+			return changeStep{done: true}
 		}
 		return c.proposeGroup(withDescription(g, p))
 	}
 	for _, q := range g.Peers {
 		if q.Name == string(p.Node) && q.Addr != p.Addr {
-			return replaceStep{err: verdict.Refuse(verdict.BadRequest, "a control node is named %q already, with address %s", q.Name, q.Addr)}
+			return changeStep{err: verdict.Refuse(verdict.BadRequest, "a control node is named %q already, with address %s", q.Name, q.Addr)}
 		}
 	}
 	return c.proposeGroup(withLearner(g, p))
--- a/control/replace.go
+++ b/control/replace.go
@@ -31,12 +31,12 @@
 	if p.Node == "" || p.Addr == "" || p.Instance == "" {
 		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "node, address and instance of the new node are needed")
 	}
-	return n.untilDone(ctx, p.Node, func(c *core) replaceStep { return c.advanceReplacement(p) })
+	return n.untilDone(ctx, p.Node, func(c *core) changeStep { return c.advanceReplacement(p) })
 }
 
 // untilDone takes the steps of a membership change for a node until it is done, a step
 // fails or replaceTimeout has passed.
-func (n *Node) untilDone(ctx context.Context, node ids.Node, advance func(*core) replaceStep) (wire.Empty, error) {
+func (n *Node) untilDone(ctx context.Context, node ids.Node, advance func(*core) changeStep) (wire.Empty, error) {
 	ctx, cancel := context.WithTimeout(ctx, replaceTimeout)
 	defer cancel()
 	for {
@@ -57,16 +57,16 @@
 	}
 }
 
-// replaceStep is the state of a membership change after one step.
-type replaceStep struct {
+// changeStep is the state of a membership change after one step.
+type changeStep struct {
 	done bool
 	err  *verdict.Error
 }
 
 // advanceReplacement takes the next step of a replacement.
-func (c *core) advanceReplacement(p wire.Replace) replaceStep {
+func (c *core) advanceReplacement(p wire.Replace) changeStep {
 	if !c.raft.IsLeader() {
-		return replaceStep{err: c.notLeader()}
+		return changeStep{err: c.notLeader()}
 	}
 	g := c.raft.Group()
 	id := consensus.ID(p.Instance)
@@ -74,38 +74,38 @@
 	newPeer, hasNew := g.Peer(id)
 	switch {
 	case g.IsJoint():
-		return replaceStep{}
+		return changeStep{}
 	case !hasNew:
 		if p.Old != "" && !hasOld {
-			return replaceStep{err: verdict.Refuse(verdict.BadRequest, "no control node is named %q", p.Old)}
+			return changeStep{err: verdict.Refuse(verdict.BadRequest, "no control node is named %q", p.Old)}
 		}
 		if e := checkNameFree(g, p); e != nil {
-			return replaceStep{err: e}
+			return changeStep{err: e}
 		}
 		peer := consensus.Peer{ID: id, Name: string(p.Node), Addr: p.Addr}
 		return c.proposeGroup(consensus.Group{Peers: append(slices.Clone(g.Peers), peer)})
 	case p.Old == "" || !hasOld && newPeer.Voter:
-		return replaceStep{done: c.groupCommitted()}
+		return changeStep{done: c.groupCommitted()}
 	case !hasOld:
-		return replaceStep{err: verdict.Refuse(verdict.BadRequest, "no control node is named %q", p.Old)}
+		return changeStep{err: verdict.Refuse(verdict.BadRequest, "no control node is named %q", p.Old)}
 	}
 	return c.proposeGroup(swapPeer(g, old, id))
 }
 
 // proposeGroup proposes a membership. A refusal because of a change in progress, or
 // because the new node has not caught up, is no error: the caller tries again.
-func (c *core) proposeGroup(g consensus.Group) replaceStep {
+func (c *core) proposeGroup(g consensus.Group) changeStep {
 	err := c.raft.ProposeGroup(g)
 	if err == nil {
 		klog.Infof("control: Proposed a membership of %d control nodes.", len(g.Peers))
-		return replaceStep{}
+		return changeStep{}
 	}
 	e := verdict.FromError(err)
 	switch e.Reason {
 	case verdict.Stale, verdict.VersionConflict, verdict.NoQuorum:
-		return replaceStep{}
+		return changeStep{}
 	}
-	return replaceStep{err: e}
+	return changeStep{err: e}
 }
 
 // groupCommitted reports whether the current membership is committed.
--- a/control/voters.go
+++ b/control/voters.go
@@ -24,6 +24,11 @@
 
 func (p peerState) responds() bool { return p.leads || p.replied && p.silence < silentAfter }
 
+// mayVote reports whether the node is a learner that may become a voter now.
+func (p peerState) mayVote() bool {
+	return !p.Voter && !p.Observer && !p.Leaving && p.caughtUp && p.responds()
+}
+
 // voterPolicy says which nodes of a group are to vote.
 type voterPolicy struct {
 	voters    int           // number of voters that a complete group has
@@ -37,26 +42,91 @@
 	return voterPolicy{voters: 2*losses + 1, lostAfter: lostAfter}
 }
 
-// nextGroup returns the next membership on the way to a group that has as many
-// responsive voters as the policy asks for, spread over the failure domains. ok is false
-// if the membership is to stay. It takes one step at a time, each of which leaves the
-// group able to commit with the nodes that respond.
-func (v voterPolicy) nextGroup(peers []peerState) (next consensus.Group, reason string, ok bool) {
-	learner, hasLearner := bestLearner(peers)
-	if i, j := emptiedVoter(peers); i >= 0 {
-		return swapPeer(groupOf(peers), peers[i].Peer, peers[j].ID), "its data directory was emptied", true
+// voterChange is a step of the membership, with its reason for the log.
+type voterChange struct {
+	next   consensus.Group
+	reason string
+}
+
+// nextChange returns the next step on the way to a group that has as many responsive
+// voters as the policy asks for, spread over the failure domains. ok is false if the
+// membership is to stay. Each step leaves the group able to commit with the nodes that
+// respond.
+func (v voterPolicy) nextChange(peers []peerState) (change voterChange, ok bool) {
+	rules := []func([]peerState) (voterChange, bool){
+		replaceEmptiedVoter, v.replaceLostVoter, v.fillGroup, spreadVoters, dropSilentLearner,
 	}
-	if i := slices.IndexFunc(peers, v.lost); i >= 0 && hasLearner {
-		learner, _ = bestLearner(slices.Delete(slices.Clone(peers), i, i+1))
-		return swapPeer(groupOf(peers), peers[i].Peer, learner.ID), "it has been silent", true
+	for _, rule := range rules {
+		if change, ok := rule(peers); ok {
+			return change, true
+		}
 	}
-	if hasLearner && v.canGrow(peers) {
-		return withVoter(groupOf(peers), learner.ID), "the group has too few voters", true
+	return voterChange{}, false
+}
+
+// replaceEmptiedVoter exchanges a voter for a learner that runs at its address with
+// another instance id. The voter's data directory was emptied, so it never returns.
+func replaceEmptiedVoter(peers []peerState) (voterChange, bool) {
+	for _, l := range peers {
+		if !l.mayVote() {
+			continue
+		}
+		for _, p := range peers {
+			if p.Voter && p.Name == l.Name && p.Addr == l.Addr {
+				return voterChange{swapPeer(groupOf(peers), p.Peer, l.ID), "the data directory of a voter was emptied"}, true
+			}
+		}
 	}
-	if i := crowdingVoter(peers, learner); i >= 0 && hasLearner {
-		return demoted(withVoter(groupOf(peers), learner.ID), peers[i].ID), "its failure domain has more voters", true
+	return voterChange{}, false
+}
+
+// replaceLostVoter exchanges a lost voter for a learner.
+func (v voterPolicy) replaceLostVoter(peers []peerState) (voterChange, bool) {
+	i := slices.IndexFunc(peers, v.lost)
+	if i < 0 {
+		return voterChange{}, false
+	}
+	learner, ok := bestLearner(without(peers, i))
+	if !ok {
+		return voterChange{}, false
 	}
-	return dropUselessLearner(peers)
+	return voterChange{swapPeer(groupOf(peers), peers[i].Peer, learner.ID), "a voter has been silent"}, true
+}
+
+// fillGroup makes a learner a voter if voters are missing.
+func (v voterPolicy) fillGroup(peers []peerState) (voterChange, bool) {
+	learner, ok := bestLearner(peers)
+	if !ok || !v.canGrow(peers) {
+		return voterChange{}, false
+	}
+	return voterChange{withVote(groupOf(peers), learner.ID, true), "the group has too few voters"}, true
+}
+
+// spreadVoters exchanges the vote of a node for that of a learner in a failure domain that
+// has at least two voters less.
+func spreadVoters(peers []peerState) (voterChange, bool) {
+	learner, ok := bestLearner(peers)
+	if !ok {
+		return voterChange{}, false
+	}
+	voters := votersByDomain(peers)
+	i := slices.IndexFunc(peers, func(p peerState) bool {
+		return p.Voter && !p.leads && voters[p.Domain] >= voters[learner.Domain]+2
+	})
+	if i < 0 {
+		return voterChange{}, false
+	}
+	next := withVote(withVote(groupOf(peers), learner.ID, true), peers[i].ID, false)
+	return voterChange{next, "a failure domain has more voters than another one"}, true
+}
+
+// dropSilentLearner removes a learner that has been silent for long.
+func dropSilentLearner(peers []peerState) (voterChange, bool) {
+	i := slices.IndexFunc(peers, func(p peerState) bool { return !p.Voter && p.silence >= dropLearnerAfter })
+	if i < 0 {
+		return voterChange{}, false
+	}
+	return voterChange{groupOf(without(peers, i)), "a learner has been silent"}, true
 }
 
 func (v voterPolicy) lost(p peerState) bool { return p.Voter && p.silence >= v.lostAfter }
@@ -82,7 +152,7 @@
 func bestLearner(peers []peerState) (best peerState, ok bool) {
 	voters := votersByDomain(peers)
 	for _, p := range peers {
-		if p.Voter || p.Observer || p.Leaving || !p.caughtUp || !p.responds() {
+		if !p.mayVote() {
 			continue
 		}
 		if !ok || voters[p.Domain] < voters[best.Domain] {
@@ -102,41 +172,6 @@
 	return voters
 }
 
-// emptiedVoter returns the positions of a voter and of the learner that runs at its
-// address, with another instance id. The voter's data directory was emptied, so it never
-// returns. The positions are negative if there is none.
-func emptiedVoter(peers []peerState) (voter, learner int) {
-	for j, l := range peers {
-		if l.Voter || l.Observer || !l.caughtUp || !l.responds() {
-			continue
-		}
-		for i, p := range peers {
-			if p.Voter && p.Name == l.Name && p.Addr == l.Addr {
-				return i, j
-			}
-		}
-	}
-	return -1, -1
-}
-
-// crowdingVoter returns the position of a voter in a failure domain that has at least two
-// voters more than that of the learner, and a negative number if there is none.
-func crowdingVoter(peers []peerState, learner peerState) int {
-	voters := votersByDomain(peers)
-	return slices.IndexFunc(peers, func(p peerState) bool {
-		return p.Voter && !p.leads && voters[p.Domain] >= voters[learner.Domain]+2
-	})
-}
-
-// dropUselessLearner removes a learner that has been silent for long.
-func dropUselessLearner(peers []peerState) (consensus.Group, string, bool) {
-	i := slices.IndexFunc(peers, func(p peerState) bool { return !p.Voter && p.silence >= dropLearnerAfter })
-	if i < 0 {
-		return consensus.Group{}, "", false
-	}
-	return groupOf(slices.Delete(slices.Clone(peers), i, i+1)), "a learner has been silent", true
-}
-
 func groupOf(peers []peerState) consensus.Group {
 	var g consensus.Group
 	for _, p := range peers {
@@ -145,16 +180,14 @@
 	return g
 }
 
-// withVoter returns g with the node id as a voter. It modifies g.Peers.
-func withVoter(g consensus.Group, id consensus.ID) consensus.Group { return setVoter(g, id, true) }
-
-// demoted returns g with the node id as a learner. It modifies g.Peers.
-func demoted(g consensus.Group, id consensus.ID) consensus.Group { return setVoter(g, id, false) }
+// without returns the peers but for the one at position i.
+func without(peers []peerState, i int) []peerState { return slices.Delete(slices.Clone(peers), i, i+1) }
 
-func setVoter(g consensus.Group, id consensus.ID, voter bool) consensus.Group {
+// withVote returns g with the vote of the node id given or taken. It modifies g.Peers.
+func withVote(g consensus.Group, id consensus.ID, vote bool) consensus.Group {
 	for i, p := range g.Peers {
 		if p.ID == id {
-			g.Peers[i].Voter = voter
+			g.Peers[i].Voter = vote
 		}
 	}
 	return g
@@ -178,12 +211,12 @@
 	if c.raft.Group().IsJoint() || !c.groupCommitted() {
 		return
 	}
-	next, reason, ok := newVoterPolicy(c.opt.Tolerance, c.opt.LostAfter).nextGroup(c.peerStates())
+	change, ok := newVoterPolicy(c.opt.Tolerance, c.opt.LostAfter).nextChange(c.peerStates())
 	if !ok {
 		return
 	}
-	klog.InfoS("control: Changing the voters", "reason", reason, "from", peerNames(c.raft.Group(), true), "to", peerNames(next, true))
-	if step := c.proposeGroup(next); step.err != nil {
+	klog.InfoS("control: Changing the voters", "reason", change.reason, "from", peerNames(c.raft.Group(), true), "to", peerNames(change.next, true))
+	if step := c.proposeGroup(change.next); step.err != nil {
 		klog.Warningf("control: The change of the voters was refused: %v.", step.err)
 	}
 }
--- a/control/voters_test.go
+++ b/control/voters_test.go
@@ -63,9 +63,9 @@
 		{"an emptied voter is replaced at once", []peerState{v("1", "a"), v("2", "b"), v("3", "c"), testPeer("l", "9", "3", "c")}, "[1 2 9]"},
 		{"voters are spread over the domains", []peerState{v("1", "a"), v("2", "a"), v("3", "a"), v("4", "b"), v("5", "c"), l("6", "b")}, "[2 3 4 5 6]"},
 	} {
-		g, reason, ok := policy.nextGroup(c.peers)
-		if got := voterIDs(g); ok != (c.want != "") || ok && got != c.want {
-			t.Errorf("%s: next voters %s (%s, %v), want %q", c.name, got, reason, ok, c.want)
+		change, ok := policy.nextChange(c.peers)
+		if got := voterIDs(change.next); ok != (c.want != "") || ok && got != c.want {
+			t.Errorf("%s: next voters %s (%s, %v), want %q", c.name, got, change.reason, ok, c.want)
 		}
 	}
 }
@@ -77,9 +77,9 @@
 		testPeer("v", "1", "1", "a"), testPeer("v", "2", "2", "b"), testPeer("v", "3", "3", "c"),
 		silent(testPeer("o", "4", "4", "a"), dropLearnerAfter), testPeer("l", "5", "5", "b"),
 	}
-	g, _, ok := policy.nextGroup(peers)
-	if _, present := g.Peer("4"); !ok || present || len(g.Peers) != 4 {
-		t.Errorf("membership %+v, %v", g, ok)
+	change, ok := policy.nextChange(peers)
+	if _, present := change.next.Peer("4"); !ok || present || len(change.next.Peers) != 4 {
+		t.Errorf("membership %+v, %v", change.next, ok)
 	}
 }
 
@@ -188,14 +188,14 @@
 		}
 		peers = append(peers, peerState{Peer: p, replied: true, caughtUp: running, silence: now - silentSince[p.ID]})
 	}
-	next, _, ok := m.policy.nextGroup(peers)
+	change, ok := m.policy.nextChange(peers)
 	if !ok {
 		return
 	}
-	if !m.canCommit(next) {
-		m.t.Fatalf("at %v the next membership %+v has no majority; machines %+v", now, next.Peers, m.nodes)
+	if !m.canCommit(change.next) {
+		m.t.Fatalf("at %v the next membership %+v has no majority; machines %+v", now, change.next.Peers, m.nodes)
 	}
-	m.group = next
+	m.group = change.next
 }
 
 // Guards against a policy that loses the majority although no more machines are lost at
