control, wal: let an observer run without a file system

Cause: the log of an observer was in a temporary directory, and the file system there can't rename.

Change: an observer's log is discarded as it is written (wal.Discard); it starts as a new instance each time in any case.

Result: TestObserverNeedsNoFileSystem passes; before, an observer without a data directory was refused.

--- a/consensus/api.go
+++ b/consensus/api.go
@@ -53,7 +53,7 @@
 	// Domain is the failure domain of the node.
 	Domain string `json:"domain,omitempty"`
 	// Observer marks a node that must not become a voter, because its log does not
-	// survive a restart.
+	// survive the process.
 	Observer bool `json:"observer,omitempty"`
 	// Leaving marks a former voter that is removed when the joint phase of the
 	// membership change ends.
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -149,6 +149,24 @@
 	})
 }
 
+// Guards against an observer that ends at its start on a VM where it can write no files.
+func TestObserverNeedsNoFileSystem(t *testing.T) {
+	g := newTolerantGroup(t, 3, Tolerance{Nodes: 1})
+	observer := g.addJoining("observer", Tolerance{Nodes: 1})
+	data := g.opts[observer].Data
+	g.opts[observer].Observer, g.opts[observer].Data = true, ""
+	c := g.client()
+	for range 2 { // It starts again as another instance.
+		g.start(observer)
+		g.waitUntilListed(c, observer)
+		g.stop(observer)
+	}
+	files, err := os.ReadDir(data)
+	if err != nil || len(files) != 0 {
+		t.Errorf("files of the observer: %v %v", files, err)
+	}
+}
+
 // Guards against a group of an earlier version, whose membership lacks the failure
 // domains of its nodes, that never learns them.
 func TestNodesReportTheirFailureDomain(t *testing.T) {
--- a/control/options.go
+++ b/control/options.go
@@ -48,8 +48,7 @@
 	// Directory holds the addresses of control nodes at which to ask. Default: those
 	// of Peers.
 	Directory *member.Directory
-	// Observer makes a node that never votes, because its data directory does not
-	// survive a restart.
+	// Observer makes a node that never votes and keeps no log on disk. It needs no Data.
 	Observer bool
 	// LostAfter is how long a voter has to be silent before a learner takes its place
 	// if AutoJoin is set. Default 10 s, which is longer than a VM is usually frozen or
@@ -119,6 +118,9 @@
 	}
 	if o.FS == nil {
 		o.FS = wal.OSFS{}
+		if o.Observer {
+			o.FS = wal.Discard{}
+		}
 	}
 	return o
 }
@@ -127,7 +129,7 @@
 	if o.Node == "" {
 		return errors.New("control: no node name is given")
 	}
-	if o.Data == "" {
+	if o.Data == "" && !o.Observer {
 		return errors.New("control: no data directory is given")
 	}
 	if o.Observer && !o.JoinOnly {
