control: make the group known at seeds that remember nothing

Cause: the seeds had been exchanged for the observers. They keep no log, so after the restart they knew only each other, and entries, agents and operators knew only them. The voters had a leader after 0.2 s, whose messages to the earlier instances at these addresses went unread. The fault came with the observers; before, all nodes that serve the control API had a disk.

Change: a leader sends its address every second to seeds outside the group, and a node that has to join also asks those who have sent it messages.

Result: TestGroupIsFoundThroughSeedsThatRememberNothing failed before (a trial with a limit of 15 s) and passes.

--- a/control/core.go
+++ b/control/core.go
@@ -37,6 +37,7 @@
 	lastRunAt         time.Time
 	lastLeaderAt      time.Time // last time at which a leader was known
 	lastNoLeaderLogAt time.Time
+	lastAnnouncedAt   time.Time // last time at which this leader announced itself to the seeds
 	lastForwardAt     time.Time
 	configIndex       ids.Version // log index of the latest configuration change applied since the start
 	lastMaintenanceAt time.Time
@@ -344,6 +345,7 @@
 func (c *core) proposeMaintenance(now time.Time) {
 	if c.opt.AutoJoin {
 		c.adjustVoters()
+		c.announceToSeeds(now)
 	}
 	for _, inc := range c.leases.expired(now, c.state.LiveMembers()) {
 		if !c.pendingMembers[inc] {
--- a/control/join.go
+++ b/control/join.go
@@ -125,8 +125,9 @@
 	}
 }
 
-// joinAddrs returns the addresses of the control nodes that this node knows of. Its own
-// comes first: it may lead a group that knows it under another description.
+// joinAddrs returns the addresses of the control nodes that this node knows of, also of
+// those that have sent it messages. Its own comes first: it may lead a group that knows it
+// under another description.
 func (c *core) joinAddrs() []string {
 	addrs := []string{c.opt.Advertise}
 	add := func(addr string) {
@@ -140,9 +141,31 @@
 	for _, addr := range c.opt.Directory.Addrs() {
 		add(addr)
 	}
+	for _, addr := range c.senderAddrs {
+		add(addr)
+	}
 	return addrs
 }
 
+// announceInterval is how often a leader makes itself known to the seeds.
+const announceInterval = time.Second
+
+// announceToSeeds sends the address of this leader to the seeds that are not in the group.
+// Others look for the group there, and a seed without a disk knows none of its nodes after
+// a restart.
+func (c *core) announceToSeeds(now time.Time) {
+	if now.Sub(c.lastAnnouncedAt) < announceInterval {
+		return
+	}
+	c.lastAnnouncedAt = now
+	for _, addr := range c.opt.Directory.Addrs() {
+		isMember := slices.ContainsFunc(c.raft.Group().Peers, func(p consensus.Peer) bool { return p.Addr == addr })
+		if !isMember && addr != c.opt.Advertise {
+			c.links.queueMessage(addr, consensus.Message{From: c.instance.ID})
+		}
+	}
+}
+
 // requestJoin sends one join request to the leader.
 func (n *Node) requestJoin(dial member.Dialer, call joinCall) {
 	c, err := member.NewClient(member.ClientOptions{Servers: call.servers, Dial: dial})
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -167,6 +167,31 @@
 	}
 }
 
+// Guards against a group that nobody finds after all processes have restarted: the seeds
+// have been exchanged for observers, which remember no addresses.
+func TestGroupIsFoundThroughSeedsThatRememberNothing(t *testing.T) {
+	g := newTolerantGroup(t, 3, Tolerance{Nodes: 1})
+	g.apply(g.client(), "cmd", "1")
+	var seeds []string
+	for i := range 2 {
+		o := g.addJoining(ids.Node(fmt.Sprint("observer-", i)), Tolerance{Nodes: 1})
+		g.opts[o].Observer = true
+		seeds = append(seeds, g.opts[o].Listen)
+	}
+	for i := range g.opts {
+		g.stop(i)
+		g.opts[i].Directory = member.NewDirectory(seeds...)
+	}
+	for i := range g.opts {
+		if g.opts[i].Observer {
+			g.opts[i].Peers = nil
+		}
+		g.start(i)
+	}
+	s := g.sessionVia(wire.KindAgent, "agent", seeds)
+	g.waitForValue(s, "1")
+}
+
 // Guards against a group of an earlier version, whose membership lacks the failure
 // domains of its nodes, that never learns them.
 func TestNodesReportTheirFailureDomain(t *testing.T) {
