control: repeat join requests sooner

Cause: a node that looks for its group held one list of addresses for 1.5 s.

Change: a join request takes 300 ms at most, and the next one follows after 200 ms.

--- a/control/join.go
+++ b/control/join.go
@@ -16,9 +16,10 @@
 
 const (
 	// joinInterval is the time between two checks of a node whether it has to join.
-	joinInterval = 500 * time.Millisecond
-	// joinTimeout limits one join request, which takes two synced writes of a majority.
-	joinTimeout = time.Second
+	joinInterval = 200 * time.Millisecond
+	// joinTimeout limits one join request. It is short, since the addresses to ask may
+	// change meanwhile; the group completes a change whose request was given up.
+	joinTimeout = 300 * time.Millisecond
 	// rejoinAfter is the time without a leader after which a node asks to be added
 	// again, in case it was removed from the group. An election takes less.
 	rejoinAfter = 2 * time.Second
