--- a/control/options.go
+++ b/control/options.go
@@ -45,8 +45,8 @@
 	// AutoJoin makes a node that is not in the existing group ask to be added, and a
 	// leader decide which nodes vote. Without it an operator does both.
 	AutoJoin bool
-	// Directory holds the addresses of control nodes at which to ask. Default: those
-	// of Peers.
+	// Directory holds the addresses of control nodes at which to ask, and to which a
+	// leader announces itself. Default: those of Peers.
 	Directory *member.Directory
 	// Observer makes a node that never votes and keeps no log on disk. It needs no Data.
 	Observer bool
