--- /dev/null
+++ b/review/platform/scene/scenes.go
@@ -0,0 +1,177 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// serve starts the deployment with an executor beside each agent and waits until it
+// serves.
+func (w *world) serve(routeTimeout time.Duration) error {
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	for _, m := range w.machines {
+		if !m.side {
+			continue
+		}
+		if _, err := w.addExecutor(m.name, "s", 16000, "a", "r1"); err != nil {
+			return err
+		}
+	}
+	if err := w.configure(3, routeTimeout); err != nil {
+		return err
+	}
+	return w.awaitService(w.fronts())
+}
+
+// fronts returns the names of the machines that take requests.
+func (w *world) fronts() []string {
+	var names []string
+	for _, m := range w.machines {
+		if !m.side {
+			names = append(names, m.name)
+		}
+	}
+	return names
+}
+
+// load submits small jobs at the given interval until stop is closed.
+func (w *world) load(stop chan struct{}, fronts []string, every time.Duration) {
+	var all sync.WaitGroup
+	defer all.Wait()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(every):
+		}
+		j := w.newJob(100, step{Count: 4, CPU: 1600, MemMb: 64, EstimatedMs: 100})
+		all.Go(func() { w.submit(j, fronts, 1500*time.Millisecond, 2) })
+	}
+}
+
+// leader returns the machine whose control process became leader last.
+func (w *world) leader() (string, error) {
+	name, latest := "", ""
+	for _, m := range w.machines {
+		data, err := os.ReadFile(filepath.Join(w.dir, roleControl+"-"+m.name+".log"))
+		if err != nil {
+			continue // not a control machine
+		}
+		for _, line := range strings.Split(string(data), "\n") {
+			if !strings.Contains(line, "became leader") {
+				continue
+			}
+			if at := strings.Fields(line)[1]; at > latest { // the time of day
+				name, latest = m.name, at
+			}
+		}
+	}
+	if name == "" {
+		return "", fmt.Errorf("no leader")
+	}
+	return name, nil
+}
+
+// freeze stops the processes of a machine, and thaw continues them.
+func (w *world) freeze(name string) {
+	w.check.disturb(name)
+	if w.machine(name).disk {
+		w.check.disturb("core")
+	}
+	for _, role := range []string{roleControl, roleEntry, roleAgent} {
+		w.signal(role, name, syscall.SIGSTOP)
+	}
+}
+
+func (w *world) thaw(name string) {
+	for _, role := range []string{roleControl, roleEntry, roleAgent} {
+		w.signal(role, name, syscall.SIGCONT)
+	}
+	w.check.calm(name)
+	if w.machine(name).disk {
+		w.check.calm("core")
+	}
+}
+
+// playDrain freezes a side machine for 7 s and the leader of the core for 4 s, which begin
+// just before the side machine wakes. The executor of the side machine announces that it
+// drains just after that, and goes on for many seconds.
+func playDrain(w *world, trouble bool) error {
+	if err := w.serve(1500 * time.Millisecond); err != nil {
+		return err
+	}
+	lead, err := w.leader()
+	if err != nil {
+		return err
+	}
+	var calm []string
+	for _, f := range w.fronts() {
+		if f != lead {
+			calm = append(calm, f)
+		}
+	}
+	stop := make(chan struct{})
+	var loading sync.WaitGroup
+	loading.Go(func() { w.load(stop, calm, 50*time.Millisecond) })
+	defer loading.Wait()
+	defer close(stop)
+	time.Sleep(2 * time.Second)
+	leaving := w.executors[0]
+	if trouble {
+		w.freeze(leaving.machine.name)
+	}
+	time.Sleep(6900 * time.Millisecond)
+	if trouble {
+		w.freeze(lead)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if trouble {
+		w.thaw(leaving.machine.name)
+	}
+	time.Sleep(time.Second)
+	leaving.drain()
+	time.Sleep(2900 * time.Millisecond)
+	if trouble {
+		w.thaw(lead)
+	}
+	time.Sleep(8 * time.Second)
+	leaving.down()
+	return nil
+}
+
+// playCancel cancels a job whose second step waits for its first one.
+func playCancel(w *world, trouble bool) error {
+	const timeout = 20 * time.Second
+	if err := w.serve(timeout); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	j := w.newJob(4000, step{Count: 1, CPU: 1600, MemMb: 64, EstimatedMs: 4000}, step{Count: 2, CPU: 1600, MemMb: 64, EstimatedMs: 4000, DependsOn: []int{0}})
+	answered := make(chan int)
+	go func() {
+		status, _ := w.post(j, "front-1", timeout)
+		answered <- status
+	}()
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		status, _ := w.call(http.MethodDelete, "front-1", routePrefix+j.id, nil, time.Second)
+		w.rec.log("answer to the cancelling of job %s: %d", j.id, status)
+		if status/100 == 2 || status == http.StatusGone {
+			w.check.mu.Lock()
+			j.cancelled = time.Now()
+			w.check.mu.Unlock()
+		}
+	}
+	if status := <-answered; status == 0 {
+		return fmt.Errorf("no answer to the job")
+	}
+	return nil
+}
