--- a/review/platform/scene/executor.go
+++ b/review/platform/scene/executor.go
@@ -23,11 +23,10 @@
 	labels   []string
 	capacity int // millicores
 
-	// lateShare is the share of orders that get no answer and are carried out later.
-	lateShare float64
-
 	mu       sync.Mutex
-	boot     *boot // nil while the executor is down
+	healed   chan struct{} // while the executor is cut off, closed at the end of the cut
+	held     [][]byte      // heartbeats that the cut holds up
+	boot     *boot         // nil while the executor is down
 	id       string
 	draining bool
 	sequence uint64
@@ -160,12 +159,64 @@
 	if e.draining {
 		body["DrainRemainingMs"] = drainBound.Milliseconds()
 	}
-	id := e.id
 	e.mu.Unlock()
 	data, err := json.Marshal(body)
 	if err != nil {
 		panic(err)
 	}
+	if e.holdUp(data) {
+		return
+	}
+	if e.putBeat(data, state) && state == "draining" {
+		e.world.check.drainAcknowledged(e, b)
+	}
+}
+
+// holdUp keeps a heartbeat for the end of the cut. It returns false if there is no cut.
+func (e *executor) holdUp(beat []byte) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.healed == nil {
+		return false
+	}
+	e.held = append(e.held, beat)
+	return true
+}
+
+func (e *executor) isCutOff() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.healed != nil
+}
+
+// cut cuts the executor off from all machines.
+func (e *executor) cut() {
+	e.mu.Lock()
+	e.healed = make(chan struct{})
+	e.mu.Unlock()
+	e.world.rec.log("executor %s is cut off", e.machine.name)
+}
+
+// heal ends the cut. The heartbeats that it has held up arrive, each on its own channel,
+// the latest one first.
+func (e *executor) heal() {
+	e.mu.Lock()
+	close(e.healed)
+	held := e.held
+	e.healed, e.held = nil, nil
+	e.mu.Unlock()
+	e.world.rec.log("executor %s is no longer cut off, %d heartbeats were held up", e.machine.name, len(held))
+	for i := len(held) - 1; i >= 0; i-- {
+		e.putBeat(held[i], "held up")
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// putBeat sends a heartbeat and reports whether it was acknowledged.
+func (e *executor) putBeat(data []byte, state string) bool {
+	e.mu.Lock()
+	id := e.id
+	e.mu.Unlock()
 	req, err := http.NewRequest(http.MethodPut, "http://"+e.world.addr(e.machine, controlOffset)+"/-/instances/"+id, bytes.NewReader(data))
 	if err != nil {
 		panic(err)
@@ -174,15 +225,11 @@
 	resp, err := beatClient.Do(req)
 	if err != nil {
 		e.world.rec.log("heartbeat of %s (%s) not acknowledged: %v", e.machine.name, state, err)
-		return
+		return false
 	}
 	_ = resp.Body.Close()
-	if state == "draining" {
-		e.world.rec.log("heartbeat of %s (%s): %d", e.machine.name, state, resp.StatusCode)
-	}
-	if resp.StatusCode == http.StatusOK && state == "draining" {
-		e.world.check.drainAcknowledged(e, b)
-	}
+	e.world.rec.log("heartbeat of %s (%s): %d, %s", e.machine.name, state, resp.StatusCode, data)
+	return resp.StatusCode == http.StatusOK
 }
 
 // clock is the executor's steady clock in milliseconds.
@@ -221,9 +268,8 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if b.exec.lateShare > 0 && rand.Float64() < b.exec.lateShare {
-		time.AfterFunc(2*time.Second+rand.N(10*time.Second), func() { do(o) })
-		<-r.Context().Done() // no answer until the caller gives up
+	if b.exec.isCutOff() {
+		<-r.Context().Done() // the caller gives up without an answer
 		return
 	}
 	rep := do(o)
--- a/review/platform/scene/main.go
+++ b/review/platform/scene/main.go
@@ -15,11 +15,8 @@
 	"time"
 )
 
-// Machines of the deployment besides the three with a disk.
-const (
-	disklessFronts = 1
-	sides          = 3
-)
+// disklessFronts is the number of front machines besides the three with a disk.
+const disklessFronts = 1
 
 const (
 	exitHeld   = 0
@@ -27,10 +24,16 @@
 	exitFailed = 2
 )
 
-// scenes are the scenes by name. Each plays on a world that has not been started yet.
-var scenes = map[string]func(w *world, trouble bool) error{
-	"drain":  playDrain,
-	"cancel": playCancel,
+// scene is played on a world that has not been started yet.
+type scene struct {
+	play  func(w *world, trouble bool) error
+	sides int // number of side machines
+}
+
+var scenes = map[string]scene{
+	"drain":  {playDrain, 3},
+	"cancel": {playCancel, 3},
+	"reborn": {playReborn, 1},
 }
 
 // maxShown limits the breaks that are printed. The record has all of them.
@@ -42,7 +45,7 @@
 func main() { os.Exit(play()) }
 
 func play() int {
-	if len(os.Args) != 4 || scenes[os.Args[1]] == nil {
+	if len(os.Args) != 4 || scenes[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: scene NAME ROOT RECORD")
 		return exitFailed
 	}
@@ -52,7 +55,7 @@
 		return exitFailed
 	}
 	go forkLoop()
-	w, err := newWorld(rec, os.Args[2], disklessFronts, sides)
+	w, err := newWorld(rec, os.Args[2], disklessFronts, scenes[os.Args[1]].sides)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
@@ -61,7 +64,7 @@
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	played := make(chan error, 1)
-	go func() { played <- scenes[os.Args[1]](w, os.Getenv("TROUBLE") != "0") }()
+	go func() { played <- scenes[os.Args[1]].play(w, os.Getenv("TROUBLE") != "0") }()
 	select {
 	case err = <-played:
 	case <-stop:
--- a/review/platform/scene/scenes.go
+++ b/review/platform/scene/scenes.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -175,3 +176,86 @@
 	}
 	return nil
 }
+
+// Times of the final fault, from the site files.
+const (
+	killDown  = 1100 * time.Millisecond
+	recoveryS = 12 * time.Second
+	cutFor    = 5500 * time.Millisecond
+)
+
+// playReborn cuts the only executor off from its machine. It crashes behind the cut and
+// starts again under its id. Meanwhile all processes are killed, and are back before the
+// cut ends.
+func playReborn(w *world, trouble bool) error {
+	if err := w.serve(1500 * time.Millisecond); err != nil {
+		return err
+	}
+	e := w.executors[0]
+	before := w.measure(8 * time.Second)
+	cutAt := time.Now()
+	if trouble {
+		e.cut()
+		time.Sleep(2 * time.Second)
+		e.down()
+		time.Sleep(500 * time.Millisecond)
+		if err := e.up(); err != nil {
+			return err
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	w.killAll()
+	time.Sleep(killDown)
+	if err := w.startAll(); err != nil {
+		return err
+	}
+	back := time.Now()
+	if trouble {
+		time.Sleep(time.Until(cutAt.Add(cutFor)))
+		e.heal()
+	}
+	time.Sleep(time.Until(back.Add(recoveryS)))
+	after := w.measure(15 * time.Second)
+	w.rec.log("share of the requests that were served: %.2f before the final fault, %.2f after the time to recover", before, after)
+	if before >= 0.25 && after < 0.25 {
+		w.check.mu.Lock()
+		defer w.check.mu.Unlock()
+		w.check.breaks("RECOVER", "%.2f of the requests are served, %.2f were before", after, before)
+	}
+	return nil
+}
+
+// measure submits a small job every 100 ms and returns the share that was served.
+func (w *world) measure(d time.Duration) float64 {
+	var all sync.WaitGroup
+	var served atomic.Int64
+	sent := 0
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		sent++
+		all.Go(func() {
+			j := w.newJob(100, step{Count: 2, CPU: 1600, MemMb: 64, EstimatedMs: 100})
+			if status, state := w.submit(j, w.fronts(), 1500*time.Millisecond, 2); status == http.StatusOK && state == "completed" {
+				served.Add(1)
+			}
+		})
+	}
+	all.Wait()
+	return float64(served.Load()) / float64(sent)
+}
+
+// killAll kills all processes at once.
+func (w *world) killAll() {
+	w.mu.Lock()
+	var all []*process
+	for _, p := range w.processes {
+		all = append(all, p)
+	}
+	w.mu.Unlock()
+	w.rec.log("all processes are killed")
+	for _, p := range all {
+		_ = p.cmd.Process.Kill()
+	}
+	for _, p := range all {
+		<-p.done
+	}
+}
