--- a/review/platform/scene/executor.go
+++ b/review/platform/scene/executor.go
@@ -26,6 +26,7 @@
 	mu       sync.Mutex
 	healed   chan struct{} // while the executor is cut off, closed at the end of the cut
 	held     [][]byte      // heartbeats that the cut holds up
+	failing  bool          // all tasks that it starts fail
 	boot     *boot         // nil while the executor is down
 	id       string
 	draining bool
@@ -189,6 +190,20 @@
 	return e.healed != nil
 }
 
+func (e *executor) isFailing() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.failing
+}
+
+// setFailing sets whether the executor fails all tasks that it starts.
+func (e *executor) setFailing(f bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failing = f
+	e.world.rec.log("executor %s fails all that it starts: %v", e.machine.name, f)
+}
+
 // cut cuts the executor off from all machines.
 func (e *executor) cut() {
 	e.mu.Lock()
@@ -328,7 +343,11 @@
 		return orderReply{status: http.StatusConflict, reason: "old"}
 	}
 	r := &run{task: o.Task, id: o.RunID, spec: o.Spec}
-	r.timer = time.AfterFunc(workOf(o.Spec), func() { b.end(r, "done") })
+	how, work := "done", workOf(o.Spec)
+	if b.exec.isFailing() {
+		how, work = "failed", work/2
+	}
+	r.timer = time.AfterFunc(work, func() { b.end(r, how) })
 	b.runs[o.Task] = r
 	b.exec.world.check.started(b, r)
 	return orderReply{status: http.StatusOK}
--- a/review/platform/scene/main.go
+++ b/review/platform/scene/main.go
@@ -34,6 +34,7 @@
 	"drain":  {playDrain, 3},
 	"cancel": {playCancel, 3},
 	"reborn": {playReborn, 1},
+	"label":  {playLabel, 7},
 }
 
 // maxShown limits the breaks that are printed. The record has all of them.
--- a/review/platform/scene/scenes.go
+++ b/review/platform/scene/scenes.go
@@ -22,7 +22,11 @@
 		if !m.side {
 			continue
 		}
-		if _, err := w.addExecutor(m.name, "s", 16000, "a", "r1"); err != nil {
+		kind := "a"
+		if len(w.executors)%2 == 1 {
+			kind = "b"
+		}
+		if _, err := w.addExecutor(m.name, "s", 16000, kind, "r1"); err != nil {
 			return err
 		}
 	}
@@ -43,8 +47,13 @@
 	return names
 }
 
-// load submits small jobs at the given interval until stop is closed.
-func (w *world) load(stop chan struct{}, fronts []string, every time.Duration) {
+const smallMs = 100
+
+func smallStep() step { return step{Count: 4, CPU: 1600, MemMb: 64, EstimatedMs: smallMs} }
+
+// load submits small jobs at the given interval until stop is closed. Each has the steps
+// that next returns.
+func (w *world) load(stop chan struct{}, fronts []string, every time.Duration, next func() step) {
 	var all sync.WaitGroup
 	defer all.Wait()
 	for {
@@ -53,7 +62,7 @@
 			return
 		case <-time.After(every):
 		}
-		j := w.newJob(100, step{Count: 4, CPU: 1600, MemMb: 64, EstimatedMs: 100})
+		j := w.newJob(smallMs, next())
 		all.Go(func() { w.submit(j, fronts, 1500*time.Millisecond, 2) })
 	}
 }
@@ -121,7 +130,7 @@
 	}
 	stop := make(chan struct{})
 	var loading sync.WaitGroup
-	loading.Go(func() { w.load(stop, calm, 50*time.Millisecond) })
+	loading.Go(func() { w.load(stop, calm, 50*time.Millisecond, smallStep) })
 	defer loading.Wait()
 	defer close(stop)
 	time.Sleep(2 * time.Second)
@@ -259,3 +268,41 @@
 		<-p.done
 	}
 }
+
+const (
+	greyFor   = 6500 * time.Millisecond // how long an executor fails all tasks, from the site files
+	calmFor   = 6 * time.Second
+	greyTimes = 2
+)
+
+// playLabel lets an executor of kind a fail all that it starts, three times. Each eighth
+// job is wide and may run anywhere, the others need kind b. All channels lead to one front machine.
+func playLabel(w *world, trouble bool) error {
+	if err := w.serve(1500 * time.Millisecond); err != nil {
+		return err
+	}
+	sent := 0
+	next := func() step {
+		if sent++; sent%8 == 0 {
+			return step{Count: 24, CPU: 1600, MemMb: 64, EstimatedMs: smallMs}
+		}
+		return step{Count: 2, CPU: 1600, MemMb: 64, EstimatedMs: smallMs, Requirements: "b"}
+	}
+	stop := make(chan struct{})
+	var loading sync.WaitGroup
+	loading.Go(func() { w.load(stop, []string{"front-4"}, 25*time.Millisecond, next) })
+	defer loading.Wait()
+	defer close(stop)
+	time.Sleep(2 * time.Second)
+	for range greyTimes {
+		if trouble {
+			w.executors[0].setFailing(true)
+		}
+		time.Sleep(greyFor)
+		if trouble {
+			w.executors[0].setFailing(false)
+		}
+		time.Sleep(calmFor)
+	}
+	return nil
+}
