--- a/review/platform/scene/check.go
+++ b/review/platform/scene/check.go
@@ -20,6 +20,8 @@
 	coreOK   time.Time            // since when the core has been stable
 	broken   []string
 	starts   int
+	orders   int // all orders to executors
+	late     int // those that got no answer and are carried out late
 }
 
 func newChecker(rec *recorder) *checker {
@@ -35,6 +37,16 @@
 	c.rec.log("BROKEN %s", text)
 }
 
+func (c *checker) countOrder(late bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if late {
+		c.late++
+		return
+	}
+	c.orders++
+}
+
 // disturb records that a machine is disturbed, and calm that this has ended.
 func (c *checker) disturb(names ...string) {
 	c.mu.Lock()
--- a/review/platform/scene/client.go
+++ b/review/platform/scene/client.go
@@ -54,6 +54,11 @@
 
 // post sends a job once and returns the status, zero without an answer in time.
 func (w *world) post(j *job, front string, timeout time.Duration) (status int, state string) {
+	return w.postWaiting(j, front, timeout, timeout)
+}
+
+// postWaiting sends a job once with a deadline, and breaks the channel after wait.
+func (w *world) postWaiting(j *job, front string, deadline, wait time.Duration) (status int, state string) {
 	body, err := json.Marshal(map[string]any{"Spec": j.spec, "BestEffort": true, "Steps": j.steps})
 	if err != nil {
 		panic(err)
@@ -62,7 +67,7 @@
 	j.attempts++
 	w.check.mu.Unlock()
 	w.rec.log("client sends job %s to %s", j.id, front)
-	status, data := w.call(http.MethodPost, front, routePrefix+j.id, body, timeout)
+	status, data := w.call(http.MethodPost, front, routePrefix+j.id, body, deadline, wait)
 	var reply struct{ State string }
 	_ = json.Unmarshal(data, &reply) // an answer without a body has no state
 	w.check.mu.Lock()
@@ -89,17 +94,18 @@
 	return status, state
 }
 
-// call sends one request of a client and returns the status and the body.
-func (w *world) call(method, front, path string, body []byte, timeout time.Duration) (int, []byte) {
+// call sends one request of a client and returns the status and the body. After wait it
+// closes the channel.
+func (w *world) call(method, front, path string, body []byte, deadline, wait time.Duration) (int, []byte) {
 	req, err := http.NewRequest(method, "http://"+w.addr(w.machine(front), frontOffset)+path, bytes.NewReader(body))
 	if err != nil {
 		panic(err)
 	}
 	req.Host = routeHost
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set("Baobabshore-Deadline-Ms", strconv.FormatInt(timeout.Milliseconds(), 10))
+	req.Header.Set("Baobabshore-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	c := *callerClient
-	c.Timeout = timeout
+	c.Timeout = wait
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil
--- a/review/platform/scene/executor.go
+++ b/review/platform/scene/executor.go
@@ -27,6 +27,7 @@
 	healed   chan struct{} // while the executor is cut off, closed at the end of the cut
 	held     [][]byte      // heartbeats that the cut holds up
 	failing  bool          // all tasks that it starts fail
+	lateStop bool          // orders to stop get no answer and are carried out late
 	boot     *boot         // nil while the executor is down
 	id       string
 	draining bool
@@ -196,6 +197,20 @@
 	return e.failing
 }
 
+func (e *executor) stopsLate() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.lateStop
+}
+
+// setLateStops sets whether orders to stop get no answer and are carried out late.
+func (e *executor) setLateStops(late bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lateStop = late
+	e.world.rec.log("executor %s leaves stops unanswered: %v", e.machine.name, late)
+}
+
 // setFailing sets whether the executor fails all tasks that it starts.
 func (e *executor) setFailing(f bool) {
 	e.mu.Lock()
@@ -283,6 +298,14 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	b.exec.world.check.countOrder(false)
+	if r.URL.Path == "/-/run-stop" && b.exec.stopsLate() {
+		b.exec.world.check.countOrder(true)
+		b.exec.world.rec.log("executor %s leaves the stop of %s run %d unanswered", b.exec.machine.name, o.Task, o.RunID)
+		time.AfterFunc(lateBy, func() { do(o) })
+		<-r.Context().Done() // the caller gives up without an answer
+		return
+	}
 	if b.exec.isCutOff() {
 		<-r.Context().Done() // the caller gives up without an answer
 		return
--- a/review/platform/scene/main.go
+++ b/review/platform/scene/main.go
@@ -35,6 +35,7 @@
 	"cancel": {playCancel, 3},
 	"reborn": {playReborn, 1},
 	"label":  {playLabel, 7},
+	"twice":  {playTwice, 3},
 }
 
 // maxShown limits the breaks that are printed. The record has all of them.
@@ -83,7 +84,7 @@
 	for _, text := range w.check.broken[:min(len(w.check.broken), maxShown)] {
 		fmt.Println(text)
 	}
-	fmt.Printf("%d starts, %d breaks, error: %v\n", w.check.starts, len(w.check.broken), err)
+	fmt.Printf("%d starts, %d breaks, %d of %d orders carried out late, error: %v\n", w.check.starts, len(w.check.broken), w.check.late, w.check.orders, err)
 	w.rec.log("%d starts, %d breaks, error: %v", w.check.starts, len(w.check.broken), err)
 	switch {
 	case err != nil:
--- a/review/platform/scene/scenes.go
+++ b/review/platform/scene/scenes.go
@@ -51,8 +51,8 @@
 
 func smallStep() step { return step{Count: 4, CPU: 1600, MemMb: 64, EstimatedMs: smallMs} }
 
-// load submits small jobs at the given interval until stop is closed. Each has the steps
-// that next returns.
+// load submits small jobs at the given interval until stop is closed. Each has the step
+// that next returns, whose tasks run for as long as estimated.
 func (w *world) load(stop chan struct{}, fronts []string, every time.Duration, next func() step) {
 	var all sync.WaitGroup
 	defer all.Wait()
@@ -62,7 +62,8 @@
 			return
 		case <-time.After(every):
 		}
-		j := w.newJob(smallMs, next())
+		s := next()
+		j := w.newJob(s.EstimatedMs, s)
 		all.Go(func() { w.submit(j, fronts, 1500*time.Millisecond, 2) })
 	}
 }
@@ -172,7 +173,7 @@
 	}()
 	time.Sleep(500 * time.Millisecond)
 	if trouble {
-		status, _ := w.call(http.MethodDelete, "front-1", routePrefix+j.id, nil, time.Second)
+		status, _ := w.call(http.MethodDelete, "front-1", routePrefix+j.id, nil, time.Second, time.Second)
 		w.rec.log("answer to the cancelling of job %s: %d", j.id, status)
 		if status/100 == 2 || status == http.StatusGone {
 			w.check.mu.Lock()
@@ -306,3 +307,69 @@
 	}
 	return nil
 }
+
+// Times of playTwice, from the moment at which the job is sent.
+const (
+	loseAt   = 706 * time.Millisecond // the client's channel is reset, just after a poll of the entry
+	freezeAt = 785 * time.Millisecond
+	freezeIn = 740 * time.Millisecond // length of the freeze
+)
+
+// rounds is how often playTwice plays its disruption.
+const rounds = 6
+
+// playTwice lets a client's channel break just before the side machine that runs some of
+// the job's tasks freezes. When it wakes, the executor leaves stops unanswered. The client
+// sends the job again, to another front machine.
+func playTwice(w *world, trouble bool) error {
+	if err := w.serve(6 * time.Second); err != nil {
+		return err
+	}
+	stop := make(chan struct{})
+	var loading sync.WaitGroup
+	loading.Go(func() {
+		w.load(stop, w.fronts(), 15*time.Millisecond, func() step { return step{Count: 3, CPU: 800, MemMb: 64, EstimatedMs: 30} })
+	})
+	defer loading.Wait()
+	defer close(stop)
+	time.Sleep(2 * time.Second)
+	for range rounds {
+		w.loseJob(trouble)
+		time.Sleep(4 * time.Second)
+	}
+	return nil
+}
+
+func (w *world) loseJob(trouble bool) {
+	e := w.executors[0]
+	const deadline = 6 * time.Second
+	var all sync.WaitGroup
+	defer all.Wait()
+	// Another client's job keeps the entry in touch with all agents.
+	other := w.newJob(2500, step{Count: 9, CPU: 1600, MemMb: 64, EstimatedMs: 2500})
+	all.Go(func() { w.submit(other, []string{"front-4"}, deadline, 1) })
+	time.Sleep(200 * time.Millisecond)
+	j := w.newJob(2500, step{Count: 15, CPU: 1600, MemMb: 64, EstimatedMs: 2500})
+	sent := time.Now()
+	timeout := deadline
+	if trouble {
+		timeout = loseAt
+	}
+	lost := make(chan time.Time, 1)
+	all.Go(func() {
+		if status, _ := w.postWaiting(j, "front-4", deadline, timeout); status == 0 {
+			lost <- time.Now()
+		}
+	})
+	if !trouble {
+		return
+	}
+	time.Sleep(time.Until(sent.Add(freezeAt)))
+	e.setLateStops(true)
+	w.freeze(e.machine.name)
+	time.Sleep(time.Until(sent.Add(freezeAt + freezeIn)))
+	w.thaw(e.machine.name)
+	time.Sleep(time.Until((<-lost).Add(retransmit)))
+	w.post(j, "front-1", deadline)
+	e.setLateStops(false)
+}
--- a/review/platform/scene/world.go
+++ b/review/platform/scene/world.go
@@ -23,6 +23,7 @@
 	configApply = 2000 * time.Millisecond
 	cancelBound = 3000 * time.Millisecond
 	beatEvery   = 1500 * time.Millisecond
+	lateBy      = 2000 * time.Millisecond // of an order that is carried out late
 	graceS      = 6
 )
 
