--- a/review/platform/scene/scenes.go
+++ b/review/platform/scene/scenes.go
@@ -273,7 +273,7 @@
 const (
 	greyFor   = 6500 * time.Millisecond // how long an executor fails all tasks, from the site files
 	calmFor   = 6 * time.Second
-	greyTimes = 2
+	greyTimes = 3
 )
 
 // playLabel lets an executor of kind a fail all that it starts, three times. Each eighth
