worker, executor: refuse a run under a lease that outlasts its owner's

Cause: a worker's lease covers all of its runs and can't be shortened. A start that an agent reads late joins a lease which was granted for the runs of other owners, up to 1 s ahead. If its stop then gets no answer, it runs until that lease ends, which its own owner never allowed.

Change: the executor passes the end of the owner's lease with each task (executor.Run). worker.Core keeps the end of the longest lease that it has requested, by its own clock, and refuses a start whose bound is earlier. The refusal says that nothing ran, so the entry places the task elsewhere.

--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -171,10 +171,10 @@
 // run starts a task on the worker or the upstream. When a call to the upstream
 // exceeds its timeout, the task is answered as may-have-run, and the slot stays
 // occupied until the call has ended, since the upstream may still run the task.
-func (inc *incarnation) run(s wire.Start) {
+func (inc *incarnation) run(s executor.Run) {
 	if inc.worker != nil {
 		inc.callsInProgress.Add(1)
-		inc.worker.Run(s)
+		inc.worker.Run(s.Start, s.LeaseEnd)
 		return
 	}
 	timeout := inc.taskTimeout
@@ -185,7 +185,7 @@
 	go func() {
 		startTime := time.Now()
 		timer := time.AfterFunc(timeout, func() { inc.reportTimeout(s.Key, time.Since(startTime)) })
-		r := inc.upstreamClient.runTask(s, timeout+inc.opts.LingerTimeout)
+		r := inc.upstreamClient.runTask(s.Start, timeout+inc.opts.LingerTimeout)
 		timer.Stop()
 		inc.metrics.recordAnswer(r.answer, inc.callsInProgress.Add(-1))
 		if r.upstreamDown && !inc.upstreamDown.Swap(true) {
--- a/agent/options.go
+++ b/agent/options.go
@@ -19,8 +19,10 @@
 
 // Worker runs sized tasks, which declare the resources they take.
 type Worker interface {
-	// Run starts a task. Its answer goes to the function given to OpenWorker.
-	Run(s wire.Start)
+	// Run starts a task, unless the worker would then run it for too long after leaseEnd,
+	// the end of the lease of its owner. Zero means no limit. Its answer goes to the
+	// function given to OpenWorker.
+	Run(s wire.Start, leaseEnd time.Duration)
 	// Abort asks the worker to end a task. The task has ended when its answer arrives.
 	Abort(key ids.TaskKey)
 	// SetOwnersLease sets the earliest end of a lease of the entries that have tasks
--- a/bench/capacity/cores.go
+++ b/bench/capacity/cores.go
@@ -213,7 +213,7 @@
 		start := wire.Start{Key: key, Epoch: 1, Try: 1, Method: t.Method, Path: t.Path, Body: t.Body, BudgetMS: 30_000}
 		r.core.Receive(r.now, wire.Exchange{Entry: entry, Starts: []wire.Start{start}})
 		for _, s := range r.core.Tick(r.now).Run {
-			r.core.Finished(r.now, answerTo(s))
+			r.core.Finished(r.now, answerTo(s.Start))
 		}
 		for _, e := range r.core.Tick(r.now).Send {
 			var acks []wire.Ack
--- a/bench/process.go
+++ b/bench/process.go
@@ -177,7 +177,7 @@
 	c := p.c
 	out := p.agent.Tick(c.now)
 	for _, st := range out.Run {
-		p.run(st)
+		p.run(st.Start)
 	}
 	for _, key := range out.Abort {
 		if r := p.running[key]; r != nil {
--- a/dispatch/pathrunner_test.go
+++ b/dispatch/pathrunner_test.go
@@ -33,12 +33,12 @@
 }
 
 // run implements taskRunner.
-func (r *pathRunner) run(s wire.Start) {
+func (r *pathRunner) run(s wire.Start, leaseEnd time.Duration) {
 	requestedAt, ownersLease := r.path.now, r.ownersLease
 	r.path.after(maxWriteDelay, func() {
 		r.receive(func() {
 			r.core.SetOwnersLease(ownersLease)
-			r.core.Run(requestedAt, s)
+			r.core.Run(requestedAt, s, leaseEnd)
 		})
 	})
 	if d := r.node.freezeAtStart; d > 0 {
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -85,7 +85,7 @@
 
 // taskRunner runs the tasks that an agent starts.
 type taskRunner interface {
-	run(s wire.Start)
+	run(s wire.Start, leaseEnd time.Duration)
 	abort(key ids.TaskKey)
 	setOwnersLease(end time.Duration)
 }
@@ -344,7 +344,7 @@
 		a.runner.setOwnersLease(out.OwnersLease)
 	}
 	for _, s := range out.Run {
-		sim.startTask(a, s)
+		sim.startTask(a, s.Start, s.LeaseEnd)
 	}
 	for _, key := range out.Abort {
 		if a.runner != nil {
@@ -377,9 +377,9 @@
 
 // startTask runs a task on the upstream of an agent. It checks that a slot is free and
 // that the task has not run before, unless it is an idempotent request.
-func (sim *simulation) startTask(a *agentProc, s wire.Start) {
+func (sim *simulation) startTask(a *agentProc, s wire.Start, leaseEnd time.Duration) {
 	if a.runner != nil {
-		a.runner.run(s)
+		a.runner.run(s, leaseEnd)
 		return
 	}
 	if !s.Size.IsZero() {
--- a/executor/api.go
+++ b/executor/api.go
@@ -46,10 +46,19 @@
 	Connected bool          // the entry's connection is open
 }
 
+// Run is a task to send to the upstream.
+type Run struct {
+	wire.Start
+	// LeaseEnd is the end of the lease of a sized task's entry, on the agent's clock. The
+	// lease of the worker must not outlast it by more than Leases.Worker when the task
+	// starts. Zero means no limit.
+	LeaseEnd time.Duration
+}
+
 // Output lists the actions that one tick has decided on.
 type Output struct {
 	// Run lists the tasks to send to the upstream now. Each task is listed once.
-	Run []wire.Start
+	Run []Run
 	// Abort lists the running tasks to abort: those whose answers are no longer needed,
 	// those of entries whose lease has expired, and overdue tasks of batches that are to
 	// start elsewhere.
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -98,8 +98,8 @@
 // may start ahead of a large one that does not fit, but only for maxBypassTime. Without
 // that limit a busy worker would starve the large task: each piece of capacity that
 // becomes free would go to a smaller one.
-func (c *Core) startSizedTasks(now time.Duration) []wire.Start {
-	var run []wire.Start
+func (c *Core) startSizedTasks(now time.Duration) []Run {
+	var run []Run
 	waiting := c.queue[:0]
 	reserved := false
 	for _, r := range c.queue {
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -49,11 +49,11 @@
 }
 
 // startQueuedTasks starts tasks in queue order until all slots are taken.
-func (c *Core) startQueuedTasks(now time.Duration) []wire.Start {
+func (c *Core) startQueuedTasks(now time.Duration) []Run {
 	if c.sized() {
 		return c.startSizedTasks(now)
 	}
-	var run []wire.Start
+	var run []Run
 	for len(c.queue) > 0 && c.running < c.concurrencyLimit() {
 		r := c.queue[0]
 		c.queue = c.queue[1:]
@@ -63,8 +63,8 @@
 }
 
 // markStarted changes a row that was removed from the queue to running. It returns the
-// start with the remaining time budget.
-func (c *Core) markStarted(now time.Duration, r *row) wire.Start {
+// task with the remaining time budget.
+func (c *Core) markStarted(now time.Duration, r *row) Run {
 	c.queued--
 	c.queuedSize = c.queuedSize.Sub(r.size)
 	c.running++
@@ -76,7 +76,7 @@
 	st := r.start
 	st.BudgetMS = (r.deadline - now).Milliseconds()
 	r.start = wire.Start{}
-	return st
+	return Run{Start: st, LeaseEnd: r.owner.leaseExpiresAt}
 }
 
 // buildReports builds a message for each connected entry that needs a report.
--- a/worker/core.go
+++ b/worker/core.go
@@ -53,6 +53,7 @@
 	phase       phase
 	requestedAt time.Duration // when the start was requested
 	startBy     time.Duration // time after which the start must not be carried out
+	endBy       time.Duration // time by which the owner's lease wants the run over, zero for never
 	fence       Fence         // token of the start
 	spec        []byte
 
@@ -88,6 +89,10 @@
 	clock       time.Duration // worker's clock at clockReadAt
 	clockReadAt time.Duration
 
+	// leaseEnd is the latest end of a lease that this core has requested, by its own clock.
+	// The worker's clock may be slow, but no slower than allowed for in the requests.
+	leaseEnd time.Duration
+
 	cursor           uint64        // number of the last recorded end
 	ackedCursor      uint64        // number of the last end that was acknowledged to the worker
 	renewalsInFlight int           // sent and not answered yet
@@ -127,9 +132,9 @@
 // Idle reports whether there are no runs and every recorded end has been acknowledged.
 func (c *Core) Idle() bool { return len(c.runs) == 0 && c.ackedCursor == c.cursor }
 
-// Run requests a run of a task. If the task has a run already, that run is stopped, and
-// the new one is refused once it has ended.
-func (c *Core) Run(now time.Duration, s wire.Start) {
+// Run requests a run of a task whose owner's lease ends at leaseEnd, zero for never. If the
+// task has a run already, that run is stopped, and the new one is refused once it has ended.
+func (c *Core) Run(now time.Duration, s wire.Start, leaseEnd time.Duration) {
 	id := RunID{Task: s.Name, Number: s.Try}
 	if c.replaced {
 		c.queueAnswer(s.Key, id, EvidenceRefused, verdict.NotRun, verdict.UpstreamRefused, 0)
@@ -143,6 +148,9 @@
 		return
 	}
 	r := &run{key: s.Key, id: id, requestedAt: now, startBy: c.withinOwnersLease(now + startValidity), spec: s.Body}
+	if leaseEnd > 0 {
+		r.endBy = leaseEnd + c.cfg.StopWindow
+	}
 	c.runs[id], c.runsByKey[s.Key] = r, r
 	c.queuedRuns = append(c.queuedRuns, r)
 }
--- a/worker/fence_test.go
+++ b/worker/fence_test.go
@@ -36,7 +36,7 @@
 // a later request of this owner.
 func TestRejectedStartDoesNotHideAnotherOwner(t *testing.T) {
 	c := New(0, Config{Fence: NewFence(1), Lease: time.Second, Clock: time.Hour})
-	c.Run(0, wire.Start{Key: ids.RequestOf(1, 1), Name: "task", Try: 1})
+	c.Run(0, wire.Start{Key: ids.RequestOf(1, 1), Name: "task", Try: 1}, 0)
 	out := c.Tick(0)
 	// The worker obeys another owner: it rejects the renewal first, then the start.
 	c.Renewed(time.Millisecond, *out.Renew, Status{Refused: RefusedFenced}, false)
--- a/worker/model_test.go
+++ b/worker/model_test.go
@@ -335,7 +335,7 @@
 	key := ids.RequestOf(1, uint64(n))
 	start := wire.Start{Key: key, Try: 1, Name: "task" + strconv.Itoa(n)}
 	m.requested[key] = RunID{Task: start.Name, Number: 1}
-	m.core.Run(m.now, start)
+	m.core.Run(m.now, start, 0)
 	m.tick()
 	if m.rng.IntN(6) == 0 {
 		m.schedule(time.Duration(m.rng.IntN(150))*time.Millisecond, func() {
--- a/worker/requests.go
+++ b/worker/requests.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/baobabshore/baobabshore/verdict"
 )
 
 // updateClock records the worker's clock from a reply. Zero is ignored.
@@ -33,15 +35,21 @@
 	return out
 }
 
-// addStarts adds the starts that have not been sent to out.
+// addStarts adds the starts that have not been sent to out. A lease covers all runs and can't
+// be shortened, so a run that must be over before the lease in force ends is refused.
 func (c *Core) addStarts(out *Output) {
 	for _, r := range c.queuedRuns {
 		if c.runs[r.id] != r {
 			continue // answered since
 		}
+		if r.endBy > 0 && c.leaseEnd > r.endBy {
+			c.deleteRun(r)
+			c.queueAnswer(r.key, r.id, EvidenceLeased, verdict.NotRun, verdict.UpstreamRefused, 0)
+			continue
+		}
 		r.phase, r.fence = starting, c.fence
 		out.Start = append(out.Start, StartRequest{
-			Run: r.id, Spec: r.spec, Fence: c.fence, Until: c.leaseUntil(r.startBy),
+			Run: r.id, Spec: r.spec, Fence: c.fence, Until: c.grantUntil(r.startBy),
 		})
 	}
 	c.queuedRuns = nil
@@ -97,7 +105,7 @@
 	}
 	req := RenewRequest{Fence: c.fence, Cursor: c.cursor, SentAt: now, Born: c.cfg.Born}
 	if len(c.runs) > 0 {
-		req.Until = c.leaseUntil(now + c.cfg.Lease)
+		req.Until = c.grantUntil(now + c.cfg.Lease)
 	}
 	if len(c.runs) > 0 && !c.statusNeeded {
 		req.Wait = longPollWait
@@ -112,17 +120,18 @@
 // none.
 func (c *Core) SetOwnersLease(end time.Duration) { c.ownersLease = end }
 
-// leaseUntil returns the end of a lease, at most the given time, on the worker's clock. The
+// grantUntil returns the end of a lease, at most the given time, on the worker's clock. The
 // lease covers all runs of the worker, so it outlasts neither the lease of an owner nor
 // the stop of a run by more than StopWindow: if this process stands still, or stops are
 // not answered, the runs end with it.
-func (c *Core) leaseUntil(end time.Duration) time.Duration {
+func (c *Core) grantUntil(end time.Duration) time.Duration {
 	end = c.withinOwnersLease(end)
 	for _, r := range c.runs {
 		if r.stopRequestedAt > 0 && r.phase != queued {
 			end = min(end, r.stopRequestedAt+c.cfg.StopWindow)
 		}
 	}
+	c.leaseEnd = max(c.leaseEnd, end)
 	return max(c.workerClock(end), 0)
 }
 
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -17,7 +17,7 @@
 // newCoreWithRun returns a core on whose worker one run has been requested at time zero.
 func newCoreWithRun() (*Core, RunID) {
 	c := New(0, Config{Fence: 7, Born: bornBefore, Lease: time.Second, Clock: time.Hour})
-	c.Run(0, wire.Start{Key: ids.RequestOf(1, 1), Name: "task", Try: 1})
+	c.Run(0, wire.Start{Key: ids.RequestOf(1, 1), Name: "task", Try: 1}, 0)
 	return c, RunID{Task: "task", Number: 1}
 }
 
@@ -62,7 +62,7 @@
 		stoppedAt   = 100 * ms
 	)
 	c, run := newCoreWithRun()
-	c.Run(0, wire.Start{Key: ids.RequestOf(1, 2), Name: "neighbor", Try: 1})
+	c.Run(0, wire.Start{Key: ids.RequestOf(1, 2), Name: "neighbor", Try: 1}, 0)
 	neighbor := RunID{Task: "neighbor", Number: 1}
 	clockAt := func(now time.Duration) time.Duration { return time.Hour + now }
 	for now := time.Duration(0); now < 5*time.Second; now += ms {
@@ -190,7 +190,7 @@
 func TestStartBeforeTheRestartIsRefused(t *testing.T) {
 	c := New(0, Config{Fence: 7, Born: bornBefore, Lease: time.Second, Clock: time.Hour})
 	first := *c.Tick(0).Renew
-	c.Run(0, startOf(1, "task"))
+	c.Run(0, startOf(1, "task"), 0)
 	c.Renewed(time.Millisecond, first, Status{Clock: time.Millisecond, Born: bornAfter}, false)
 	out := c.Tick(time.Millisecond)
 	if len(out.Start) != 0 || len(out.Ended) != 1 || out.Ended[0].Verdict != verdict.NotRun {
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -60,13 +60,13 @@
 	}
 }
 
-// Run requests a run of a task. Its start is valid from now, also if the process stands
-// still before it is sent.
-func (r *Runner) Run(s wire.Start) {
+// Run requests a run of a task whose owner's lease ends at leaseEnd, zero for never. Its
+// start is valid from now, also if the process stands still before it is sent.
+func (r *Runner) Run(s wire.Start, leaseEnd time.Duration) {
 	requestedAt, ownersLease := r.loop.Now(), time.Duration(r.ownersLease.Load())
 	r.loop.Post(func(time.Duration) {
 		r.core.SetOwnersLease(ownersLease)
-		r.core.Run(requestedAt, s)
+		r.core.Run(requestedAt, s, leaseEnd)
 	})
 }
 
--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -46,10 +46,10 @@
 		if err := r.WaitOrphansCleared(t.Context()); err != nil {
 			t.Fatal(err)
 		}
-		r.Run(wire.Start{Key: ids.RequestOf(1, 1), Try: 1, Name: "first"})
+		r.Run(wire.Start{Key: ids.RequestOf(1, 1), Try: 1, Name: "first"}, 0)
 		time.Sleep(freeze / 2)
 		handedOverAt := w.clock()
-		r.Run(wire.Start{Key: ids.RequestOf(1, 2), Try: 1, Name: "second"})
+		r.Run(wire.Start{Key: ids.RequestOf(1, 2), Try: 1, Name: "second"}, 0)
 		time.Sleep(freeze)
 		r.Close()
 		if late := w.expires["second"] - handedOverAt; late > startValidity {
