entry: look for gone callers after a standstill, before the next tick

Callers saw a task run twice at the same time: the entry stands still while its caller's channel breaks, and goes on with the caller's batch when it wakes.

Cause: an entry speaks for a batch for as long as it takes the caller to be there, and it looks for that every lease.Times.Notice. After a standstill the first tick may come before the goroutines that watch the connections have run. It then starts tasks of the batch and renews the leases of its running ones, counted from now, up to a second after the caller has left.

Change: a tick that comes later than Notice after the last one first looks at the connections of all waiting callers, and cancels the batches of those that are gone. The time of the tick is read before, so nothing is granted for longer than what has been seen. The emulator's entries do the same.

Evidence: TestTickAfterAStandstillRunsNothingForAGoneCaller fails before ("started map[r2.1:1] for a caller that has left").

--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -1,7 +1,9 @@
 package dispatch_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -293,6 +295,13 @@
 	})
 }
 
+// sortedWaitingBatches returns the batches that entries have accepted and not answered.
+func (b *batchSimulation) sortedWaitingBatches() []*pendingBatch {
+	return slices.SortedFunc(maps.Values(b.waitingBatches), func(p, o *pendingBatch) int {
+		return cmp.Or(cmp.Compare(p.key.Entry, o.key.Entry), cmp.Compare(p.key.Index, o.key.Index))
+	})
+}
+
 // loseCallers breaks the connections of the callers of an entry.
 func (b *batchSimulation) loseCallers(e *entryProc) {
 	waiting := b.callers
--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -219,10 +219,22 @@
 		if !p.disruptions.has(callsOfFrozenEntries) {
 			e.dropFrom(callerSource)
 		}
+		if d > p.figures.leases.Notice {
+			p.cancelForGoneCallers(e)
+		}
 		e.thaw(p.rng, func() { p.tickEntry(e) })
 	})
 }
 
+// cancelForGoneCallers does what an entry does before its first tick after a standstill.
+func (p *pathSimulation) cancelForGoneCallers(e *entryProc) {
+	for _, w := range p.sortedWaitingBatches() {
+		if w.entry == e && w.left {
+			e.core.CancelRequest(p.now, w.key)
+		}
+	}
+}
+
 // cutEntryAndFreezeAgents cuts an entry off from agents and takes its callers from it.
 // Agents freeze before the leases of the entry have expired.
 func (p *pathSimulation) cutEntryAndFreezeAgents(e *entryProc) {
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -74,7 +74,7 @@
 		return verdict.Refuse(verdict.Canceled, "nobody waits for the batch any more")
 	}
 	b.Deadline = e.activeDrainPlan.Load().capDeadline(b.Arrived, b.Deadline)
-	r, err := inc.startBatch(b)
+	r, err := inc.startBatch(b, conn)
 	if err != nil {
 		return err
 	}
@@ -104,25 +104,40 @@
 	return e.opts.Leases
 }
 
-// startBatch passes a batch to the core.
-func (inc *incarnation) startBatch(b Batch) (*request, *verdict.Error) {
+// startBatch passes a batch to the core. conn is the connection of its caller, or nil.
+func (inc *incarnation) startBatch(b Batch, conn net.Conn) (*request, *verdict.Error) {
 	// One sequence number is reserved for each task, so that the keys of the tasks
 	// follow the key of the batch.
 	keyCount := uint64(max(b.Tasks(), 1))
-	r := &request{key: ids.RequestOf(inc.self, inc.requestSeq.Add(keyCount)-keyCount+1), done: make(chan struct{})}
+	r := &request{key: ids.RequestOf(inc.self, inc.requestSeq.Add(keyCount)-keyCount+1), conn: conn, done: make(chan struct{})}
 	var refused *verdict.Error
-	ok := inc.loop.Call(func(now time.Duration) {
-		arrived := now - time.Since(b.Arrived)
-		refused = inc.core.Batch(now, dispatch.Batch{
-			Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
-			Queue: b.Queue, Priority: b.Priority, Arrived: arrived, Objective: b.Objective, Deadline: arrived + b.Deadline,
-		})
-		if refused == nil {
-			inc.requests[r.key] = r
-		}
-	})
+	ok := inc.loop.Call(func(now time.Duration) { refused = inc.addBatch(now, b, r) })
 	if !ok {
 		return nil, verdict.Refuse(verdict.Stale, "the entry is registering again").After(defaultRetryAfter)
 	}
 	return r, refused
 }
+
+// addBatch passes a batch to the core on the event loop. r gets its outcome.
+func (inc *incarnation) addBatch(now time.Duration, b Batch, r *request) *verdict.Error {
+	arrived := now - time.Since(b.Arrived)
+	refused := inc.core.Batch(now, dispatch.Batch{
+		Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
+		Queue: b.Queue, Priority: b.Priority, Arrived: arrived, Objective: b.Objective, Deadline: arrived + b.Deadline,
+	})
+	if refused == nil {
+		inc.requests[r.key] = r
+	}
+	return refused
+}
+
+// cancelForGoneCallers cancels the batches whose callers have disconnected. After a
+// standstill the next tick may come before the polls of the connections. It would start and
+// prolong tasks that these callers are about to repeat.
+func (inc *incarnation) cancelForGoneCallers(now time.Duration) {
+	for key, r := range inc.requests {
+		if r.conn != nil && closedByPeer(r.conn) {
+			inc.core.CancelRequest(now, key)
+		}
+	}
+}
--- a/entry/batch_test.go
+++ b/entry/batch_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/baobabshore/baobabshore/dispatch"
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -58,3 +60,24 @@
 		t.Errorf("started %v, want one start for the caller that waits", counts)
 	}
 }
+
+// Guards against two overlapping runs of a task after an entry was frozen: before it learns
+// that a caller has left, it starts or prolongs the tasks that the caller repeats elsewhere.
+func TestTickAfterAStandstillRunsNothingForAGoneCaller(t *testing.T) {
+	s := newSystem(t, testCluster(), 1, Options{})
+	inc := s.entries[0].incarnation.Load()
+	b := oneTaskBatch("/gone")
+	r := &request{key: ids.RequestOf(inc.self, 1), conn: connOfGoneCaller(t), done: make(chan struct{})}
+	var err *verdict.Error
+	inc.loop.Call(func(now time.Duration) {
+		err = inc.addBatch(now, b, r)
+		inc.lastTickAt = now - time.Second
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-r.done
+	if counts := s.upstream.StartCounts(); len(counts) != 0 {
+		t.Errorf("started %v for a caller that has left", counts)
+	}
+}
--- a/entry/life.go
+++ b/entry/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +27,8 @@
 	loop    *coreLoop
 	core    *dispatch.Core
 
-	configVersion uint64 // version of the configuration read last; owned by the loop
+	configVersion uint64        // version of the configuration read last; owned by the loop
+	lastTickAt    time.Duration // owned by the loop
 	agents        map[ids.Incarnation]*agentConn
 	requests      map[ids.TaskKey]*request
 
@@ -48,6 +50,7 @@
 // request is a single request or a batch that waits for its outcome.
 type request struct {
 	key     ids.TaskKey
+	conn    net.Conn      // of the caller of a batch, nil if it is not watched
 	done    chan struct{} // closed once outcome or lostErr is set
 	outcome dispatch.Outcome
 	lostErr *verdict.Error
@@ -195,6 +198,10 @@
 // tick.
 func (inc *incarnation) tick(now time.Duration) time.Duration {
 	inc.refreshCurrent()
+	if now-inc.lastTickAt > inc.entry.leases().Notice {
+		inc.cancelForGoneCallers(now)
+	}
+	inc.lastTickAt = now
 	out := inc.core.Tick(now)
 	inc.agentsUnreachable.Store(now > firstAgentWait && !inc.core.HasUsableUpstream())
 	for _, e := range out.Send {
