executor: don't prolong a task by messages that follow its abort

Cause: a run may go on until its owner's lease, and lease.Times adds up the waits from the last word of the owner for it. The agent kept one lease for each entry, which the latest message about any of its batches extended. An abort that is read late lies in the same queue as later messages; they extended the lease of the aborted task too, and with it the worker's. The other bound, StopWindow after the abort was read, starts as late as the reading.

Change: a task to be aborted keeps the end of the lease that its owner had before the message with the abort. Receive therefore extends the lease last. Nothing that was sent after the abort can prolong the task, whenever it is read. The tasks beside it: while a stop stays unanswered, the worker's lease isn't renewed beyond this bound, so they end with it and are retried, as they did before with the bound of StopWindow.

Evidence: TestMessagesAfterAnAbortDoNotProlongItsTask fails before ("the worker may run r1.0 until 501ms and longer, its entry aborted it at 0s").

Test classes run in parallel, and -path-seeds and -path-first-seed start a long run by hand.

--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -34,6 +34,9 @@
 	// lateGrantsAtUnreached are late grants at a worker that no agent reaches when they are
 	// executed. No dispatcher can prevent what they start or prolong.
 	lateGrantsAtUnreached
+	// lostAnswers are resets of the callers of an entry beside agents that stand still and
+	// workers that leave stops unanswered.
+	lostAnswers
 
 	allDisruptions = lateGrantsAtUnreached - 1
 )
@@ -119,6 +122,8 @@
 		p.cutEntryAndFreezeAgents(p.randomLiveEntry())
 	case resetCallers:
 		p.resetCallersOf(p.randomLiveEntry())
+	case lostAnswers:
+		p.loseAnswersOf(p.randomLiveEntry())
 	}
 }
 
@@ -174,6 +179,9 @@
 			kinds = append(kinds, kind)
 		}
 	}
+	if d.has(lostAnswers) {
+		kinds = append(kinds, lostAnswers)
+	}
 	return kinds
 }
 
@@ -370,6 +378,19 @@
 	}
 }
 
+// loseAnswersOf resets the connections of the callers of an entry. Around that moment agents
+// freeze, and later their workers leave stops unanswered. In some cases the entry freezes.
+func (p *pathSimulation) loseAnswersOf(e *entryProc) {
+	for _, n := range p.randomNodes() {
+		p.after(p.drawUpTo(300*millis), func() { p.freezeAgent(n, p.drawBetween(50*millis, 1200*millis)) })
+		p.after(p.drawUpTo(700*millis), func() { p.failStops([]*workerNode{n}) })
+	}
+	if p.rng.IntN(3) == 0 {
+		p.after(p.drawUpTo(200*millis), func() { p.freezeEntry(e, p.drawBetween(50*millis, 1200*millis)) })
+	}
+	p.after(p.drawUpTo(200*millis), func() { p.resetCallersOf(e) })
+}
+
 func (p *pathSimulation) slowDown(n *workerNode) {
 	p.traceDisruption("worker %s is slow", n.life.id)
 	before := n.slowness
--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -35,6 +36,12 @@
 	return end
 }
 
+// Seeds of the mixes of disruptions. A long run is started by hand.
+var (
+	pathFirstSeed = flag.Uint64("path-first-seed", 0, "first `seed` of the worker path tests")
+	pathSeeds     = flag.Uint64("path-seeds", 200, "`number` of seeds of the worker path tests with a mix of disruptions")
+)
+
 // checkPath plays seeds and fails with the first one in which runs of a task overlap.
 // Every other seed has tasks that hang as well.
 func checkPath(t *testing.T, seeds uint64, d disruptionSet) {
@@ -47,7 +54,7 @@
 		seeds = max(seeds/25, 5) // the race detector slows the emulator down
 	}
 	runs, done := 0, 0
-	for seed := range seeds {
+	for seed := *pathFirstSeed; seed < *pathFirstSeed+seeds; seed++ {
 		set := d
 		if seed%2 == 1 {
 			set |= hangingTasks
@@ -121,15 +128,26 @@
 		{"slow-workers", 200, slowWorkers},
 		{"failing-stops-and-frozen-agents", 200, failingStops | frozenAgents},
 		{"reborn-workers-and-late-calls", 100, rebornWorkers | lateCalls | lateGrants},
+		{"lost-answers", 400, lostAnswers | callsOfFrozenEntries},
+		{"lost-answers-and-cut-agents", 400, lostAnswers | callsOfFrozenEntries | cutAgents},
 	} {
-		t.Run(tc.name, func(t *testing.T) { checkPath(t, tc.seeds, tc.set) })
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			checkPath(t, tc.seeds, tc.set)
+		})
 	}
 }
 
 // Guards against overlaps under all disruptions together. Late grants at workers
 // that no agent reaches are left out, since nothing can stop what they start or prolong.
 func TestWorkerPathMixedDisruptions(t *testing.T) {
-	checkPath(t, 200, allDisruptions)
+	checkPath(t, *pathSeeds, allDisruptions)
+}
+
+// Guards against overlaps when callers lose their answers and repeat their batches beside
+// agents that stand still and stops that get no answer, under all disruptions.
+func TestWorkerPathMixWithLostAnswers(t *testing.T) {
+	checkPath(t, *pathSeeds, allDisruptions|lostAnswers)
 }
 
 // Guards against leases that hold for one deployment only: the sum follows the settings.
@@ -139,15 +157,22 @@
 		{RepeatAfter: 900 * time.Millisecond, Longest: 700 * time.Millisecond},
 		{RepeatAfter: 3 * time.Second, Longest: time.Second, StopGrace: 200 * time.Millisecond},
 	} {
-		t.Run(l.RepeatAfter.String(), func(t *testing.T) { checkPathWith(t, 60, figuresOf(l), allDisruptions) })
+		t.Run(l.RepeatAfter.String(), func(t *testing.T) {
+			t.Parallel()
+			checkPathWith(t, 60, figuresOf(l), allDisruptions)
+		})
 	}
 }
 
-// Guards against overlaps that were found in the mix of all disruptions before.
+// Guards against overlaps that were found in mixes of disruptions before.
 func TestWorkerPathSeedsThatFailed(t *testing.T) {
-	for _, seed := range []uint64{2501, 2961, 3098} {
+	const lostAnswersAndCuts = lostAnswers | callsOfFrozenEntries | cutAgents | hangingTasks
+	for seed, set := range map[uint64]disruptionSet{
+		2501: allDisruptions | hangingTasks, 2961: allDisruptions | hangingTasks, 3098: allDisruptions | hangingTasks,
+		125: lostAnswersAndCuts, 1827: lostAnswersAndCuts,
+	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			p := playPath(seed, defaultFigures(), allDisruptions|hangingTasks)
+			p := playPath(seed, defaultFigures(), set)
 			if len(p.overlaps) > 0 {
 				t.Errorf("seed %d: %s", seed, p.report(p.overlaps[0]))
 			}
--- a/executor/api.go
+++ b/executor/api.go
@@ -63,9 +63,8 @@
 	// those of entries whose lease has expired, and overdue tasks of batches that are to
 	// start elsewhere.
 	Abort []ids.TaskKey
-	// OwnersLease is the earliest end of a lease of the entries that have running sized
-	// tasks here, zero without such an entry. The worker's lease must not outlast it by
-	// more than Leases.Worker.
+	// OwnersLease is the earliest end of a lease of the running sized tasks, zero without
+	// such a task. The worker's lease must not outlast it by more than Leases.Worker.
 	OwnersLease time.Duration
 	// Expired lists the entries whose lease has expired while they had tasks here.
 	Expired []ExpiredLease
--- a/executor/core.go
+++ b/executor/core.go
@@ -76,6 +76,7 @@
 	declaredRunTime time.Duration // zero if unknown
 	batchFirstIndex uint64        // index of the first task of its batch
 	abortQueued     bool          // an abort was added to pendingAborts
+	leaseEndAtAbort time.Duration // end of the owner's lease when abortQueued was set
 }
 
 // job holds the ownership and the rows of a job.
--- a/executor/sized.go
+++ b/executor/sized.go
@@ -116,21 +116,12 @@
 	return run
 }
 
-// extendLease extends the lease of an entry's tasks. It returns false if the message
-// has expired.
-func (c *Core) extendLease(now time.Duration, s *session, validUntilMS int64) bool {
-	if validUntilMS == 0 {
-		return true
-	}
-	until := time.Duration(validUntilMS) * time.Millisecond
-	if until <= now {
-		return false
-	}
+// extendLease extends the lease of an entry's tasks.
+func (c *Core) extendLease(now time.Duration, s *session, until time.Duration) {
 	s.leaseExpiresAt = max(s.leaseExpiresAt, until)
 	if now-s.lastReportAt >= maxReportAge {
 		s.reportDue = true
 	}
-	return true
 }
 
 // expireLeases stops the tasks of entries whose lease has expired, and returns when
@@ -155,18 +146,26 @@
 	return next
 }
 
-// ownersLease returns the earliest end of a lease of the entries that have running sized
-// tasks, or zero.
+// ownersLease returns the earliest end of a lease of the running sized tasks, or zero.
 func (c *Core) ownersLease() time.Duration {
 	var end time.Duration
 	for _, r := range c.runningRows {
 		if !r.size.IsZero() {
-			end = earliest(end, r.owner.leaseExpiresAt)
+			end = earliest(end, r.leaseEnd())
 		}
 	}
 	return end
 }
 
+// leaseEnd returns the end of the lease of a running sized task. Messages of the entry
+// extend it until the task is to be aborted.
+func (r *row) leaseEnd() time.Duration {
+	if r.abortQueued {
+		return r.leaseEndAtAbort
+	}
+	return r.owner.leaseExpiresAt
+}
+
 // stopTasksOf refuses the queued tasks of an entry and aborts the running ones. It
 // reports whether there were any that had not been aborted before.
 func (c *Core) stopTasksOf(now time.Duration, s *session) bool {
@@ -194,6 +193,7 @@
 		return
 	}
 	r.abortQueued = true
+	r.leaseEndAtAbort = r.owner.leaseExpiresAt
 	if c.sized() && c.overdue(now, r) {
 		c.fitness.abortedOverdue++
 		c.detectStall(now)
--- a/executor/sized_test.go
+++ b/executor/sized_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
@@ -311,3 +313,37 @@
 		t.Errorf("owners' lease ends at %v, want 200 ms after the disconnection", out.OwnersLease)
 	}
 }
+
+// Guards against a run that goes on for a caller that has left: a message about other
+// tasks prolongs the lease of one whose abort the agent has read late.
+func TestMessagesAfterAnAbortDoNotProlongItsTask(t *testing.T) {
+	const lease = 500 * time.Millisecond
+	rapid.Check(t, func(t *rapid.T) {
+		c := newSizedCore()
+		abortedAt := map[ids.TaskKey]time.Duration{} // when the abort was sent
+		running := map[ids.TaskKey]bool{}
+		var sentAt time.Duration
+		for i := range uint64(rapid.IntRange(1, 20).Draw(t, "messages")) {
+			sentAt += time.Duration(rapid.IntRange(0, 200).Draw(t, "interval")) * time.Millisecond
+			m := wire.Exchange{Entry: entry1, ValidUntilMS: (sentAt + lease).Milliseconds()}
+			if rapid.Bool().Draw(t, "start") {
+				m.Starts = []wire.Start{sizedStart(entry1, i, 100)}
+			}
+			if k := ids.RequestOf(entry1, uint64(rapid.IntRange(0, 20).Draw(t, "aborted"))); running[k] && abortedAt[k] == 0 {
+				m.Aborts = []ids.TaskKey{k}
+				abortedAt[k] = sentAt
+			}
+			now := sentAt + time.Duration(rapid.IntRange(0, 400).Draw(t, "delay"))*time.Millisecond
+			c.Receive(now, m)
+			out := c.Tick(now)
+			for _, r := range out.Run {
+				running[r.Key] = true
+			}
+			for k, at := range abortedAt {
+				if out.OwnersLease == 0 || out.OwnersLease > at+lease {
+					t.Fatalf("%v: the worker may run %v until %v and longer, its entry aborted it at %v", now, k, out.OwnersLease, at)
+				}
+			}
+		}
+	})
+}
--- a/executor/start.go
+++ b/executor/start.go
@@ -10,12 +10,14 @@
 )
 
 // Receive applies a message of an entry. Starts are applied first, so that a recall or
-// cancellation in the same message affects them.
+// cancellation in the same message affects them. The lease is extended last: what a
+// message aborts, it doesn't prolong.
 func (c *Core) Receive(now time.Duration, m wire.Exchange) {
 	s := c.session(m.Entry)
 	s.connected = true
 	s.demand = m.Demand
-	valid := c.extendLease(now, s, m.ValidUntilMS)
+	until := time.Duration(m.ValidUntilMS) * time.Millisecond
+	valid := until == 0 || until > now
 	for _, st := range m.Starts {
 		if !valid {
 			// The message has expired. refusalReason refuses a start without a budget,
@@ -39,6 +41,9 @@
 	for _, id := range m.Ended {
 		c.markJobEnded(now, s, id)
 	}
+	if valid && until > 0 {
+		c.extendLease(now, s, until)
+	}
 }
 
 // receiveStart queues the task, answers a duplicate from its row, or refuses the start.
