agent, entry: keep a drain across a registration

Cause: a drain was an event for whichever incarnation was there. Drain marked the ended one and completed; supervise had looked at the flag before it began to register, so the new incarnation accepted tasks and was never drained again.

Change: the drain is state of the agent. A new incarnation is installed under the same lock under which a drain begins, and is given up at once if it has. A drain also ends a registration in progress. Related: the sidecar cancels the start of an agent whose worker has announced its drain meanwhile, and starts none once it leaves itself; an entry that drains marks each incarnation that it still registers, so the control group assigns it no jobs.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -35,12 +35,15 @@
 	server         *rpc.Server
 	nonce          string
 	incarnation    atomic.Pointer[incarnation]
+	mu             sync.Mutex // held while draining is set and while an incarnation is installed
 	draining       atomic.Bool
 
-	ctx        context.Context // canceled by Close
-	cancel     context.CancelFunc
-	background sync.WaitGroup
-	closeOnce  sync.Once
+	ctx             context.Context // canceled by Close
+	cancel          context.CancelFunc
+	registrations   context.Context // canceled by Drain and Close: there are no new incarnations then
+	endRegistration context.CancelFunc
+	background      sync.WaitGroup
+	closeOnce       sync.Once
 }
 
 // Start listens for connections from entries, registers with the control group and
@@ -55,8 +58,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for connections from entries")
 	}
-	a := &Agent{opts: o, upstreamClient: newUpstreamClient(o), metrics: newMetrics(o.Scope), nonce: member.NewNonce()}
-	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a := newAgent(o)
 	if a.opts.Advertise == "" {
 		a.opts.Advertise = l.Addr().String()
 	}
@@ -72,6 +74,14 @@
 	return a, nil
 }
 
+// newAgent returns an agent that is not registered yet.
+func newAgent(o Options) *Agent {
+	a := &Agent{opts: o, upstreamClient: newUpstreamClient(o), metrics: newMetrics(o.Scope), nonce: member.NewNonce()}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	a.registrations, a.endRegistration = context.WithCancel(a.ctx)
+	return a
+}
+
 // register opens a session with the control group and starts its incarnation.
 func (a *Agent) register(ctx context.Context) error {
 	s, err := a.opts.Session(ctx, wire.Registration{
@@ -88,11 +98,37 @@
 		return errors.Wrap(err, "open the worker")
 	}
 	inc.start()
-	a.incarnation.Store(inc)
+	if !a.install(inc) {
+		inc.stop()
+		a.leave(a.ctx, s)
+		return verdict.Refuse(verdict.Draining, "the agent is leaving")
+	}
 	return nil
 }
 
-// supervise registers a new incarnation whenever the current one has ended.
+// install makes inc the current incarnation. It returns false if the agent is draining,
+// which a new incarnation would know nothing of.
+func (a *Agent) install(inc *incarnation) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.draining.Load() {
+		return false
+	}
+	a.incarnation.Store(inc)
+	return true
+}
+
+// leave ends an incarnation at the control group.
+func (a *Agent) leave(ctx context.Context, s Session) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := s.Leave(ctx); err != nil {
+		klog.Warningf("agent: Leaving the control group failed; the incarnation ends when its lease expires: %v.", err)
+	}
+}
+
+// supervise registers a new incarnation whenever the current one has ended, unless the agent
+// is draining.
 func (a *Agent) supervise() {
 	for {
 		inc := a.incarnation.Load()
@@ -114,8 +150,8 @@
 		inc.stop()
 		inc.session.Close()
 		a.nonce = member.NewNonce()
-		for a.register(a.ctx) != nil {
-			if !clock.Sleep(a.ctx, a.opts.ProbeInterval) {
+		for a.register(a.registrations) != nil {
+			if !clock.Sleep(a.registrations, a.opts.ProbeInterval) {
 				return
 			}
 		}
@@ -154,23 +190,27 @@
 // to the entries and leaves the control group. It returns earlier when ctx ends.
 // The caller must still call Close.
 func (a *Agent) Drain(ctx context.Context) error {
-	a.draining.Store(true)
-	inc := a.incarnation.Load()
 	klog.Infof("agent: Drain started.")
+	inc := a.beginDrain()
 	inc.session.SetDraining(true)
 	inc.loop.Call(func(now time.Duration) { inc.core.Drain(now) })
 	if err := inc.waitForIdle(ctx, a.opts.HandoverTimeout); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
-	if err := inc.session.Leave(ctx); err != nil {
-		klog.Warningf("agent: Leaving the control group failed; the incarnation ends when its lease expires: %v.", err)
-	}
+	a.leave(ctx, inc.session)
 	klog.Infof("agent: Drain completed.")
 	return nil
 }
 
+// beginDrain makes the agent's incarnation the last one, and returns it.
+func (a *Agent) beginDrain() *incarnation {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.draining.Store(true)
+	a.endRegistration()
+	return a.incarnation.Load()
+}
+
 // Close stops the agent without a drain. Calls in progress continue at the upstream.
 func (a *Agent) Close() error {
 	a.closeOnce.Do(func() {
--- a/agent/sidecar.go
+++ b/agent/sidecar.go
@@ -27,6 +27,7 @@
 	latest        worker.Announcement
 	replaced      []instance // instances before a restart under the same id, whose heartbeats may still arrive
 	workerPresent bool       // the worker has announced itself and has not left
+	leaving       bool       // Drain has been called
 	agent         *Agent
 }
 
@@ -127,7 +128,7 @@
 			agent.Close()
 			agent = nil
 			continue
-		case agent == nil && present && !want.Draining:
+		case agent == nil && s.acceptsTasks(want):
 			served, draining = want, false
 			agent = s.startAgent(want)
 			s.setAgent(agent)
@@ -145,6 +146,13 @@
 	}
 }
 
+// acceptsTasks reports whether w is the worker's instance and neither drains nor is left.
+func (s *Sidecar) acceptsTasks(w worker.Announcement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.workerPresent && s.latest.SameInstance(w) && !s.latest.Draining && !s.leaving
+}
+
 func (s *Sidecar) latestWorker() (worker.Announcement, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -168,11 +176,11 @@
 const restartDelay = 200 * time.Millisecond
 
 // startAgent starts an agent for a worker. It returns nil after restartDelay when the
-// start fails, the worker's instance has ended or the sidecar is closed.
+// start fails, the worker accepts no tasks any more or the sidecar is closed.
 func (s *Sidecar) startAgent(w worker.Announcement) *Agent {
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
-	go s.cancelWhenReplaced(ctx, cancel, w)
+	go s.cancelWhenRefused(ctx, cancel, w)
 	a, err := Start(ctx, s.agentOptions(w))
 	if err != nil {
 		klog.ErrorS(err, "agent: Start failed", "worker", w.ID)
@@ -182,17 +190,17 @@
 	return a
 }
 
-// cancelWhenReplaced cancels the start of an agent when its worker is gone or another
-// instance has announced itself. It consumes change signals, so reconcile has to
-// compare the latest announcement after each start.
-func (s *Sidecar) cancelWhenReplaced(ctx context.Context, cancel context.CancelFunc, w worker.Announcement) {
+// cancelWhenRefused cancels the start of an agent when its worker accepts no tasks any more:
+// it is gone, drains, or another instance has announced itself. It consumes change signals,
+// so reconcile has to compare the latest announcement after each start.
+func (s *Sidecar) cancelWhenRefused(ctx context.Context, cancel context.CancelFunc, w worker.Announcement) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.changed:
 		}
-		if want, present := s.latestWorker(); !present || !want.SameInstance(w) {
+		if !s.acceptsTasks(w) {
 			cancel()
 		}
 	}
@@ -221,8 +229,12 @@
 	return nil
 }
 
-// Drain drains the agent, if one runs.
+// Drain drains the agent, if one runs. No other one is started from then on.
 func (s *Sidecar) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.leaving = true
+	s.mu.Unlock()
+	s.signalChange()
 	if a := s.currentAgent(); a != nil {
 		return a.Drain(ctx)
 	}
--- a/agent/sidecar_test.go
+++ b/agent/sidecar_test.go
@@ -64,3 +64,43 @@
 		t.Errorf("the agent serves the start of %d after that of 2000 announced itself", a.Born)
 	}
 }
+
+// Guards against an agent that is registered for a worker that has announced its drain, or
+// beside a sidecar that is leaving, since its start began before.
+func TestStartOfAnAgentEndsWithADrain(t *testing.T) {
+	ready := worker.Announcement{ID: "a", Born: 1, Sequence: 1}
+	draining := worker.Announcement{ID: "a", Born: 1, Sequence: 2, Draining: true}
+	for _, tc := range []struct {
+		name  string
+		drain func(*Sidecar)
+	}{
+		{"the worker drains", func(s *Sidecar) { s.SetWorker(draining) }},
+		{"the sidecar leaves", func(s *Sidecar) { _ = s.Drain(t.Context()) }},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var registering atomic.Int64
+			s := NewSidecar(func(worker.Announcement) Options {
+				return Options{
+					Node: "n", Service: "s", Upstream: "u:1",
+					Session: func(ctx context.Context, _ wire.Registration) (Session, error) {
+						registering.Add(1)
+						defer registering.Add(-1)
+						<-ctx.Done()
+						return nil, ctx.Err()
+					},
+				}
+			})
+			s.SetWorker(ready)
+			time.Sleep(time.Second)
+			if registering.Load() != 1 {
+				t.Fatal("no agent registers for a worker that is ready")
+			}
+			tc.drain(s)
+			time.Sleep(time.Second)
+			if registering.Load() != 0 {
+				t.Errorf("%s: an agent goes on to register", tc.name)
+			}
+			s.Close()
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -139,6 +139,9 @@
 	inc := newIncarnation(e, s)
 	inc.start()
 	e.incarnation.Store(inc)
+	if e.refusingWork.Load() {
+		s.SetDraining(true) // Drain has marked the incarnation before
+	}
 	return nil
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -468,3 +468,17 @@
 	}
 	s.checkStartedOnce(t)
 }
+
+// Guards against jobs that are assigned to an entry that drains: it registers again while it
+// does, and the new incarnation isn't marked.
+func TestIncarnationOfADrainingEntryIsMarked(t *testing.T) {
+	c := newFakeControl(testCluster())
+	e := c.startEntry(t, "e1", Options{})
+	e.refusingWork.Store(true) // as Drain does
+	if err := e.register(t.Context(), "another nonce"); err != nil {
+		t.Fatal(err)
+	}
+	if inc := e.incarnation.Load(); !inc.session.(*fakeSession).draining.Load() {
+		t.Errorf("incarnation %d may be given jobs", inc.self)
+	}
+}
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,10 +50,11 @@
 
 // fakeSession is the session of one incarnation with a fakeControl.
 type fakeSession struct {
-	control *fakeControl
-	inc     ids.Incarnation
-	changes chan struct{}
-	gone    chan struct{}
+	draining atomic.Bool
+	control  *fakeControl
+	inc      ids.Incarnation
+	changes  chan struct{}
+	gone     chan struct{}
 
 	mu     sync.Mutex
 	view   *member.View
@@ -146,7 +148,7 @@
 func (s *fakeSession) Incarnation() ids.Incarnation { return s.inc }
 func (s *fakeSession) Changes() <-chan struct{}     { return s.changes }
 func (s *fakeSession) Ended() <-chan struct{}       { return s.gone }
-func (s *fakeSession) SetDraining(bool)             {}
+func (s *fakeSession) SetDraining(d bool)           { s.draining.Store(d) }
 func (s *fakeSession) RenewNow()                    {}
 func (s *fakeSession) Close()                       {}
 
