dispatch: place batches and other jobs of one service side by side

An entry that gets batches, jobs and single requests for one service crashed: chooseBatchTask looks at all waiting jobs and takes each for a batch.

Change: each kind is chosen by its own rules. The kind at the head of the queue comes first, and the other one takes what it leaves. A service with one kind is served as before.

Evidence: TestBatchesAndJobsShareAService fails before with a nil pointer in (*job).stepOfTask, called by chooseBatchTask.

--- a/dispatch/batch_test.go
+++ b/dispatch/batch_test.go
@@ -230,3 +230,35 @@
 		t.Errorf("a batch without a worker was answered with %v", err)
 	}
 }
+
+// Guards against an entry that crashes, or leaves work waiting beside free slots, when a
+// service has both batches and other jobs in its queue.
+func TestBatchesAndJobsShareAService(t *testing.T) {
+	for _, batchFirst := range []bool{true, false} {
+		f := newLabelFixture()
+		cfg := f.cfg
+		cfg.Teams = map[ids.Team]Team{"a": {Quota: 1, MaxQueued: 2000}}
+		f.SetConfig(cfg)
+		addBatch := func() {
+			if err := f.batch(1, Step{Tasks: 60, Placement: Placement{Label: "b"}}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if batchFirst {
+			addBatch()
+		}
+		f.submitJob(1, "a", 2, time.Minute)
+		if !batchFirst {
+			addBatch()
+		}
+		started := map[bool]int{} // by whether they belong to the batch
+		for _, starts := range f.tick() {
+			for _, st := range starts {
+				started[st.Key.IsRequest()]++
+			}
+		}
+		if started[true] == 0 || started[false] != 2 {
+			t.Errorf("batch first: %v: %d tasks of the batch and %d of the job started", batchFirst, started[true], started[false])
+		}
+	}
+}
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -50,7 +50,7 @@
 	for _, onTime := range [...]bool{true, false} {
 		for _, t := range s.teamQueues.heap {
 			for _, j := range t.jobs[:min(len(t.jobs), maxBatchCandidates)] {
-				if s.canBeOnTime(now, j) != onTime {
+				if j.batch == nil || s.canBeOnTime(now, j) != onTime {
 					continue
 				}
 				if u := c.bestFreeWorker(now, s, j); u != nil {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -52,19 +52,36 @@
 	c.startTask(now, j, index, u, lookAhead)
 }
 
-// chooseTask returns the job whose next task is to start and the upstream of
-// least expected cost, or nil if all tasks should wait. The job at the head of
-// the queue waits if a slot of a faster upstream is expected to serve it sooner;
-// the upstream then goes to the first job further back that gains from it. A job
-// that would probably miss its deadline on a slow upstream leaves it to others.
-func (c *Core) chooseTask(now time.Duration, s *service) (*job, *upstream, bool) {
-	nextJob, urgent := s.teamQueues.nextJob(now)
-	if nextJob == nil {
+// chooseTask returns the job whose next task is to start and its upstream, or nil
+// if all tasks should wait. Of batches and other jobs, the kind of the job at the
+// head of the queue comes first.
+func (c *Core) chooseTask(now time.Duration, s *service) (j *job, u *upstream, lookAhead bool) {
+	head, urgent := s.teamQueues.nextJob(now)
+	if head == nil {
 		return nil, nil, false
 	}
-	if nextJob.batch != nil {
+	if head.batch == nil {
+		if j, u, lookAhead = c.chooseJobTask(now, s, head, urgent); u != nil {
+			return j, u, lookAhead
+		}
 		return c.chooseBatchTask(now, s)
 	}
+	if j, u, lookAhead = c.chooseBatchTask(now, s); u != nil {
+		return j, u, lookAhead
+	}
+	first := s.teamQueues.findJob(func(j *job, _ float64) bool { return j.batch == nil })
+	if first == nil {
+		return nil, nil, false
+	}
+	return c.chooseJobTask(now, s, first, false)
+}
+
+// chooseJobTask returns the job, other than a batch, whose next task is to start
+// and the upstream of least expected cost, or nil if all tasks should wait. The
+// first job waits if a slot of a faster upstream is expected to serve it sooner;
+// the upstream then goes to the first job further back that gains from it. A job
+// that would probably miss its deadline on a slow upstream leaves it to others.
+func (c *Core) chooseJobTask(now time.Duration, s *service, nextJob *job, urgent bool) (*job, *upstream, bool) {
 	u, lookAhead := c.cheapestUpstream(s, nextJob)
 	if u == nil {
 		return nil, nil, false
@@ -79,7 +96,7 @@
 	}
 	startDelay := u.lookAheadCost(lookAhead)
 	j := s.teamQueues.findJob(func(j *job, position float64) bool {
-		if u == j.tasks[j.nextTask()].lastFailedOn || !j.endsInTimeOn(now, u) {
+		if j.batch != nil || u == j.tasks[j.nextTask()].lastFailedOn || !j.endsInTimeOn(now, u) {
 			return false
 		}
 		return j.relativeRunTime*u.slowness+startDelay <= (waitFactor*position+j.relativeRunTime*busySlots)/completionRate+latency
