dispatch: make every start pass the check of its placement

Cause: each path of placement had to remember the check of the label and of the limit of tasks on one worker. sendProbes, which sends a task to a quarantined upstream, took the next task of the first job without it.

Change: startTask takes an assignment, which only job.assign makes, after the check. A probe takes the first job in the queue whose next task may run at the upstream. That a task has just failed there stays a preference: where nothing else waits, a probe may be the only way out of a quarantine.

--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -25,10 +25,36 @@
 	return u.slowness * j.stepOfTask(index).placement.remoteFactor(u)
 }
 
-// isEligible reports whether a task may be placed at u now.
-func (j *job) isEligible(index int, u *upstream) bool {
+// assignment is a task and an upstream at which it may run. Only assign makes one,
+// so no path of placement can start a task where it must not run.
+type assignment struct {
+	job       *job
+	taskIndex int
+	target    *upstream
+}
+
+// assign returns the assignment of a task to u, and whether the task may run there.
+func (j *job) assign(index int, u *upstream) (assignment, bool) {
+	if !j.mayRunAt(index, u) {
+		return assignment{}, false
+	}
+	return assignment{j, index, u}, true
+}
+
+// mayRunAt reports whether the label and the limit of a task's step allow another
+// task of the step at u. Only the steps of batches have them.
+func (j *job) mayRunAt(index int, u *upstream) bool {
+	if j.batch == nil {
+		return true
+	}
 	p := j.stepOfTask(index).placement
-	return u != j.tasks[index].lastFailedOn && u.hasLabel(p.Label) && (p.MaxPerWorker == 0 || j.stepTasksAt(index, u) < p.MaxPerWorker)
+	return u.hasLabel(p.Label) && (p.MaxPerWorker == 0 || j.stepTasksAt(index, u) < p.MaxPerWorker)
+}
+
+// isEligible reports whether u is a choice for a task: it may run there, and it has
+// not just failed there.
+func (j *job) isEligible(index int, u *upstream) bool {
+	return u != j.tasks[index].lastFailedOn && j.mayRunAt(index, u)
 }
 
 // stepTasksAt returns the number of outstanding tasks at u that belong to the
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -40,16 +40,23 @@
 			if u == nil {
 				break
 			}
-			c.placeNext(now, j, u, lookAhead)
+			if !c.placeNext(now, j, u, lookAhead) {
+				break
+			}
 		}
 	}
 }
 
-// placeNext takes the next task of j from the queue and starts it on u.
-func (c *Core) placeNext(now time.Duration, j *job, u *upstream, lookAhead bool) {
-	index := j.nextTask()
+// placeNext takes the next task of j from the queue and starts it on u. It returns
+// false if the task must not run there.
+func (c *Core) placeNext(now time.Duration, j *job, u *upstream, lookAhead bool) bool {
+	to, ok := j.assign(j.nextTask(), u)
+	if !ok {
+		return false
+	}
 	j.svc.teamQueues.takeTask(j)
-	c.startTask(now, j, index, u, lookAhead)
+	c.startTask(now, to, lookAhead)
+	return true
 }
 
 // chooseTask returns the job whose next task is to start and its upstream, or nil
@@ -96,7 +103,7 @@
 	}
 	startDelay := u.lookAheadCost(lookAhead)
 	j := s.teamQueues.findJob(func(j *job, position float64) bool {
-		if j.batch != nil || u == j.tasks[j.nextTask()].lastFailedOn || !j.endsInTimeOn(now, u) {
+		if j.batch != nil || !j.isEligible(j.nextTask(), u) || !j.endsInTimeOn(now, u) {
 			return false
 		}
 		return j.relativeRunTime*u.slowness+startDelay <= (waitFactor*position+j.relativeRunTime*busySlots)/completionRate+latency
@@ -166,8 +173,9 @@
 	j.relativeRunTime = min(max(math.Exp(j.logOffset.shrunkTowards(prior)), 1.0/maxRelativeRunTime), maxRelativeRunTime)
 }
 
-// startTask places a task on u and adds the start to the next message.
-func (c *Core) startTask(now time.Duration, j *job, taskIndex int, u *upstream, lookAhead bool) *attempt {
+// startTask places a task and adds the start to the next message.
+func (c *Core) startTask(now time.Duration, to assignment, lookAhead bool) {
+	j, taskIndex, u := to.job, to.taskIndex, to.target
 	t := &j.tasks[taskIndex]
 	t.tries++
 	a := &attempt{job: j, taskIndex: taskIndex, target: u, try: t.tries, lookAhead: lookAhead, sentAt: now, lastSentAt: now, lookAheadPos: -1}
@@ -187,7 +195,6 @@
 	c.messageCounts.Starts++
 	c.setHedgeTimer(now, a)
 	c.recordDecision(now, "start", u.incarnation, j.taskKey(taskIndex), "")
-	return a
 }
 
 // addAttempt adds an attempt to the tables of the core, its job and its
@@ -383,13 +390,13 @@
 // prefers idempotent requests, which can be retried if the probe fails.
 func (c *Core) sendProbes(now time.Duration, s *service) {
 	for _, u := range s.quarantined {
-		j, _ := s.teamQueues.nextJob(now)
-		if j == nil {
-			return
-		}
 		if !u.usable() || u.outstanding > 0 || u.credit < 1 || now < u.nextProbeAt {
 			continue
 		}
+		j := s.probeJob(now, u)
+		if j == nil {
+			continue
+		}
 		if !(j.unrecorded && j.idempotent) && now < u.nextProbeAt+probeIdempotentWait {
 			continue
 		}
@@ -398,6 +405,19 @@
 	}
 }
 
+// probeJob returns the job whose next task may probe u, or nil: the first one in
+// the queue. A task that has just failed there is taken only if there is no other.
+func (s *service) probeJob(now time.Duration, u *upstream) *job {
+	head, _ := s.teamQueues.nextJob(now)
+	if head == nil || head.isEligible(head.nextTask(), u) {
+		return head
+	}
+	if j := s.teamQueues.findJob(func(j *job, _ float64) bool { return j.isEligible(j.nextTask(), u) }); j != nil {
+		return j
+	}
+	return s.teamQueues.findJob(func(j *job, _ float64) bool { return j.mayRunAt(j.nextTask(), u) })
+}
+
 // probeIdempotentWait is how long a probe that is due waits for an idempotent
 // request.
 const probeIdempotentWait = 10 * time.Second
--- a/dispatch/retry.go
+++ b/dispatch/retry.go
@@ -91,10 +91,14 @@
 	if u == nil || u.slowness > a.target.slowness && a.target.connected {
 		return
 	}
+	to, ok := j.assign(a.taskIndex, u)
+	if !ok {
+		return
+	}
 	c.hedgeTokens--
 	c.messageCounts.Hedges++
 	c.recordDecision(now, "hedge", u.incarnation, j.key, "slow answer")
-	c.startTask(now, j, a.taskIndex, u, false)
+	c.startTask(now, to, false)
 }
 
 func itoa(n int) string { return strconv.Itoa(n) }
