control: keep the operators' drain across incarnations of a process

An upstream that operators had drained got new work again after its lease had expired, though the drain is to last until the process ends (docs/operators.md).

The mark stands in the member's row, and the row of the next incarnation started without it.

Change: a registration names the last incarnation of the same process, and the control group takes the operators' mark over from its row. A new process names none, so its node isn't drained. Rows are kept for a minute after their end; a process that registers later than that loses the mark.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -84,10 +84,15 @@
 
 // register opens a session with the control group and starts its incarnation.
 func (a *Agent) register(ctx context.Context) error {
+	var previous ids.Incarnation
+	if inc := a.incarnation.Load(); inc != nil {
+		previous = inc.id
+	}
 	s, err := a.opts.Session(ctx, wire.Registration{
 		Kind: wire.KindAgent, Node: a.opts.Node, Addr: a.opts.Advertise,
 		Region: a.opts.Region, Domain: a.opts.Domain, Service: a.opts.Service,
 		Slots: a.opts.Slots, Connections: a.opts.Connections, Capacity: a.opts.Capacity, Labels: a.opts.Labels, Nonce: a.nonce,
+		Previous: previous,
 	})
 	if err != nil {
 		return errors.Wrap(err, "register")
--- a/agent/drain_test.go
+++ b/agent/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -67,11 +68,12 @@
 type scriptedControl struct {
 	mu       sync.Mutex
 	sessions []*scriptedSession
-	silent   chan struct{} // closed once registrations are answered again, nil if they are
+	previous []ids.Incarnation // named by the registrations
+	silent   chan struct{}     // closed once registrations are answered again, nil if they are
 }
 
 // open implements SessionOpener. A reply may be under way when ctx ends.
-func (c *scriptedControl) open(context.Context, wire.Registration) (Session, error) {
+func (c *scriptedControl) open(_ context.Context, self wire.Registration) (Session, error) {
 	c.mu.Lock()
 	silent := c.silent
 	c.mu.Unlock()
@@ -86,6 +88,7 @@
 	defer c.mu.Unlock()
 	s := &scriptedSession{inc: testAgent + ids.Incarnation(len(c.sessions)), ended: make(chan struct{})}
 	c.sessions = append(c.sessions, s)
+	c.previous = append(c.previous, self.Previous)
 	return s, nil
 }
 
@@ -155,3 +158,24 @@
 		})
 	}
 }
+
+// Guards against an operators' drain that is forgotten: the control group can't tell the next
+// incarnation of a process from a new process.
+func TestRegistrationNamesThePreviousIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := &scriptedControl{}
+		a := newAgent(Options{Session: c.open, Scope: tally.NoopScope, ProbeInterval: time.Millisecond, TickMin: time.Millisecond})
+		if err := a.register(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		a.background.Go(a.supervise)
+		c.endLatest()
+		time.Sleep(time.Second)
+		a.cancel()
+		a.background.Wait()
+		a.incarnation.Load().stop()
+		if !slices.Equal(c.previous, []ids.Incarnation{0, testAgent}) {
+			t.Errorf("previous incarnations %v, want none and %d", c.previous, testAgent)
+		}
+	})
+}
--- a/controlstate/members.go
+++ b/controlstate/members.go
@@ -35,8 +35,10 @@
 func (r *memberRow) draining() bool { return r.SelfDrain || r.OperatorDrain }
 
 func (r *memberRow) member() wire.Member {
+	reg := r.Registration
+	reg.Previous = 0 // of no use to other members
 	return wire.Member{
-		Registration: r.Registration,
+		Registration: reg,
 		Incarnation:  r.Incarnation,
 		Expired:      ids.Version(r.Expired),
 		Draining:     r.draining(),
@@ -85,7 +87,7 @@
 		return Result{Err: e}
 	}
 	inc := ids.Incarnation(s.index)
-	s.members.add(&memberRow{Registration: reg, Incarnation: inc})
+	s.members.add(&memberRow{Registration: reg, Incarnation: inc, OperatorDrain: s.operatorsDrain(reg)})
 	s.changes.member(s.index, inc)
 	if reg.Kind == wire.KindEntry {
 		s.reassignOrphanedJobs()
@@ -93,6 +95,13 @@
 	return Result{Incarnation: inc}
 }
 
+// operatorsDrain reports whether the operators drain the process that registers. Their
+// mark lasts until the process ends, over all of its incarnations.
+func (s *State) operatorsDrain(reg wire.Registration) bool {
+	r, ok := s.members.rows[reg.Previous]
+	return ok && r.Node == reg.Node && r.OperatorDrain
+}
+
 func (s *State) checkRegistration(r wire.Registration) *verdict.Error {
 	switch {
 	case r.Kind != wire.KindEntry && r.Kind != wire.KindAgent:
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/baobabshore/baobabshore/clock"
+	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -129,9 +130,13 @@
 
 // register opens a session and starts its incarnation.
 func (e *Entry) register(ctx context.Context, nonce string) error {
+	var previous ids.Incarnation
+	if inc := e.incarnation.Load(); inc != nil {
+		previous = inc.self
+	}
 	s, err := e.opts.Session(ctx, wire.Registration{
 		Kind: wire.KindEntry, Node: e.opts.Node, Addr: e.opts.Advertise,
-		Region: e.opts.Region, Domain: e.opts.Domain, Weight: e.opts.Weight, Nonce: nonce,
+		Region: e.opts.Region, Domain: e.opts.Domain, Weight: e.opts.Weight, Nonce: nonce, Previous: previous,
 	})
 	if err != nil {
 		return errors.Wrap(err, "register")
--- a/member/session.go
+++ b/member/session.go
@@ -108,7 +108,7 @@
 		}
 		// The lease expired before the first view arrived. The incarnation has done
 		// no work, so the process can register as a new one.
-		self.Nonce = NewNonce()
+		self.Nonce, self.Previous = NewNonce(), s.incarnation
 		s.renewalTracker.ended = false
 	}
 	if s.isAgent {
--- a/wire/member.go
+++ b/wire/member.go
@@ -37,6 +37,9 @@
 	// Nonce is random for each process start. A repeated registration with the
 	// same nonce returns the first incarnation.
 	Nonce string `json:"nonce"`
+	// Previous is the last incarnation of the same process, zero for none. The new one
+	// keeps the operators' draining mark.
+	Previous ids.Incarnation `json:"previous,omitempty"`
 }
 
 // Member is an entry or agent in the registry of the control group.
