--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -150,6 +150,21 @@
 	checkPath(t, *pathSeeds, allDisruptions|lostAnswers)
 }
 
+// Guards against overlaps when callers lose their answers and repeat their batches beside
+// each pair of disruptions.
+func TestWorkerPathPairsOfDisruptions(t *testing.T) {
+	seeds := max(*pathSeeds/50, 1)
+	kinds := allDisruptions.events()
+	for i, first := range kinds {
+		for _, second := range kinds[i:] {
+			t.Run(fmt.Sprintf("%#x", first|second), func(t *testing.T) {
+				t.Parallel()
+				checkPath(t, seeds, first|second|lostAnswers|callsOfFrozenEntries)
+			})
+		}
+	}
+}
+
 // Guards against leases that hold for one deployment only: the sum follows the settings.
 func TestWorkerPathWithOtherSettings(t *testing.T) {
 	for _, l := range []lease.Limits{
