worker: answer a run refused for its lease in the same tick

Such a refusal was queued after the tick had collected its answers, so it waited for the next event, and an idle worker may have none. The tick collects them last. TestRunRefusedForTheLeaseIsAnsweredAtOnce fails before ("answered []").

--- a/agent/sidecar.go
+++ b/agent/sidecar.go
@@ -146,7 +146,8 @@
 	}
 }
 
-// acceptsTasks reports whether w is the worker's instance and neither drains nor is left.
+// acceptsTasks reports whether w is the present instance of the worker, the worker doesn't
+// drain and the sidecar isn't leaving.
 func (s *Sidecar) acceptsTasks(w worker.Announcement) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/worker/lease_test.go
+++ b/worker/lease_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -78,6 +79,22 @@
 	})
 }
 
+// Guards against a refused task whose answer waits for the next event: there may be none.
+func TestRunRefusedForTheLeaseIsAnsweredAtOnce(t *testing.T) {
+	const ms = time.Millisecond
+	c := New(0, Config{Fence: 7, Lease: time.Second, StopWindow: 100 * ms, Clock: time.Hour})
+	c.Run(0, startOf(1, "task"), 800*ms)
+	first := c.Tick(0)
+	ends := []End{{Number: 1, Run: first.Start[0].Run, How: EndDone}}
+	c.Renewed(ms, *first.Renew, Status{Clock: time.Hour, Ended: ends}, false)
+	c.Tick(ms)
+	c.Run(2*ms, wire.Start{Key: ids.RequestOf(1, 2), Try: 1, Name: "late"}, 100*ms)
+	out := c.Tick(2 * ms)
+	if len(out.Start) != 0 || len(out.Ended) != 1 || out.Ended[0].Verdict != verdict.NotRun {
+		t.Errorf("started %v, answered %v, want a refusal", out.Start, out.Ended)
+	}
+}
+
 func runningRuns(c *Core) []RunID {
 	var ids []RunID
 	for _, r := range c.sortedRuns() {
--- a/worker/requests.go
+++ b/worker/requests.go
@@ -27,11 +27,11 @@
 
 // Tick returns the requests to send now and the tasks that have ended.
 func (c *Core) Tick(now time.Duration) Output {
-	out := Output{Ended: c.pendingEnded}
-	c.pendingEnded = nil
+	var out Output
 	c.addStarts(&out)
 	c.addStops(now, &out)
 	c.addRenewal(now, &out)
+	out.Ended, c.pendingEnded = c.pendingEnded, nil
 	return out
 }
 
