dispatch: list two seeds of the mix that overlap

Both are the case that docs/platform.md names as not excluded: the agent freezes between its decision to start a task and the request, the worker restarts under its id meanwhile, and the clock of its new start makes the request valid for seconds. Callers repeat meanwhile. The next step is to refuse such a start by the agent's own clock before it is sent.

--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -185,6 +185,7 @@
 	for seed, set := range map[uint64]disruptionSet{
 		2501: allDisruptions | hangingTasks, 2961: allDisruptions | hangingTasks, 3098: allDisruptions | hangingTasks,
 		125: lostAnswersAndCuts, 1827: lostAnswersAndCuts,
+		13038: allDisruptions, 17377: allDisruptions | hangingTasks,
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := playPath(seed, defaultFigures(), set)
