--- a/consensus/config.go
+++ b/consensus/config.go
@@ -22,6 +22,7 @@
 	DefaultMaxUncommittedBytes = 8 << 20
 	DefaultWindow              = 16
 	DefaultKeepEntries         = 1024
+	DefaultKeepBytes           = 4 << 20
 	DefaultCatchUpEntries      = 256
 	minCampaignTicks           = 3 // long enough for a round trip and a synced write, which a vote takes
 	// A node that has just started campaigns after minFirstElectionTicks to
@@ -62,8 +63,10 @@
 	// Window is the maximum number of unacknowledged messages with entries to a peer.
 	Window int
 	// KeepEntries is the number of entries that Compact keeps in memory, so
-	// that a slightly lagging follower needs no snapshot.
+	// that a slightly lagging follower needs no snapshot. KeepBytes limits their total
+	// size.
 	KeepEntries uint64
+	KeepBytes   int
 	// CatchUpEntries is the maximum number of committed entries that a learner
 	// may lack when it becomes a voter.
 	CatchUpEntries uint64
@@ -86,6 +89,7 @@
 	setDefault(&c.MaxUncommittedBytes, DefaultMaxUncommittedBytes)
 	setDefault(&c.Window, DefaultWindow)
 	setDefault(&c.KeepEntries, DefaultKeepEntries)
+	setDefault(&c.KeepBytes, DefaultKeepBytes)
 	setDefault(&c.CatchUpEntries, DefaultCatchUpEntries)
 	return c
 }
--- a/consensus/log.go
+++ b/consensus/log.go
@@ -98,6 +98,20 @@
 	return index
 }
 
+// compactIndex returns the index up to which the log can be compacted, so that at most
+// maxEntries entries of at most maxBytes in total remain up to index.
+func (l *entryLog) compactIndex(index, maxEntries uint64, maxBytes int) uint64 {
+	first, size := index, 0
+	for first > l.baseIndex && index-first < maxEntries {
+		size += entrySize(l.entries[first-l.baseIndex-1])
+		if size > maxBytes {
+			break
+		}
+		first--
+	}
+	return first
+}
+
 // compact drops the entries up to index.
 func (l *entryLog) compact(index uint64) {
 	if index <= l.baseIndex {
--- a/consensus/ready.go
+++ b/consensus/ready.go
@@ -64,10 +64,10 @@
 	}
 }
 
-// Compact returns a snapshot at index, which must have been applied, and drops
-// the entries before it except for the last KeepEntries ones. data is the encoded
-// state machine at index. The caller must persist the snapshot with its next
-// write.
+// Compact returns a snapshot at index, which must have been applied, and drops the
+// entries before it except for the last ones, as many as KeepEntries and KeepBytes
+// allow. data is the encoded state machine at index. The caller must persist the
+// snapshot with its next write.
 func (n *Node) Compact(index uint64, data []byte) (Snapshot, error) {
 	if n.snapshot != nil && index <= n.snapshot.Index {
 		return Snapshot{}, ErrSuperseded
@@ -81,9 +81,7 @@
 	}
 	s := Snapshot{Index: index, Term: term, Group: n.groups.at(index), Data: data}
 	n.snapshot = &s
-	if keep := n.cfg.KeepEntries; index > keep {
-		n.log.compact(index - keep)
-	}
+	n.log.compact(n.log.compactIndex(index, n.cfg.KeepEntries, n.cfg.KeepBytes))
 	n.groups.compact(n.log.baseIndex)
 	return s, nil
 }
