member: merge changed settings in linear time

Each new setting was inserted into a sorted slice, and each one was looked up in the list of the removed keys: with 24,000 settings (3,000 routes) and 1,000 removed routes that is 190 million comparisons at each entry, after the change was acknowledged. Both lists are in order of their keys, so one pass is enough.

--- a/member/view.go
+++ b/member/view.go
@@ -57,18 +57,26 @@
 }
 
 // mergePairs returns old, sorted by key, with the updated settings and without the removed
-// keys.
+// keys. Both are in order of their keys.
 func mergePairs(old, updated []wire.Pair, removed []string) []wire.Pair {
-	out := slices.Clone(old)
-	for _, p := range updated {
-		i, ok := slices.BinarySearchFunc(out, p.Key, comparePair)
-		if ok {
-			out[i] = p
-			continue
+	out := make([]wire.Pair, 0, len(old)+len(updated))
+	for _, p := range old {
+		for len(updated) > 0 && updated[0].Key < p.Key {
+			out = append(out, updated[0])
+			updated = updated[1:]
+		}
+		for len(removed) > 0 && removed[0] < p.Key {
+			removed = removed[1:]
+		}
+		switch {
+		case len(updated) > 0 && updated[0].Key == p.Key:
+			out = append(out, updated[0])
+			updated = updated[1:]
+		case len(removed) == 0 || removed[0] != p.Key:
+			out = append(out, p)
 		}
-		out = slices.Insert(out, i, p)
 	}
-	return slices.DeleteFunc(out, func(p wire.Pair) bool { return slices.Contains(removed, p.Key) })
+	return append(out, updated...)
 }
 
 // mergeMembers returns old, sorted by incarnation, with the updated rows and without the
