entry: parse a configuration outside the event loop

Parsing 3,000 queues takes 60 ms here, and a multiple on a VM with a part of a core. The loop starts, renews and answers tasks meanwhile. The line that says when a configuration was parsed, with its size and the time it took, is new: without it a change that arrived late could not be told from one that took long.

--- a/entry/life.go
+++ b/entry/life.go
@@ -27,7 +27,7 @@
 	loop    *coreLoop
 	core    *dispatch.Core
 
-	configVersion uint64        // version of the configuration read last; owned by the loop
+	parsedVersion uint64        // version of the configuration parsed last; used by start, then by followView
 	lastTickAt    time.Duration // owned by the loop
 	agents        map[ids.Incarnation]*agentConn
 	requests      map[ids.TaskKey]*request
@@ -72,7 +72,9 @@
 
 func (inc *incarnation) start() {
 	inc.loop.Start()
-	inc.loop.Call(inc.applyView)
+	v := inc.session.View()
+	c := inc.parseConfig(v)
+	inc.loop.Call(func(now time.Duration) { inc.applyView(now, v, c) })
 	inc.loop.Call(inc.core.BeginStartup)
 	go inc.followView()
 	go inc.pingSilentAgents()
@@ -106,38 +108,52 @@
 		case <-inc.ctx.Done():
 			return
 		case <-inc.session.Changes():
-			inc.loop.Post(inc.applyView)
+			v := inc.session.View()
+			c := inc.parseConfig(v)
+			inc.loop.Post(func(now time.Duration) { inc.applyView(now, v, c) })
 		}
 	}
 }
 
-// applyView passes the configuration, the members and the assigned jobs of the
-// current view to the core.
-func (inc *incarnation) applyView(now time.Duration) {
-	v := inc.session.View()
-	if v.ConfigVer != inc.configVersion {
-		inc.configVersion = v.ConfigVer
-		inc.applyConfig(v)
-	}
-	inc.core.SetUpstreams(now, v.Members)
-	inc.syncAgentConns(v.Members)
-	for _, a := range v.Assigned {
-		inc.takeOver(now, a)
-	}
+// parsedConfig is a configuration in the form in which the entry uses it.
+type parsedConfig struct {
+	cluster  settings.Cluster
+	queues   *queueTable
+	dispatch dispatch.Config
 }
 
-// applyConfig puts the configuration of a view in force. It is called only for a new
-// version: most views differ in their members only, and parsing a configuration with
-// many queues takes milliseconds.
-func (inc *incarnation) applyConfig(v *member.View) {
+// parseConfig returns the configuration of a view, or nil if it was parsed before or is
+// invalid. It runs outside the loop, since a configuration of thousands of queues takes
+// many times as long as a tick.
+func (inc *incarnation) parseConfig(v *member.View) *parsedConfig {
+	if v.ConfigVer == inc.parsedVersion {
+		return nil
+	}
+	inc.parsedVersion = v.ConfigVer
+	begin := time.Now()
 	c, err := settings.FromPairs(v.Config)
 	if err != nil {
 		klog.Errorf("entry: Configuration version %d is invalid and was not applied: %v.", v.ConfigVer, err)
-		return
+		return nil
+	}
+	p := &parsedConfig{cluster: c, queues: newQueueTable(v.ConfigVer, c.Queues), dispatch: dispatch.FromCluster(c)}
+	klog.InfoS("entry: Configuration parsed", "config", v.ConfigVer, "queues", len(c.Queues), "ms", time.Since(begin).Milliseconds())
+	return p
+}
+
+// applyView passes a configuration, unless it is nil, and the members and the assigned
+// jobs of a view to the core.
+func (inc *incarnation) applyView(now time.Duration, v *member.View, c *parsedConfig) {
+	if c != nil {
+		inc.cluster.Store(&c.cluster)
+		inc.queues.Store(c.queues)
+		inc.core.SetConfig(c.dispatch)
+	}
+	inc.core.SetUpstreams(now, v.Members)
+	inc.syncAgentConns(v.Members)
+	for _, a := range v.Assigned {
+		inc.takeOver(now, a)
 	}
-	inc.cluster.Store(&c)
-	inc.queues.Store(newQueueTable(v.ConfigVer, c.Queues))
-	inc.core.SetConfig(dispatch.FromCluster(c))
 }
 
 func (inc *incarnation) retention() time.Duration {
