control, platform: change a configuration by its differences, confirm reads without it

The class: a command and a read cost as much as the whole state, under a timeout that does not grow with it, and each attempt starts the work anew.

A control node now sends the leader what differs from the configuration that it holds itself (wire.Patch): settings, and the source text as a delta. The leader refuses a patch from another base, and the node makes a new one. A repetition of a patch that is in the log joins it; a revision that is in force is acknowledged by any node without a message. A read confirms the version held with the leader (consensus.ReadIndex, one round of heartbeats) and is answered from the node's own tables; the leader adds the text only if the node lacks it. The limits (2 MB of text, 100,000 settings, 8 MB of settings) are stated once and checked before the proposal. Readiness no longer reads the configuration over the network.

--- /dev/null
+++ b/control/configuration.go
@@ -0,0 +1,155 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/baobabshore/baobabshore/controlstate"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// catchUpPollInterval is how often a node whose tables lack the latest configuration
+// looks for it.
+const catchUpPollInterval = 10 * time.Millisecond
+
+// ApplyRevision puts a configuration in force that has a revision of the operator. Any
+// node may be called: it sends the leader what differs from the configuration that it
+// holds itself. A revision that is not above the one in force is acknowledged without a
+// change. A refusal of the configuration is returned in ApplyReply.Err. An error is a
+// *verdict.Error; the change may be in force unless its verdict is not-run.
+func (n *Node) ApplyRevision(ctx context.Context, a wire.Apply) (wire.ApplyReply, error) {
+	if e := controlstate.CheckRevision(a); e != nil {
+		return wire.ApplyReply{Err: e}, nil
+	}
+	for {
+		d, err := runInLoop(ctx, n, func(c *core) configDiff { return c.diffConfig(a) })
+		if err != nil {
+			return wire.ApplyReply{}, err
+		}
+		if d.inForce {
+			return d.reply, nil
+		}
+		controlstate.SetSource(&d.patch, d.baseText, a.Source)
+		r, err := n.client.Patch(ctx, d.patch)
+		if err != nil || r.Err == nil || r.Err.Reason != verdict.VersionConflict {
+			return r, err
+		}
+		klog.InfoS("control: Configuration made from an outdated one", "revision", a.Revision,
+			"baseVersion", d.patch.Base.ConfigVer, "version", r.ConfigVer)
+		if err := n.awaitIndex(ctx, uint64(r.Index)); err != nil {
+			return wire.ApplyReply{}, err
+		}
+	}
+}
+
+// configDiff is a patch to a new configuration, without the differences of the source
+// texts.
+type configDiff struct {
+	patch    wire.Patch
+	baseText []byte
+	// inForce is set if the configuration in force has the revision or a higher one.
+	inForce bool
+	reply   wire.ApplyReply
+}
+
+func (c *core) diffConfig(a wire.Apply) configDiff {
+	base := c.state.ConfigSource()
+	if a.Revision <= base.Revision {
+		return configDiff{inForce: true, reply: c.state.ConfigReply()}
+	}
+	return configDiff{patch: c.state.DiffSettings(a), baseText: base.Text}
+}
+
+// awaitIndex waits until the tables of this node are complete up to a log index.
+func (n *Node) awaitIndex(ctx context.Context, index uint64) error {
+	for {
+		applied, err := runInLoop(ctx, n, func(c *core) uint64 { return c.state.Index() })
+		if err != nil {
+			return err
+		}
+		if applied >= index {
+			return nil
+		}
+		if e := n.sleep(ctx, catchUpPollInterval); e != nil {
+			return e
+		}
+	}
+}
+
+// pendingPatch is a patch in the log of this leader that is not applied yet.
+type pendingPatch struct {
+	patch   wire.Patch
+	replies []func(controlstate.Result, *verdict.Error)
+}
+
+// proposePatch appends a patch to the log. A repetition of the pending patch waits for
+// the same record.
+func (c *core) proposePatch(p wire.Patch, reply func(controlstate.Result, *verdict.Error)) {
+	switch pending := c.pendingPatch; {
+	case !c.raft.IsLeader():
+		reply(controlstate.Result{}, c.notLeader())
+		return
+	case p.Revision <= c.state.ConfigSource().Revision:
+		reply(controlstate.Result{Apply: c.state.ConfigReply()}, nil)
+		return
+	case pending != nil && pending.patch.Same(p):
+		pending.replies = append(pending.replies, reply)
+		return
+	}
+	pending := &pendingPatch{patch: p, replies: []func(controlstate.Result, *verdict.Error){reply}}
+	c.pendingPatch = pending
+	c.propose(controlstate.Command{Patch: &p}, func(r controlstate.Result, e *verdict.Error) {
+		if c.pendingPatch == pending {
+			c.pendingPatch = nil
+		}
+		for _, reply := range pending.replies {
+			reply(r, e)
+		}
+	})
+}
+
+func (n *Node) servePatch(ctx context.Context, _ *rpc.Conn, p wire.Patch) (wire.ApplyReply, error) {
+	r, err := n.await(ctx, func(c *core, reply func(controlstate.Result, *verdict.Error)) { c.proposePatch(p, reply) })
+	return r.Apply, err
+}
+
+// ReadConfiguration returns a configuration that was in force at the time of the call or
+// later. It answers from the tables of this node if the leader confirms them.
+func (n *Node) ReadConfiguration(ctx context.Context) (controlstate.ConfigSource, error) {
+	held, err := runInLoop(ctx, n, func(c *core) controlstate.ConfigSource { return c.state.ConfigSource() })
+	if err != nil {
+		return controlstate.ConfigSource{}, err
+	}
+	r, err := n.client.Confirm(ctx, wire.Confirm{Have: held.ConfigID})
+	if err != nil {
+		return controlstate.ConfigSource{}, err
+	}
+	if r.ConfigID == held.ConfigID {
+		return held, nil
+	}
+	return controlstate.ConfigSource{ConfigID: r.ConfigID, Revision: r.Revision, Text: r.Source}, nil
+}
+
+// serveConfirm confirms the configuration that the caller holds, or returns the one in
+// force.
+func (n *Node) serveConfirm(ctx context.Context, _ *rpc.Conn, p wire.Confirm) (wire.ConfirmReply, error) {
+	var inForce controlstate.ConfigSource
+	_, err := n.await(ctx, func(c *core, reply func(controlstate.Result, *verdict.Error)) {
+		c.readConfirmed(func(e *verdict.Error) {
+			inForce = c.state.ConfigSource()
+			reply(controlstate.Result{}, e)
+		})
+	})
+	if err != nil {
+		return wire.ConfirmReply{}, err
+	}
+	r := wire.ConfirmReply{ConfigID: inForce.ConfigID, Revision: inForce.Revision}
+	if inForce.ConfigID != p.Have {
+		r.Source = inForce.Text
+	}
+	return r, nil
+}
--- a/control/confirmed_test.go
+++ b/control/confirmed_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -18,7 +19,7 @@
 	isolated := (g.leader() + 1) % 3
 	isolatedClient := g.clientOfNode(isolated)
 	g.waitFor("a confirmed read from the node before it is isolated", func() error {
-		_, err := isolatedClient.GetConfirmed(g.ctx())
+		_, err := isolatedClient.Confirm(g.ctx(), wire.Confirm{})
 		return err
 	})
 	g.net.setIsolated(g.opts[isolated].Listen, true)
@@ -28,12 +29,15 @@
 	}
 	// The test network isolates the node from clients too, so the node is called
 	// directly.
-	arrived := time.Now()
-	r, err := runInLoop(g.ctx(), g.nodes[isolated], func(c *core) getResult { return c.getConfig(wire.Get{Confirmed: true}, arrived) })
-	if err != nil || r.err == nil {
-		t.Errorf("the isolated node answered with revision %d, %v", r.reply.Revision, err)
+	if r, err := g.nodes[isolated].serveConfirm(g.ctx(), nil, wire.Confirm{}); err == nil {
+		t.Errorf("the isolated node confirmed revision %d", r.Revision)
 	}
-	if r, err := others.GetConfirmed(g.ctx()); err != nil || r.Revision != 2 {
+	ctx, cancel := context.WithTimeout(g.ctx(), time.Second)
+	defer cancel()
+	if r, err := g.nodes[isolated].ReadConfiguration(ctx); err == nil {
+		t.Errorf("the isolated node answered with revision %d", r.Revision)
+	}
+	if r, err := others.Confirm(g.ctx(), wire.Confirm{}); err != nil || r.Revision != 2 {
 		t.Errorf("the others answered with revision %d, %v", r.Revision, err)
 	}
 }
--- a/control/core.go
+++ b/control/core.go
@@ -51,7 +51,9 @@
 	// stops the node at the next runOnce.
 	fatalErr error
 
-	waiters map[uint64]waiter
+	waiters      map[uint64]waiter
+	pendingPatch *pendingPatch // nil if there is none
+	reads        confirmedReads
 	// runInBackground runs a function outside the event loop and the function that
 	// it returns inside the loop.
 	runInBackground  func(func() func(*core))
@@ -141,6 +143,7 @@
 		if err := c.applyReady(rd); err != nil {
 			return err
 		}
+		c.answerReads(rd)
 		c.raft.Advance(rd)
 	}
 }
@@ -239,7 +242,7 @@
 // updateLeases updates the leases and configIndex after a command was applied.
 func (c *core) updateLeases(cmd controlstate.Command, r controlstate.Result) {
 	switch {
-	case cmd.Apply != nil && r.Apply.Err == nil && !r.Apply.Repeated:
+	case (cmd.Apply != nil || cmd.Patch != nil) && r.Apply.Err == nil && !r.Apply.Repeated:
 		c.configIndex = r.Apply.Index
 	case cmd.Register != nil && r.Err == nil:
 		if m, ok := c.state.Member(r.Incarnation); ok && m.Live() {
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -58,8 +58,8 @@
 // Daemon is a running control node. It queries its own node over the network
 // listener, as any other process does.
 type Daemon struct {
-	node *control.Node
-	sec  rpc.Security
+	*control.Node
+	sec rpc.Security
 }
 
 // Open starts a control node. If the options have a scope, it reports the message
@@ -69,31 +69,24 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{node: n, sec: o.Security}
+	d := &Daemon{Node: n, sec: o.Security}
 	if o.Scope != nil {
 		go d.updateMessageMetrics(o.Scope)
 	}
 	return d, nil
 }
 
-// Done returns a channel that is closed when the node has stopped, also because of a
-// failure.
-func (d *Daemon) Done() <-chan struct{} { return d.node.Done() }
-
 // Drain implements runner.Service. It has nothing to wait for: the other nodes elect
 // another leader.
 func (d *Daemon) Drain(context.Context) error {
-	klog.Infof("control: Stopping the node at %s.", d.node.Addr())
+	klog.Infof("control: Stopping the node at %s.", d.Addr())
 	return nil
 }
 
-// Close stops the node and returns the failure that stopped it earlier, if any.
-func (d *Daemon) Close() error { return d.node.Close() }
-
 func (d *Daemon) call(method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	conn, err := rpc.Dial(ctx, d.node.Addr(), d.sec, nil, nil)
+	conn, err := rpc.Dial(ctx, d.Addr(), d.sec, nil, nil)
 	if err != nil {
 		return err
 	}
@@ -102,7 +95,11 @@
 }
 
 // Ready reports whether the node's tables are confirmed as current.
-func (d *Daemon) Ready() error { return d.call(wire.MethodGet, wire.Get{}, &wire.GetReply{}) }
+func (d *Daemon) Ready() error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return d.Node.CheckReadable(ctx)
+}
 
 // Dump returns the state of the group and the configuration as known to this node.
 func (d *Daemon) Dump() any {
@@ -128,11 +125,11 @@
 	defer ticker.Stop()
 	for {
 		select {
-		case <-d.node.Done():
+		case <-d.Done():
 			return
 		case <-ticker.C:
 		}
-		c := d.node.Counters()
+		c := d.Counters()
 		scope.Gauge("messages_in").Update(float64(c.MessagesIn.Load()))
 		scope.Gauge("messages_out").Update(float64(c.MessagesOut.Load()))
 		scope.Gauge("bytes_in").Update(float64(c.BytesIn.Load()))
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -296,15 +296,15 @@
 	}
 	leader := g.leader()
 	for i, n := range g.nodes {
-		if r, err := g.clientOfNode(i).GetConfirmed(g.ctx()); err != nil || r.Revision != 7 {
+		if r, err := n.ReadConfiguration(g.ctx()); err != nil || r.Revision != 7 {
 			t.Errorf("node %d: revision %d, %v", i, r.Revision, err)
 		}
 		if i == leader {
 			continue
 		}
-		r, err := runInLoop(g.ctx(), n, func(c *core) getResult { return c.getConfig(wire.Get{Confirmed: true}, time.Now()) })
-		if err != nil || r.unconfirmed || r.err == nil || r.err.Reason != verdict.NotLeader {
-			t.Errorf("node %d: %+v, %v; a follower has to name the leader at once", i, r, err)
+		_, err := n.serveConfirm(g.ctx(), nil, wire.Confirm{})
+		if v := verdict.FromError(err); err == nil || v.Reason != verdict.NotLeader {
+			t.Errorf("node %d: %v; a follower has to name the leader at once", i, err)
 		}
 	}
 }
--- a/control/node.go
+++ b/control/node.go
@@ -33,6 +33,7 @@
 	addr     string
 	instance consensus.ID
 	server   *rpc.Server
+	client   *member.Client // calls the leader for callers of this node
 	calls    chan func(*core)
 	ctx      context.Context // canceled when the node stops
 	cancel   context.CancelFunc
@@ -94,8 +95,13 @@
 	if err != nil {
 		return nil, err
 	}
+	client, err := member.NewClient(member.ClientOptions{Directory: o.Directory, Security: o.Security, Dial: dial})
+	if err != nil {
+		_ = c.log.Close() // the missing client is the cause
+		return nil, err
+	}
 	c.links = newLinks(dial, c.instance.ID, o.Advertise)
-	n := &Node{core: c, opt: o, addr: o.Advertise, instance: c.instance.ID, calls: make(chan func(*core), maxQueuedCalls)}
+	n := &Node{core: c, opt: o, addr: o.Advertise, instance: c.instance.ID, client: client, calls: make(chan func(*core), maxQueuedCalls)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.server = rpc.NewServer(l, o.Security, n.mux(), o.Counters)
 	c.runInBackground = n.runInBackground
@@ -125,7 +131,7 @@
 		opt: o, log: l, state: controlstate.New(),
 		firstTickAt: now, lastRunAt: now, lastLeaderAt: now, leases: newLeases(), metrics: newMetrics(o.Scope),
 		pendingMembers: map[ids.Incarnation]bool{}, waiters: map[uint64]waiter{},
-		senderAddrs: map[consensus.ID]string{},
+		senderAddrs: map[consensus.ID]string{}, reads: newConfirmedReads(),
 	}
 	if err := c.restore(disk); err != nil {
 		l.Close()
@@ -275,6 +281,7 @@
 	n.cancel()
 	n.server.Close()
 	n.wg.Wait()
+	n.client.Close()
 	n.core.links.close()
 	n.core.failWaiters()
 	closeErr := n.core.log.Close()
--- a/control/serve.go
+++ b/control/serve.go
@@ -29,7 +29,9 @@
 	m.Concurrent(wire.MethodComplete, rpc.Handle(n.serveComplete))
 	m.Concurrent(wire.MethodJob, rpc.Handle(n.serveJob))
 	m.Concurrent(wire.MethodApply, rpc.Handle(n.serveApply))
+	m.Concurrent(wire.MethodPatch, rpc.Handle(n.servePatch))
 	m.Concurrent(wire.MethodGet, rpc.Handle(n.serveGet))
+	m.Concurrent(wire.MethodConfirm, rpc.Handle(n.serveConfirm))
 	m.Concurrent(wire.MethodStatus, rpc.Handle(n.serveStatus))
 	m.Concurrent(wire.MethodReplace, rpc.Handle(n.serveReplace))
 	m.Concurrent(wire.MethodJoin, rpc.Handle(n.serveJoin))
@@ -49,14 +51,27 @@
 
 // propose appends one command to the log and waits until it is applied.
 func (n *Node) propose(ctx context.Context, cmd controlstate.Command) (controlstate.Result, error) {
-	r, err := n.proposeAll(ctx, []controlstate.Command{cmd})
-	if err != nil {
+	return n.await(ctx, func(c *core, reply func(controlstate.Result, *verdict.Error)) { c.propose(cmd, reply) })
+}
+
+// await runs f in the event loop and waits until f or a later event has called reply.
+func (n *Node) await(ctx context.Context, f func(c *core, reply func(controlstate.Result, *verdict.Error))) (controlstate.Result, error) {
+	done := make(chan proposalResult, 1)
+	reply := func(r controlstate.Result, e *verdict.Error) { done <- proposalResult{r, e} }
+	if err := n.post(ctx, func(c *core) { f(c, reply) }); err != nil {
 		return controlstate.Result{}, err
 	}
-	if r[0].err != nil {
-		return controlstate.Result{}, r[0].err
+	select {
+	case r := <-done:
+		if r.err != nil {
+			return controlstate.Result{}, r.err
+		}
+		return r.Result, nil
+	case <-ctx.Done():
+		return controlstate.Result{}, verdict.Unknown(verdict.NoQuorum, "the call was given up")
+	case <-n.ctx.Done():
+		return controlstate.Result{}, verdict.Unknown(verdict.Draining, "the node stops")
 	}
-	return r[0].Result, nil
 }
 
 // proposeAll appends commands to the log together and waits until all of them are
@@ -126,6 +141,18 @@
 	return nil
 }
 
+// CheckReadable returns the reason why this node refuses to answer reads, or nil.
+func (n *Node) CheckReadable(ctx context.Context) error {
+	e, err := runInLoop(ctx, n, func(c *core) *verdict.Error { return c.checkReadable() })
+	if err != nil {
+		return err
+	}
+	if e != nil {
+		return e
+	}
+	return nil
+}
+
 func (n *Node) serveRegister(ctx context.Context, _ *rpc.Conn, p wire.Registration) (wire.RegisterReply, error) {
 	r, err := n.propose(ctx, controlstate.Command{Register: &p})
 	if err != nil {
@@ -262,46 +289,25 @@
 }
 
 type getResult struct {
-	reply       wire.GetReply
-	err         *verdict.Error
-	unconfirmed bool // a later confirmation can still make the read succeed
+	reply wire.GetReply
+	err   *verdict.Error
 }
 
-// serveGet returns the configuration in the tables of this node. Only the leader serves
-// a confirmed read: it waits until a quorum has confirmed it since the call arrived, which
-// takes one heartbeat. A follower would hear of that two heartbeats later.
-func (n *Node) serveGet(ctx context.Context, _ *rpc.Conn, p wire.Get) (wire.GetReply, error) {
-	arrived := time.Now()
-	for {
-		r, err := runInLoop(ctx, n, func(c *core) getResult { return c.getConfig(p, arrived) })
-		switch {
-		case err != nil:
-			return wire.GetReply{}, err
-		case r.err == nil:
-			return r.reply, nil
-		case !r.unconfirmed || time.Since(arrived) > confirmTimeout:
-			return wire.GetReply{}, r.err
+// serveGet returns the configuration in the tables of this node.
+func (n *Node) serveGet(ctx context.Context, _ *rpc.Conn, _ wire.Get) (wire.GetReply, error) {
+	r, err := runInLoop(ctx, n, func(c *core) getResult {
+		if e := c.checkReadable(); e != nil {
+			return getResult{err: e}
 		}
-		if e := n.sleep(ctx, confirmPollInterval); e != nil {
-			return wire.GetReply{}, e
-		}
-	}
-}
-
-// confirmPollInterval is how often a confirmed read checks for the confirmation.
-const confirmPollInterval = 20 * time.Millisecond
-
-func (c *core) getConfig(p wire.Get, arrived time.Time) getResult {
-	if p.Confirmed && !c.raft.IsLeader() {
-		return getResult{err: c.notLeader()}
-	}
-	if e := c.checkReadable(); e != nil {
-		return getResult{err: e, unconfirmed: p.Confirmed}
+		return getResult{reply: c.state.Configuration()}
+	})
+	if err != nil {
+		return wire.GetReply{}, err
 	}
-	if p.Confirmed && c.confirmedAt.Before(arrived) {
-		return getResult{err: verdict.Refuse(verdict.Stale, "no leader has confirmed the configuration"), unconfirmed: true}
+	if r.err != nil {
+		return wire.GetReply{}, r.err
 	}
-	return getResult{reply: c.state.Configuration()}
+	return r.reply, nil
 }
 
 // sleep waits for d, or until the call is canceled or the node stops.
--- a/controlstate/command.go
+++ b/controlstate/command.go
@@ -28,6 +28,7 @@
 	Admit          *wire.AdmitItem    `json:"adm,omitempty"`
 	Complete       *wire.Complete     `json:"end,omitempty"`
 	Apply          *wire.Apply        `json:"cfg,omitempty"`
+	Patch          *wire.Patch        `json:"patch,omitempty"`
 	ApplyRetention *ApplyRetention    `json:"tick,omitempty"`
 }
 
@@ -65,6 +66,6 @@
 type Result struct {
 	Incarnation ids.Incarnation  // of Register
 	Admit       wire.AdmitResult // of Admit
-	Apply       wire.ApplyReply  // of Apply
+	Apply       wire.ApplyReply  // of Apply and Patch
 	Err         *verdict.Error   // of Register and Drain
 }
--- a/controlstate/config.go
+++ b/controlstate/config.go
@@ -7,22 +7,23 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabshore/baobabshore/settings"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
 const (
-	maxSettings  = 20_000
-	maxPairBytes = 4 << 10
-	// maxConfigBytes limits a configuration, which is sent in one log record and may
-	// be sent in one reply to a renewal. A record of 3 MB delays heartbeats for
-	// longer than the leader's lease. With maxSourceBytes, a record holds at most 1 MB
-	// of settings and source text before encoding, a third of that.
-	maxConfigBytes = 512 << 10
-	// maxSourceBytes limits the source text of the operator, which is stored with
-	// the settings.
-	maxSourceBytes = 512 << 10
+	// maxSettings and maxSettingsBytes limit the settings of a configuration, and
+	// MaxSourceBytes the operator's text of it. Each control node and entry holds them in
+	// memory: about 200 bytes for each setting.
+	maxSettings      = 100_000
+	maxSettingsBytes = 8 << 20
+	// MaxSourceBytes limits the source text of the operator, which is stored with the
+	// settings.
+	MaxSourceBytes = 2 << 20
+	maxPairBytes   = 4 << 10
 	maxIDBytes     = 128
 	// commandRetention is how long the answer to an operator's command is kept, so
 	// that a repeated command gets the same answer.
@@ -45,15 +46,20 @@
 	commandID string // of the command that made the version
 	appliedBy string
 	pairs     map[string]wire.SourcePair
-	limits    limits
+	// sorted holds the settings in order of their keys, nil if they have changed since it
+	// was made.
+	sorted []wire.SourcePair
+	limits limits
 	// revision and source are the operator's revision number and source text of the
-	// configuration. They are zero and empty if the command had none.
-	revision uint64
-	source   []byte
+	// configuration. They are zero and empty if the command had none. The content of
+	// source never changes.
+	revision   uint64
+	source     []byte
+	sourceHash uint64 // xxHash64
 }
 
 func newConfigTable() configTable {
-	return configTable{pairs: map[string]wire.SourcePair{}, limits: defaultLimits()}
+	return configTable{pairs: map[string]wire.SourcePair{}, limits: defaultLimits(), sourceHash: xxhash.Sum64(nil)}
 }
 
 func defaultLimits() limits {
@@ -66,47 +72,70 @@
 	}
 }
 
+// sortedPairs returns the settings in order of their keys. The caller must not change
+// them.
 func (t *configTable) sortedPairs() []wire.SourcePair {
-	out := make([]wire.SourcePair, 0, len(t.pairs))
-	for _, k := range slices.Sorted(maps.Keys(t.pairs)) {
-		out = append(out, t.pairs[k])
+	if t.sorted == nil {
+		t.sorted = make([]wire.SourcePair, 0, len(t.pairs))
+		for _, k := range slices.Sorted(maps.Keys(t.pairs)) {
+			t.sorted = append(t.sorted, t.pairs[k])
+		}
 	}
-	return out
+	return t.sorted
+}
+
+func (t *configTable) setSource(revision uint64, source []byte) {
+	t.revision, t.source, t.sourceHash = revision, source, xxhash.Sum64(source)
+}
+
+func (t *configTable) id() wire.ConfigID {
+	return wire.ConfigID{ConfigVer: t.version, SourceHash: t.sourceHash}
 }
 
 // replace replaces the whole configuration and returns the keys that changed. The
 // version stays the same if nothing changed.
 func (t *configTable) replace(a wire.Apply, l limits) []string {
-	changed := map[string]bool{}
-	wanted := map[string]bool{}
-	for _, p := range a.Pairs {
+	set, removed := t.diff(a.Pairs)
+	t.limits = l
+	return t.change(set, removed, a.CommandID, a.By)
+}
+
+// diff returns the settings that have to be set and removed to get the given ones.
+func (t *configTable) diff(pairs []wire.Pair) (set []wire.Pair, removed []string) {
+	wanted := make(map[string]bool, len(pairs))
+	for _, p := range pairs {
 		wanted[p.Key] = true
-		old, ok := t.pairs[p.Key]
-		if !ok || old.Value != p.Value {
-			changed[p.Key] = true
+		if old, ok := t.pairs[p.Key]; !ok || old.Value != p.Value {
+			set = append(set, p)
 		}
 	}
 	for k := range t.pairs {
 		if !wanted[k] {
-			changed[k] = true
+			removed = append(removed, k)
 		}
 	}
-	if len(changed) == 0 {
+	slices.Sort(removed)
+	return set, removed
+}
+
+// change sets and removes settings and returns their keys in order. The version stays
+// the same if there are none.
+func (t *configTable) change(set []wire.Pair, removed []string, commandID, by string) []string {
+	if len(set) == 0 && len(removed) == 0 {
 		return nil
 	}
 	t.version++
-	t.commandID, t.appliedBy, t.limits = a.CommandID, a.By, l
-	for _, p := range a.Pairs {
-		if changed[p.Key] {
-			t.pairs[p.Key] = wire.SourcePair{Pair: p, ConfigVer: t.version, CommandID: a.CommandID, By: a.By}
-		}
+	t.commandID, t.appliedBy, t.sorted = commandID, by, nil
+	keys := slices.Clone(removed)
+	for _, k := range removed {
+		delete(t.pairs, k)
 	}
-	for k := range changed {
-		if !wanted[k] {
-			delete(t.pairs, k)
-		}
+	for _, p := range set {
+		t.pairs[p.Key] = wire.SourcePair{Pair: p, ConfigVer: t.version, CommandID: commandID, By: by}
+		keys = append(keys, p.Key)
 	}
-	return slices.Sorted(maps.Keys(changed))
+	slices.Sort(keys)
+	return keys
 }
 
 // checkPairs validates a configuration and returns the limits that it sets.
@@ -118,8 +147,8 @@
 	seen := make(map[string]bool, len(pairs))
 	total := 0
 	for _, p := range pairs {
-		if total += len(p.Key) + len(p.Value); total > maxConfigBytes {
-			return l, verdict.Refuse(verdict.BadRequest, "the settings are longer than %d bytes", maxConfigBytes)
+		if total += len(p.Key) + len(p.Value); total > maxSettingsBytes {
+			return l, verdict.Refuse(verdict.BadRequest, "the settings are longer than %d bytes", maxSettingsBytes)
 		}
 		if p.Key == "" || len(p.Key)+len(p.Value) > maxPairBytes {
 			return l, verdict.Refuse(verdict.BadRequest, "setting %.40q is empty or longer than %d bytes", p.Key, maxPairBytes)
@@ -135,6 +164,14 @@
 	return l, nil
 }
 
+// checkSource validates the source text of a configuration.
+func checkSource(source []byte) *verdict.Error {
+	if len(source) > MaxSourceBytes {
+		return verdict.Refuse(verdict.BadRequest, "the source text of %d bytes is above the limit of %d bytes", len(source), MaxSourceBytes)
+	}
+	return nil
+}
+
 func (l *limits) set(p wire.Pair) *verdict.Error {
 	switch p.Key {
 	case "jobs.retention":
--- a/controlstate/revision_test.go
+++ b/controlstate/revision_test.go
@@ -52,7 +52,7 @@
 	l.apply(Command{Apply: &wire.Apply{Revision: 1, Pairs: []wire.Pair{{Key: "k", Value: "1"}}}})
 	for name, a := range map[string]wire.Apply{
 		"a key twice": {Revision: 2, Pairs: []wire.Pair{{Key: "k", Value: "2"}, {Key: "k", Value: "3"}}},
-		"a long text": {Revision: 2, Source: make([]byte, maxSourceBytes+1)},
+		"a long text": {Revision: 2, Source: make([]byte, MaxSourceBytes+1)},
 	} {
 		r := l.apply(Command{Apply: &a}).Apply
 		if c := l.state.Configuration(); r.Err == nil || c.Revision != 1 || c.Pairs[0].Value != "1" {
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -145,6 +145,6 @@
 		return errors.Wrap(e, "control state snapshot")
 	}
 	s.config.version, s.config.commandID, s.config.appliedBy, s.config.limits = in.ConfigVer, in.Command, in.By, l
-	s.config.revision, s.config.source = in.Revision, in.Source
+	s.config.setSource(in.Revision, in.Source)
 	return nil
 }
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -57,6 +57,8 @@
 		s.complete(*c.Complete)
 	case c.Apply != nil:
 		return Result{Apply: s.apply(*c.Apply)}
+	case c.Patch != nil:
+		return Result{Apply: s.applyPatch(*c.Patch)}
 	case c.ApplyRetention != nil:
 		s.dropExpired()
 	}
@@ -84,7 +86,7 @@
 }
 
 // Configuration returns the current configuration with the command that set each
-// value.
+// value. The caller must not change it.
 func (s *State) Configuration() wire.GetReply {
 	return wire.GetReply{
 		ConfigVer: s.config.version,
@@ -184,29 +186,38 @@
 // replaceConfig replaces the configuration and records the changed settings for the
 // members.
 func (s *State) replaceConfig(a wire.Apply, l limits) {
-	keys := s.config.replace(a, l)
+	s.recordChange(s.config.replace(a, l))
+	s.config.setSource(a.Revision, a.Source)
+}
+
+// recordChange records the changed settings for the members.
+func (s *State) recordChange(keys []string) {
 	if len(keys) > 0 {
 		s.changes.config(s.index, keys)
 	}
-	s.config.revision, s.config.source = a.Revision, a.Source
 }
 
-// applyRevision applies a configuration that has a revision of the operator. The
+// applyRevision applies a whole configuration that has a revision of the operator. The
 // highest revision wins, so a command that is repeated or arrives late changes
 // nothing, and its answer needs no storage.
 func (s *State) applyRevision(a wire.Apply) wire.ApplyReply {
-	r := wire.ApplyReply{Index: ids.Version(s.index)}
-	if a.Revision > s.config.revision {
-		limits, e := checkPairs(a.Pairs)
-		if e == nil && len(a.Source) > maxSourceBytes {
-			e = verdict.Refuse(verdict.BadRequest, "the source text is longer than %d bytes", maxSourceBytes)
-		}
-		if e != nil {
-			r.Err = e
-		} else {
-			s.replaceConfig(a, limits)
-		}
+	if a.Revision <= s.config.revision {
+		return s.revisionReply(nil)
+	}
+	limits, e := checkPairs(a.Pairs)
+	if e == nil {
+		e = checkSource(a.Source)
+	}
+	if e == nil {
+		s.replaceConfig(a, limits)
+	}
+	return s.revisionReply(e)
+}
+
+// revisionReply returns the reply to a command with a revision. e is the reason why the
+// command was refused, nil if it was not.
+func (s *State) revisionReply(e *verdict.Error) wire.ApplyReply {
+	return wire.ApplyReply{
+		ConfigVer: s.config.version, Index: ids.Version(s.index), Revision: s.config.revision, Err: e,
 	}
-	r.ConfigVer, r.Revision = s.config.version, s.config.revision
-	return r
 }
--- a/member/client.go
+++ b/member/client.go
@@ -137,11 +137,19 @@
 	return rec, err
 }
 
-// GetConfirmed returns a configuration that was in force at the time of the call or
-// later, from the leader.
-func (c *Client) GetConfirmed(ctx context.Context) (wire.GetReply, error) {
-	var r wire.GetReply
-	err := c.serverPool.callLeader(ctx, wire.MethodGet, wire.Get{Confirmed: true}, &r)
+// Patch puts a configuration in force that is given by its differences from another one.
+// A refusal, such as a version conflict, is returned in ApplyReply.Err.
+func (c *Client) Patch(ctx context.Context, p wire.Patch) (wire.ApplyReply, error) {
+	var r wire.ApplyReply
+	err := c.serverPool.callLeader(ctx, wire.MethodPatch, p, &r)
+	return r, err
+}
+
+// Confirm returns a configuration that was in force at the time of the call or later, from
+// the leader.
+func (c *Client) Confirm(ctx context.Context, q wire.Confirm) (wire.ConfirmReply, error) {
+	var r wire.ConfirmReply
+	err := c.serverPool.callLeader(ctx, wire.MethodConfirm, q, &r)
 	return r, err
 }
 
--- a/wire/control.go
+++ b/wire/control.go
@@ -141,6 +141,33 @@
 	Source []byte `json:"src,omitempty"`
 }
 
+// ConfigID identifies the content of a configuration within a control group.
+type ConfigID struct {
+	ConfigVer  uint64 `json:"ver"`
+	SourceHash uint64 `json:"hash,omitempty"` // xxHash64 of the source text
+}
+
+// Patch replaces the configuration in force by one with a higher revision of the
+// operator. It holds only what differs from Base, so that its size does not depend on
+// that of the configuration.
+type Patch struct {
+	Revision uint64 `json:"rev"`
+	// Base is the configuration from which the differences lead to the new one. The
+	// patch is refused with reason version-conflict if another one is in force.
+	Base    ConfigID `json:"base"`
+	Set     Pairs    `json:"set,omitempty"`
+	Removed Keys     `json:"del,omitempty"`
+	// Source holds the differences between the source texts, as delta.Make returns them.
+	Source Text `json:"src,omitempty"`
+	// SourceHash is the xxHash64 of the new source text.
+	SourceHash uint64 `json:"hash"`
+}
+
+// Same reports whether two patches lead to the same configuration from the same base.
+func (p Patch) Same(other Patch) bool {
+	return p.Revision == other.Revision && p.Base == other.Base && p.SourceHash == other.SourceHash
+}
+
 // AnyVersion in Apply.Expect accepts any current version.
 const AnyVersion = ^uint64(0)
 
@@ -154,13 +181,22 @@
 	Revision         uint64         `json:"rev,omitempty"`    // revision in force after the command
 }
 
-// Get asks for the configuration in force.
-type Get struct {
-	// Confirmed requests a configuration that is no older than the arrival of the
-	// call. Without it, the reply may be up to StaleAfter old.
-	Confirmed bool `json:"confirmed,omitempty"`
+// Confirm asks the leader whether a configuration is in force.
+type Confirm struct {
+	Have ConfigID `json:"have"`
 }
 
+// ConfirmReply is the revision that was in force at the arrival of Confirm or later. Source
+// is its text unless the caller has it.
+type ConfirmReply struct {
+	ConfigID
+	Revision uint64 `json:"rev,omitempty"`
+	Source   Text   `json:"src,omitempty"`
+}
+
+// Get asks for the configuration in force. The reply may be up to StaleAfter old.
+type Get struct{}
+
 // GetReply is the configuration in force with the command that last changed each value.
 type GetReply struct {
 	ConfigVer uint64       `json:"ver"`
--- a/wire/member.go
+++ b/wire/member.go
@@ -123,9 +123,9 @@
 
 // Changes is the part of the control state that differs from a member's view.
 type Changes struct {
-	Config         []Pair      `json:"cfg,omitempty"`
+	Config         Pairs       `json:"cfg,omitempty"`
 	ConfigVer      uint64      `json:"cv,omitempty"` // configuration version after the changes, 0 if unchanged
-	RemovedKeys    []string    `json:"del,omitempty"`
+	RemovedKeys    Keys        `json:"del,omitempty"`
 	Members        []Member    `json:"mem,omitempty"`
 	RemovedMembers []uint64    `json:"fmem,omitempty"` // incarnations that are removed from the registry
 	Assigned       []Assigned  `json:"job,omitempty"`  // jobs whose ownership moved to this member
