--- /dev/null
+++ b/control/configuration_test.go
@@ -0,0 +1,137 @@
+package control
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// configOf returns a configuration of n queues with a few settings each, without those
+// of the last revision's first queues.
+func configOf(revision uint64, first, n int) wire.Apply {
+	a := wire.Apply{Revision: revision, Source: fmt.Appendf(nil, `{"version":%d,"routes":[`, revision)}
+	for i := first; i < first+n; i++ {
+		a.Source = fmt.Appendf(a.Source, `{"name":"r-%06x","host":"h%d.example","prefix":"/p%d/","kind":"plain","timeout":1500},`, i*7919, i%7, i)
+		for _, key := range []string{"host", "prefix", "timeout", "attempts"} {
+			a.Pairs = append(a.Pairs, wire.Pair{Key: fmt.Sprintf("queues.r-%06x.%s", i*7919, key), Value: fmt.Sprint(key, i)})
+		}
+	}
+	return a
+}
+
+// applyAt applies a configuration at a node and waits until all nodes hold it.
+func (g *group) applyAt(node int, a wire.Apply) {
+	g.t.Helper()
+	r, err := g.nodes[node].ApplyRevision(g.ctx(), a)
+	if err != nil || r.Err != nil || r.Revision < a.Revision {
+		g.t.Fatalf("revision %d: %+v, %v", a.Revision, r, err)
+	}
+	for _, n := range g.nodes {
+		if err := n.awaitIndex(g.ctx(), uint64(r.Index)); err != nil {
+			g.t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a change whose messages grow with the whole configuration.
+func TestChangeCostsWhatItChanges(t *testing.T) {
+	const changed = 10
+	entryBytes := func(queues int) int64 {
+		g := newGroup(t, 3)
+		g.applyAt(0, configOf(1, 0, queues))
+		before, err := runInLoop(g.ctx(), g.nodes[0], func(c *core) int64 { return c.logBytes })
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.applyAt(1, configOf(2, changed, queues))
+		after, err := runInLoop(g.ctx(), g.nodes[0], func(c *core) int64 { return c.logBytes })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return after - before
+	}
+	small, large := entryBytes(100), entryBytes(3000)
+	if large > 2*small {
+		t.Errorf("a change of %d queues takes %d bytes of log with 100 queues and %d with 3,000", changed, small, large)
+	}
+}
+
+// Guards against a repeated revision that is appended to the log anew.
+func TestRepeatedRevisionIsAppendedOnce(t *testing.T) {
+	g := newGroup(t, 3)
+	g.applyAt(0, configOf(1, 0, 10))
+	index := func() uint64 {
+		i, err := runInLoop(g.ctx(), g.nodes[g.leader()], func(c *core) uint64 { return c.raft.LastIndex() })
+		if err != nil {
+			t.Fatal(err)
+		}
+		return i
+	}
+	before := index()
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() {
+			r, err := g.nodes[i%3].ApplyRevision(g.ctx(), configOf(2, 0, 200))
+			if err != nil || r.Err != nil || r.Revision != 2 {
+				t.Errorf("%+v, %v", r, err)
+			}
+		})
+	}
+	wg.Wait()
+	g.applyAt(0, configOf(2, 0, 200))
+	if appended := index() - before; appended != 1 {
+		t.Errorf("%d entries for one revision that was sent 13 times", appended)
+	}
+}
+
+// Guards against changes from several operators of which one is lost, refused or mixed
+// with another.
+func TestConcurrentRevisionsEndWithTheHighest(t *testing.T) {
+	g := newGroup(t, 3)
+	const operators, changes = 4, 15
+	var wg sync.WaitGroup
+	for operator := range operators {
+		wg.Go(func() {
+			for i := range changes {
+				revision := uint64(1 + operator + operators*i)
+				r, err := g.nodes[(operator+i)%3].ApplyRevision(g.ctx(), configOf(revision, operator+i, 20+operator))
+				if err != nil || r.Err != nil || r.Revision < revision {
+					t.Errorf("revision %d: %+v, %v", revision, r, err)
+				}
+			}
+		})
+	}
+	wg.Wait()
+	last := configOf(operators*changes, operators-1+changes-1, 20+operators-1)
+	g.applyAt(0, configOf(1, 0, 1)) // outdated, so it changes nothing
+	for i, n := range g.nodes {
+		c, err := n.ReadConfiguration(g.ctx())
+		if err != nil || c.Revision != last.Revision || string(c.Text) != string(last.Source) {
+			t.Errorf("node %d: revision %d, %v, want %d with its text", i, c.Revision, err, last.Revision)
+		}
+		got, err := runInLoop(g.ctx(), n, func(c *core) int { return len(c.state.Configuration().Pairs) })
+		if err != nil || got != len(last.Pairs) {
+			t.Errorf("node %d: %d settings, %v, want %d", i, got, err, len(last.Pairs))
+		}
+	}
+}
+
+// Guards against a read that carries the configuration that the caller holds.
+func TestConfirmationCarriesNoConfiguration(t *testing.T) {
+	g := newGroup(t, 3)
+	g.applyAt(0, configOf(1, 0, 500))
+	n := g.nodes[(g.leader()+1)%3]
+	held, err := n.ReadConfiguration(g.ctx())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := g.client()
+	if r, err := c.Confirm(g.ctx(), wire.Confirm{Have: held.ConfigID}); err != nil || r.Source != nil || r.Revision != 1 {
+		t.Errorf("%d bytes for a configuration that is held, %v", len(r.Source), err)
+	}
+	if r, err := c.Confirm(g.ctx(), wire.Confirm{}); err != nil || string(r.Source) != string(held.Text) {
+		t.Errorf("%d bytes for a configuration that is not held, %v", len(r.Source), err)
+	}
+}
