--- a/entry/life.go
+++ b/entry/life.go
@@ -27,10 +27,10 @@
 	loop    *coreLoop
 	core    *dispatch.Core
 
-	parsedVersion uint64        // version of the configuration parsed last; used by start, then by followView
-	lastTickAt    time.Duration // owned by the loop
-	agents        map[ids.Incarnation]*agentConn
-	requests      map[ids.TaskKey]*request
+	parser     configParser  // used by start, then by followView
+	lastTickAt time.Duration // owned by the loop
+	agents     map[ids.Incarnation]*agentConn
+	requests   map[ids.TaskKey]*request
 
 	requestSeq        atomic.Uint64                    // last sequence number of single requests and tasks of batches
 	agentsUnreachable atomic.Bool                      // the core has no usable agent
@@ -73,7 +73,7 @@
 func (inc *incarnation) start() {
 	inc.loop.Start()
 	v := inc.session.View()
-	c := inc.parseConfig(v)
+	c := inc.parser.parse(v)
 	inc.loop.Call(func(now time.Duration) { inc.applyView(now, v, c) })
 	inc.loop.Call(inc.core.BeginStartup)
 	go inc.followView()
@@ -109,38 +109,12 @@
 			return
 		case <-inc.session.Changes():
 			v := inc.session.View()
-			c := inc.parseConfig(v)
+			c := inc.parser.parse(v)
 			inc.loop.Post(func(now time.Duration) { inc.applyView(now, v, c) })
 		}
 	}
 }
 
-// parsedConfig is a configuration in the form in which the entry uses it.
-type parsedConfig struct {
-	cluster  settings.Cluster
-	queues   *queueTable
-	dispatch dispatch.Config
-}
-
-// parseConfig returns the configuration of a view, or nil if it was parsed before or is
-// invalid. It runs outside the loop, since a configuration of thousands of queues takes
-// many times as long as a tick.
-func (inc *incarnation) parseConfig(v *member.View) *parsedConfig {
-	if v.ConfigVer == inc.parsedVersion {
-		return nil
-	}
-	inc.parsedVersion = v.ConfigVer
-	begin := time.Now()
-	c, err := settings.FromPairs(v.Config)
-	if err != nil {
-		klog.Errorf("entry: Configuration version %d is invalid and was not applied: %v.", v.ConfigVer, err)
-		return nil
-	}
-	p := &parsedConfig{cluster: c, queues: newQueueTable(v.ConfigVer, c.Queues), dispatch: dispatch.FromCluster(c)}
-	klog.InfoS("entry: Configuration parsed", "config", v.ConfigVer, "queues", len(c.Queues), "ms", time.Since(begin).Milliseconds())
-	return p
-}
-
 // applyView passes a configuration, unless it is nil, and the members and the assigned
 // jobs of a view to the core.
 func (inc *incarnation) applyView(now time.Duration, v *member.View, c *parsedConfig) {
