controlstate: validate a patch by what it changes

A patch built the whole new list of settings for its checks, and each member's changes were collected in a map and sorted: both in the event loop, where a long step costs the leader its lease. The table now counts its bytes, keys of a patch are in order, and the keys of one change are used as they are.

--- a/controlstate/changes.go
+++ b/controlstate/changes.go
@@ -148,7 +148,7 @@
 
 // changedRows holds the rows that a sequence of changes refers to, each once.
 type changedRows struct {
-	keys     map[string]bool
+	keys     []string                      // of settings, in order
 	members  map[ids.Incarnation]wire.Kind // kind of a dropped member, empty for others
 	jobs     map[ids.Job]bool
 	disowned map[ids.Job]wire.Ownership
@@ -156,13 +156,11 @@
 
 func collectChangedRows(records []change, member ids.Incarnation) changedRows {
 	t := changedRows{
-		keys: map[string]bool{}, members: map[ids.Incarnation]wire.Kind{},
-		jobs: map[ids.Job]bool{}, disowned: map[ids.Job]wire.Ownership{},
+		members: map[ids.Incarnation]wire.Kind{},
+		jobs:    map[ids.Job]bool{}, disowned: map[ids.Job]wire.Ownership{},
 	}
 	for _, c := range records {
-		for _, k := range c.Keys {
-			t.keys[k] = true
-		}
+		t.keys = mergeKeys(t.keys, c.Keys)
 		switch {
 		case c.Member != 0:
 			t.members[c.Member] = c.ForgottenKind
@@ -176,13 +174,26 @@
 	return t
 }
 
+// mergeKeys returns the keys of two lists in order, each once. Both lists are in order.
+func mergeKeys(a, b []string) []string {
+	if len(a) == 0 {
+		return b
+	}
+	if len(b) == 0 {
+		return a
+	}
+	out := slices.Concat(a, b)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
 func (s *State) delta(row *memberRow, records []change) wire.Changes {
 	t := collectChangedRows(records, row.Incarnation)
 	var c wire.Changes
 	if len(t.keys) > 0 {
 		c.ConfigVer = s.config.version
 	}
-	for _, k := range slices.Sorted(maps.Keys(t.keys)) {
+	for _, k := range t.keys {
 		if !row.seesSetting(k) {
 			continue
 		}
--- a/controlstate/config.go
+++ b/controlstate/config.go
@@ -46,6 +46,7 @@
 	commandID string // of the command that made the version
 	appliedBy string
 	pairs     map[string]wire.SourcePair
+	size      int // of the keys and values in pairs, in bytes
 	// sorted holds the settings in order of their keys, nil if they have changed since it
 	// was made.
 	sorted []wire.SourcePair
@@ -100,7 +101,8 @@
 	return t.change(set, removed, a.CommandID, a.By)
 }
 
-// diff returns the settings that have to be set and removed to get the given ones.
+// diff returns the settings that have to be set and removed to get the given ones, both in
+// order of their keys.
 func (t *configTable) diff(pairs []wire.Pair) (set []wire.Pair, removed []string) {
 	wanted := make(map[string]bool, len(pairs))
 	for _, p := range pairs {
@@ -114,6 +116,7 @@
 			removed = append(removed, k)
 		}
 	}
+	slices.SortFunc(set, func(a, b wire.Pair) int { return strings.Compare(a.Key, b.Key) })
 	slices.Sort(removed)
 	return set, removed
 }
@@ -128,42 +131,72 @@
 	t.commandID, t.appliedBy, t.sorted = commandID, by, nil
 	keys := slices.Clone(removed)
 	for _, k := range removed {
+		t.size -= pairSize(t.pairs[k].Pair)
 		delete(t.pairs, k)
 	}
 	for _, p := range set {
-		t.pairs[p.Key] = wire.SourcePair{Pair: p, ConfigVer: t.version, CommandID: commandID, By: by}
+		t.put(wire.SourcePair{Pair: p, ConfigVer: t.version, CommandID: commandID, By: by})
 		keys = append(keys, p.Key)
 	}
 	slices.Sort(keys)
 	return keys
 }
 
+func (t *configTable) put(p wire.SourcePair) {
+	if old, ok := t.pairs[p.Key]; ok {
+		t.size -= pairSize(old.Pair)
+	}
+	t.pairs[p.Key] = p
+	t.size += pairSize(p.Pair)
+}
+
+func pairSize(p wire.Pair) int { return len(p.Key) + len(p.Value) }
+
 // checkPairs validates a configuration and returns the limits that it sets.
 func checkPairs(pairs []wire.Pair) (limits, *verdict.Error) {
 	l := defaultLimits()
-	if len(pairs) > maxSettings {
-		return l, verdict.Refuse(verdict.BadRequest, "%d settings are above the limit of %d", len(pairs), maxSettings)
+	if e := checkSize(len(pairs), 0); e != nil {
+		return l, e
 	}
 	seen := make(map[string]bool, len(pairs))
-	total := 0
+	size := 0
 	for _, p := range pairs {
-		if total += len(p.Key) + len(p.Value); total > maxSettingsBytes {
-			return l, verdict.Refuse(verdict.BadRequest, "the settings are longer than %d bytes", maxSettingsBytes)
-		}
-		if p.Key == "" || len(p.Key)+len(p.Value) > maxPairBytes {
-			return l, verdict.Refuse(verdict.BadRequest, "setting %.40q is empty or longer than %d bytes", p.Key, maxPairBytes)
-		}
 		if seen[p.Key] {
 			return l, verdict.Refuse(verdict.BadRequest, "setting %q is given twice", p.Key)
 		}
 		seen[p.Key] = true
+		size += pairSize(p)
+		if e := checkPair(p); e != nil {
+			return l, e
+		}
 		if e := l.set(p); e != nil {
 			return l, e
 		}
 	}
-	return l, nil
+	return l, checkSize(len(pairs), size)
+}
+
+func checkPair(p wire.Pair) *verdict.Error {
+	if p.Key == "" || pairSize(p) > maxPairBytes {
+		return verdict.Refuse(verdict.BadRequest, "setting %.40q is empty or longer than %d bytes", p.Key, maxPairBytes)
+	}
+	return nil
 }
 
+// checkSize validates the number of settings and their size in bytes.
+func checkSize(count, size int) *verdict.Error {
+	if count > maxSettings {
+		return verdict.Refuse(verdict.BadRequest, "%d settings are above the limit of %d", count, maxSettings)
+	}
+	if size > maxSettingsBytes {
+		return verdict.Refuse(verdict.BadRequest, "the settings of %d bytes are above the limit of %d bytes", size, maxSettingsBytes)
+	}
+	return nil
+}
+
+// limitKeys are the settings that limits.set reads.
+var limitKeys = []string{"jobs.retention", "jobs.tombstone_retention", "jobs.max_deadline", "jobs.max_open"}
+
 // checkSource validates the source text of a configuration.
 func checkSource(source []byte) *verdict.Error {
 	if len(source) > MaxSourceBytes {
--- a/controlstate/patch.go
+++ b/controlstate/patch.go
@@ -1,6 +1,8 @@
 package controlstate
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/baobabshore/baobabshore/delta"
@@ -67,7 +69,7 @@
 	if xxhash.Sum64(source) != p.SourceHash {
 		return verdict.Refuse(verdict.BadRequest, "the source text does not match its hash")
 	}
-	l, e := checkPairs(s.config.patched(p))
+	l, e := s.config.checkPatch(p)
 	if e != nil {
 		return e
 	}
@@ -77,20 +79,72 @@
 	return nil
 }
 
-// patched returns the settings after a patch, in no particular order.
-func (t *configTable) patched(p wire.Patch) []wire.Pair {
-	dropped := make(map[string]bool, len(p.Set)+len(p.Removed))
+// checkPatch validates the configuration to which a patch leads, as checkPairs does, and
+// returns the limits that it sets.
+func (t *configTable) checkPatch(p wire.Patch) (limits, *verdict.Error) {
+	count, size := len(t.pairs), t.size
+	forget := func(key string) {
+		if old, ok := t.pairs[key]; ok {
+			count--
+			size -= pairSize(old.Pair)
+		}
+	}
 	for _, k := range p.Removed {
-		dropped[k] = true
+		forget(k)
 	}
 	for _, s := range p.Set {
-		dropped[s.Key] = true
+		forget(s.Key)
+		count++
+		size += pairSize(s)
+	}
+	if e := checkSize(count, size); e != nil {
+		return t.limits, e
+	}
+	if e := checkKeys(p); e != nil {
+		return t.limits, e
+	}
+	return t.patchedLimits(p)
+}
+
+// checkKeys validates the keys of a patch, which are in strictly increasing order.
+func checkKeys(p wire.Patch) *verdict.Error {
+	removed := p.Removed
+	for i, s := range p.Set {
+		if e := checkPair(s); e != nil {
+			return e
+		}
+		if i > 0 && p.Set[i-1].Key >= s.Key {
+			return verdict.Refuse(verdict.BadRequest, "setting %q is given twice or out of order", s.Key)
+		}
+		for len(removed) > 0 && removed[0] < s.Key {
+			removed = removed[1:]
+		}
+		if len(removed) > 0 && removed[0] == s.Key {
+			return verdict.Refuse(verdict.BadRequest, "setting %q is set and removed", s.Key)
+		}
+	}
+	if !slices.IsSorted(p.Removed) {
+		return verdict.Refuse(verdict.BadRequest, "the removed settings are out of order")
+	}
+	return nil
+}
+
+// patchedLimits returns the limits after a patch.
+func (t *configTable) patchedLimits(p wire.Patch) (limits, *verdict.Error) {
+	l := defaultLimits()
+	for _, key := range limitKeys {
+		pair, ok := t.pairs[key]
+		if _, removed := slices.BinarySearch(p.Removed, key); removed || !ok {
+			continue
+		}
+		if e := l.set(pair.Pair); e != nil {
+			return l, e
+		}
 	}
-	out := append([]wire.Pair(nil), p.Set...)
-	for k, s := range t.pairs {
-		if !dropped[k] {
-			out = append(out, s.Pair)
+	for _, s := range p.Set {
+		if e := l.set(s); e != nil {
+			return l, e
 		}
 	}
-	return out
+	return l, nil
 }
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -137,7 +137,7 @@
 func (s *State) restoreConfig(in snapshot) error {
 	pairs := make([]wire.Pair, 0, len(in.Pairs))
 	for _, p := range in.Pairs {
-		s.config.pairs[p.Key] = p
+		s.config.put(p)
 		pairs = append(pairs, p.Pair)
 	}
 	l, e := checkPairs(pairs)
