--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"runtime"
 	"sync"
 	"syscall"
 	"testing"
@@ -166,3 +167,59 @@
 		})
 	}
 }
+
+// benchGroup starts a group of three control nodes.
+func benchGroup(b *testing.B) []*Node {
+	var peers []Peer
+	for i := range 3 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		peers = append(peers, Peer{Node: ids.Node(fmt.Sprint("c", i)), Addr: l.Addr().String()})
+		l.Close()
+	}
+	var nodes []*Node
+	for _, p := range peers {
+		n, err := Start(Options{Node: p.Node, Listen: p.Addr, Peers: peers, Data: b.TempDir()})
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { n.Close() })
+		nodes = append(nodes, n)
+	}
+	return nodes
+}
+
+// BenchmarkConfigurationChange measures a change of 10 queues: the time until it is
+// acknowledged, the bytes between the three nodes and the processor time of all, and the
+// memory in use at the end for each node.
+func BenchmarkConfigurationChange(b *testing.B) {
+	for _, queues := range []int{100, 1000, 5000} {
+		b.Run(fmt.Sprint("queues-", queues), func(b *testing.B) {
+			nodes := benchGroup(b)
+			apply := func(revision int) {
+				a := configOf(uint64(revision+1), 10*revision, queues)
+				b.StartTimer()
+				r, err := nodes[revision%len(nodes)].ApplyRevision(b.Context(), a)
+				b.StopTimer()
+				if err != nil || r.Err != nil {
+					b.Fatalf("%+v, %v", r, err)
+				}
+			}
+			apply(0)
+			b.ResetTimer()
+			b.StopTimer()
+			before, cpu := traffic(nodes), cpuTime(b)
+			for i := range b.N {
+				apply(i + 1)
+			}
+			b.ReportMetric(float64((traffic(nodes)-before)*int64(len(nodes)))/float64(b.N), "B/change")
+			b.ReportMetric(1000*(cpuTime(b)-cpu).Seconds()/float64(b.N), "cpu-ms/change")
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(m.HeapAlloc)/float64(len(nodes))/(1<<20), "MB/node")
+		})
+	}
+}
