--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -80,24 +80,10 @@
 // that serve 13 members, the size of today's deployments, without any jobs, and the
 // CPU time of all nodes and members together.
 func BenchmarkQuietGroup(b *testing.B) {
-	var peers []Peer
-	for i := range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			b.Fatal(err)
-		}
-		peers = append(peers, Peer{Node: ids.Node(fmt.Sprint("c", i)), Addr: l.Addr().String()})
-		l.Close()
-	}
-	var nodes []*Node
+	nodes := benchGroup(b)
 	var servers []string
-	for _, p := range peers {
-		n, err := Start(Options{Node: p.Node, Listen: p.Addr, Peers: peers, Data: b.TempDir()})
-		if err != nil {
-			b.Fatal(err)
-		}
-		b.Cleanup(func() { n.Close() })
-		nodes, servers = append(nodes, n), append(servers, p.Addr)
+	for _, n := range nodes {
+		servers = append(servers, n.Addr())
 	}
 	for i := range 13 {
 		self := wire.Registration{Kind: wire.KindAgent, Node: ids.Node(fmt.Sprint("a", i)), Addr: "10.21.0.17:7400", Service: "mostrador"}
