--- a/entry/life.go
+++ b/entry/life.go
@@ -35,7 +35,7 @@
 	requestSeq        atomic.Uint64                    // last sequence number of single requests and tasks of batches
 	agentsUnreachable atomic.Bool                      // the core has no usable agent
 	cluster           atomic.Pointer[settings.Cluster] // configuration in force
-	queues            atomic.Pointer[queueTable]
+	queues            atomic.Pointer[QueueTable]
 
 	ctx            context.Context // canceled by end
 	cancel         context.CancelFunc
@@ -118,7 +118,7 @@
 // parsedConfig is a configuration in the form in which the entry uses it.
 type parsedConfig struct {
 	cluster  settings.Cluster
-	queues   *queueTable
+	queues   *QueueTable
 	dispatch dispatch.Config
 }
 
@@ -136,7 +136,7 @@
 		klog.Errorf("entry: Configuration version %d is invalid and was not applied: %v.", v.ConfigVer, err)
 		return nil
 	}
-	p := &parsedConfig{cluster: c, queues: newQueueTable(v.ConfigVer, c.Queues), dispatch: dispatch.FromCluster(c)}
+	p := &parsedConfig{cluster: c, queues: NewQueueTable(v.ConfigVer, c.Queues), dispatch: dispatch.FromCluster(c)}
 	klog.InfoS("entry: Configuration parsed", "config", v.ConfigVer, "queues", len(c.Queues), "ms", time.Since(begin).Milliseconds())
 	return p
 }
--- a/entry/queues.go
+++ b/entry/queues.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/settings"
@@ -16,34 +15,56 @@
 	Name ids.Queue
 }
 
-// queueTable finds the queue of a request. It is immutable.
-type queueTable struct {
-	version uint64             // of the configuration
-	hosts   map[string][]Queue // queues by host, longest prefix first
+// QueueTable finds the queue of a request. It is immutable.
+type QueueTable struct {
+	version uint64                // of the configuration
+	hosts   map[string]*hostTable // by settings.CanonicalHost
 }
 
-// newQueueTable sorts the queues of each host by prefix length, longest first.
-func newQueueTable(version uint64, queues map[ids.Queue]settings.Queue) *queueTable {
-	t := &queueTable{version: version, hosts: map[string][]Queue{}}
+// hostTable holds the queues of one host.
+type hostTable struct {
+	byPrefix map[string]Queue
+	lengths  []int // of the prefixes, each once, longest first
+}
+
+// NewQueueTable returns the table of a configuration that has been validated.
+func NewQueueTable(version uint64, queues map[ids.Queue]settings.Queue) *QueueTable {
+	t := &QueueTable{version: version, hosts: map[string]*hostTable{}}
 	for name, q := range queues {
-		t.hosts[q.Host] = append(t.hosts[q.Host], Queue{q, name})
+		t.add(Queue{q, name})
 	}
-	for _, list := range t.hosts {
-		slices.SortFunc(list, func(a, b Queue) int {
-			if d := cmp.Compare(len(b.Prefix), len(a.Prefix)); d != 0 {
-				return d
-			}
-			return cmp.Compare(a.Prefix, b.Prefix)
-		})
+	for _, h := range t.hosts {
+		slices.SortFunc(h.lengths, func(a, b int) int { return cmp.Compare(b, a) })
+		h.lengths = slices.Compact(h.lengths)
 	}
 	return t
 }
 
-// find returns the queue of a request and the path after the queue's prefix.
-func (t *queueTable) find(host, path string) (Queue, string, bool) {
-	for _, q := range t.hosts[host] {
-		if rest, ok := strings.CutPrefix(path, q.Prefix); ok {
-			return q, rest, true
+func (t *QueueTable) add(q Queue) {
+	host := settings.CanonicalHost(q.Host)
+	h, ok := t.hosts[host]
+	if !ok {
+		h = &hostTable{byPrefix: map[string]Queue{}}
+		t.hosts[host] = h
+	}
+	h.byPrefix[q.Prefix] = q
+	h.lengths = append(h.lengths, len(q.Prefix))
+}
+
+// Find returns the queue with the longest prefix of path among those of the host, and
+// the path after that prefix. Its time grows with the number of different prefix lengths
+// of the host, not with the number of queues.
+func (t *QueueTable) Find(host, path string) (q Queue, rest string, ok bool) {
+	h := t.hosts[settings.CanonicalHost(host)]
+	if h == nil {
+		return Queue{}, "", false
+	}
+	for _, n := range h.lengths {
+		if n > len(path) {
+			continue
+		}
+		if q, ok := h.byPrefix[path[:n]]; ok {
+			return q, path[n:], true
 		}
 	}
 	return Queue{}, "", false
@@ -67,7 +88,7 @@
 	return nil
 }
 
-// FindQueue returns the queue of a request, the path after the queue's prefix, and
+// FindQueue returns the queue of a request with the given Host field and path, the path after the queue's prefix, and
 // the version of the configuration that was used. Version zero means that the entry
 // has no configuration yet.
 func (e *Entry) FindQueue(host, path string) (q Queue, rest string, version uint64, ok bool) {
@@ -75,6 +96,6 @@
 	if t == nil || t.version == 0 {
 		return Queue{}, "", 0, false
 	}
-	q, rest, ok = t.find(host, path)
+	q, rest, ok = t.Find(host, path)
 	return q, rest, t.version, ok
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -65,7 +65,7 @@
 }
 
 // checkQueues reports queues without an existing service and queues with the same
-// host and prefix.
+// canonical host and prefix.
 func checkQueues(c Cluster, r *report) {
 	type hostPrefix struct{ host, prefix string }
 	queueByRoute := map[hostPrefix]ids.Queue{}
@@ -75,7 +75,7 @@
 		if _, ok := c.Services[q.Service]; !ok {
 			r.add(key+".service", fmt.Sprintf("there is no service %q", q.Service), "add the service, or set an existing one")
 		}
-		route := hostPrefix{q.Host, q.Prefix}
+		route := hostPrefix{CanonicalHost(q.Host), q.Prefix}
 		if other, ok := queueByRoute[route]; ok {
 			r.add(key+".prefix", fmt.Sprintf("queue %q has the same host and prefix", other), "change one of them")
 		}
