platform, settings: accept every configuration that no rule excludes

Cause: the product's own limits on what people write by hand were applied to what another program sends. The rule on invalid configurations names what can't be read in full, unknown services, shared host and prefix, and TimeoutMs 0, and nothing else.

Class: a limit of ours taken for a rule of the interface.

--- a/settings/build.go
+++ b/settings/build.go
@@ -55,5 +55,7 @@
 	if err != nil {
 		return Cluster{}, err
 	}
-	return c, Check(c)
+	r := &report{}
+	checkComplete(c, r)
+	return c, r.err()
 }
--- a/settings/check.go
+++ b/settings/check.go
@@ -22,6 +22,9 @@
 // Names are part of flat keys, URLs and metrics, so they must not contain dots or slashes.
 var namePattern = regexp.MustCompile(`^[a-z0-9]([a-z0-9_-]*[a-z0-9])?$`)
 
+// IsName reports whether s can be the name of a service, team or queue.
+func IsName(s string) bool { return len(s) <= maxNameBytes && namePattern.MatchString(s) }
+
 // Checkable is a settings type that Check accepts.
 type Checkable interface {
 	Cluster | Control | Entry | Agent
@@ -50,18 +53,33 @@
 
 func checkCluster(c Cluster, r *report) {
 	checkValue(reflect.ValueOf(c), field{}, "", r)
+	for _, name := range sortedNames(c.Services) {
+		s := c.Services[name]
+		checkConnections(s.Slots, s.Connections, "services."+string(name), r)
+	}
+	checkQueues(c, r)
+	checkJobs(c.Jobs, r)
+}
+
+// checkComplete reports what whoever writes a configuration by hand has left out: all
+// teams and queues, all services, or the host or the prefix of a queue. A configuration
+// made by another program may lack these on purpose.
+func checkComplete(c Cluster, r *report) {
 	if len(c.Teams) == 0 && len(c.Queues) == 0 {
 		r.add("teams", "there is no team and no queue, so callers could not submit any job", "add a team, for example teams: {acme: {quota: 1}}")
 	}
 	if len(c.Services) == 0 {
 		r.add("services", "there is no service, so no task could run", "add a service, for example services: {web: {slots: 8}}")
 	}
-	for _, name := range sortedNames(c.Services) {
-		s := c.Services[name]
-		checkConnections(s.Slots, s.Connections, "services."+string(name), r)
+	for _, name := range sortedNames(c.Queues) {
+		key, q := "queues."+string(name), c.Queues[name]
+		if q.Host == "" {
+			r.add(key+".host", "the value is missing", "set it (host name in the caller's request)")
+		}
+		if q.Prefix == "" {
+			r.add(key+".prefix", "the value is missing", "set it (first part of the path)")
+		}
 	}
-	checkQueues(c, r)
-	checkJobs(c.Jobs, r)
 }
 
 // checkQueues reports queues without an existing service and queues with the same
@@ -250,7 +268,7 @@
 	}
 	switch f.format {
 	case "name":
-		if len(s) > maxNameBytes || !namePattern.MatchString(s) {
+		if !IsName(s) {
 			r.add(key, fmt.Sprintf("%q is not a name", s), fmt.Sprintf("use at most %d of a-z, 0-9, - and _, with a letter or digit first and last", maxNameBytes))
 		}
 	case "address", "listen":
--- a/settings/cluster.go
+++ b/settings/cluster.go
@@ -43,19 +43,19 @@
 // Queue accepts batches from callers. A request belongs to the queue of its host
 // with the longest prefix that matches its path.
 type Queue struct {
-	Host    string      `yaml:"host" form:"text" need:"true" unit:"host name in the caller's request"`
-	Prefix  string      `yaml:"prefix" form:"text" need:"true" unit:"first part of the path"`
+	Host    string      `yaml:"host" form:"text" unit:"host name in the caller's request"`
+	Prefix  string      `yaml:"prefix" form:"text" unit:"first part of the path"`
 	Service ids.Service `yaml:"service" form:"name" need:"true" unit:"service whose workers run the tasks"`
 	// Priority orders the queues of a service. Queues with 0 are served first.
-	Priority int `yaml:"priority" range:"0..1000" unit:"rank among the queues of a service, 0 first"`
+	Priority int `yaml:"priority" range:"0..2147483647" unit:"rank among the queues of a service, 0 first"`
 	// Timeout bounds the duration of one request of a caller.
-	Timeout Duration `yaml:"timeout" range:"1ms..1h" unit:"time for one request"`
+	Timeout Duration `yaml:"timeout" range:"1ms..24h" unit:"time for one request"`
 	// Target and Stretch define the target latency of an answer: Stretch times the
 	// run time of the longest chain of dependent tasks, plus Target.
-	Target  Duration `yaml:"target" range:"0s..1h" unit:"time beyond the tasks' own, for an answer in time"`
-	Stretch float64  `yaml:"stretch" range:"1..1000" unit:"factor on the longest chain of tasks, for an answer in time"`
+	Target  Duration `yaml:"target" range:"0s..24h" unit:"time beyond the tasks' own, for an answer in time"`
+	Stretch float64  `yaml:"stretch" range:"0.001..1000" unit:"factor on the longest chain of tasks, for an answer in time"`
 	// Attempts is the number of failures of one task after which its batch fails.
-	Attempts int `yaml:"attempts" range:"1..1000" unit:"failures of one task after which its batch fails"`
+	Attempts int `yaml:"attempts" range:"1..1000000" unit:"failures of one task after which its batch fails"`
 }
 
 // Dispatch holds the settings of placement and retries.
--- a/settings/load.go
+++ b/settings/load.go
@@ -27,7 +27,7 @@
 
 // LoadClusterBytes reads a cluster configuration. Problems refer to it by the name file.
 func LoadClusterBytes(file string, data []byte) (Cluster, error) {
-	return parse(file, data, DefaultCluster())
+	return parse(file, data, DefaultCluster(), checkComplete)
 }
 
 // LoadControl reads the settings of a control node. Its errors are those of LoadCluster.
@@ -63,8 +63,9 @@
 	return parseFile(path, data)
 }
 
-// parse overwrites defaults with the values of the file and validates the result.
-func parse[T Checkable](file string, data []byte, defaults T) (T, error) {
+// parse overwrites defaults with the values of the file and validates the result, also
+// with the given checks.
+func parse[T Checkable](file string, data []byte, defaults T, checks ...func(T, *report)) (T, error) {
 	r := &report{file: file, positions: map[string]position{}}
 	root := parseYAML(data, r)
 	if root != nil {
@@ -72,6 +73,9 @@
 		d.decode(root, reflect.ValueOf(&defaults).Elem(), "")
 	}
 	if root != nil || len(r.problems) == 0 {
+		for _, check := range checks {
+			check(defaults, r)
+		}
 		checkByType(defaults, r)
 	}
 	return defaults, r.err()
