--- a/entry/configparser.go
+++ b/entry/configparser.go
@@ -14,7 +14,7 @@
 // parsedConfig is a configuration in the form in which the entry uses it.
 type parsedConfig struct {
 	cluster  settings.Cluster
-	queues   *queueTable
+	queues   *QueueTable
 	dispatch dispatch.Config
 }
 
@@ -42,7 +42,7 @@
 		return nil
 	}
 	p.cluster, p.pairs = c, v.Config
-	out := &parsedConfig{cluster: c, queues: newQueueTable(v.ConfigVer, c.Queues), dispatch: dispatch.FromCluster(c)}
+	out := &parsedConfig{cluster: c, queues: NewQueueTable(v.ConfigVer, c.Queues), dispatch: dispatch.FromCluster(c)}
 	klog.InfoS("entry: Configuration parsed", "config", v.ConfigVer, "queues", len(c.Queues), "ms", time.Since(begin).Milliseconds())
 	return out
 }
--- a/entry/life.go
+++ b/entry/life.go
@@ -35,7 +35,7 @@
 	requestSeq        atomic.Uint64                    // last sequence number of single requests and tasks of batches
 	agentsUnreachable atomic.Bool                      // the core has no usable agent
 	cluster           atomic.Pointer[settings.Cluster] // configuration in force
-	queues            atomic.Pointer[queueTable]
+	queues            atomic.Pointer[QueueTable]
 
 	ctx            context.Context // canceled by end
 	cancel         context.CancelFunc
