worker: refuse a start by the agent's own clock once its validity is over

A start waits in a frozen agent between two loops. Its time of expiry is on the clock of the worker, and a worker that restarts under its id has a new clock, on which that time lies ahead, so it carries the start out beside the repeated batch. worker.Core now refuses a queued start at startBy, which counts from the handover on the agent's own clock, and answers it as not run (evidence: start expired).

--- a/worker/api.go
+++ b/worker/api.go
@@ -167,6 +167,7 @@
 	EvidenceAbsent    Evidence = "absent"           // a status doesn't list a run that had started or was stopped
 	EvidenceRefused   Evidence = "start refused"    // the worker or the core has refused the start
 	EvidenceLeased    Evidence = "lease too long"   // the lease in force outlasts the owner's lease by too much
+	EvidenceExpired   Evidence = "start expired"    // the start was not sent while it was valid
 	EvidenceRestarted Evidence = "worker restarted" // another instance of the worker has answered
 	EvidenceFenced    Evidence = "fenced"           // the worker obeys a higher fencing token
 )
--- a/worker/reconcile.go
+++ b/worker/reconcile.go
@@ -17,8 +17,7 @@
 	c.cursor, c.ackedCursor = 0, 0
 	for _, r := range c.sortedRuns() {
 		if r.phase == queued {
-			c.deleteRun(r)
-			c.queueAnswer(r.key, r.id, EvidenceRestarted, verdict.NotRun, verdict.UpstreamRefused, 0)
+			c.refuseQueued(r, EvidenceRestarted)
 			continue
 		}
 		c.markForStop(now, r)
--- a/worker/requests.go
+++ b/worker/requests.go
@@ -28,7 +28,7 @@
 // Tick returns the requests to send now and the tasks that have ended.
 func (c *Core) Tick(now time.Duration) Output {
 	var out Output
-	c.addStarts(&out)
+	c.addStarts(now, &out)
 	c.addStops(now, &out)
 	c.addRenewal(now, &out)
 	out.Ended, c.pendingEnded = c.pendingEnded, nil
@@ -36,15 +36,19 @@
 }
 
 // addStarts adds the starts that have not been sent to out. A lease covers all runs and can't
-// be shortened, so a run that must be over before the lease in force ends is refused.
-func (c *Core) addStarts(out *Output) {
+// be shortened, so a run that must be over before the lease in force ends is refused. So is
+// one whose validity is over: StartRequest.Until doesn't bound it at a worker that has
+// restarted, whose clock has begun anew.
+func (c *Core) addStarts(now time.Duration, out *Output) {
 	for _, r := range c.queuedRuns {
-		if c.runs[r.id] != r {
+		switch {
+		case c.runs[r.id] != r:
 			continue // answered since
-		}
-		if r.endBy > 0 && c.leaseEnd > r.endBy {
-			c.deleteRun(r)
-			c.queueAnswer(r.key, r.id, EvidenceLeased, verdict.NotRun, verdict.UpstreamRefused, 0)
+		case now >= r.startBy:
+			c.refuseQueued(r, EvidenceExpired)
+			continue
+		case r.endBy > 0 && c.leaseEnd > r.endBy:
+			c.refuseQueued(r, EvidenceLeased)
 			continue
 		}
 		r.phase, r.fence = starting, c.fence
@@ -55,6 +59,12 @@
 	c.queuedRuns = nil
 }
 
+// refuseQueued answers a run whose start has not been sent and will not be.
+func (c *Core) refuseQueued(r *run, evidence Evidence) {
+	c.deleteRun(r)
+	c.queueAnswer(r.key, r.id, evidence, verdict.NotRun, verdict.UpstreamRefused, 0)
+}
+
 // rejectUnanswered makes the worker reject the requests so far that it has not executed.
 // Without that, one that has timed out could be executed seconds later and extend a lease
 // that nobody wants any more.
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -213,3 +213,38 @@
 		t.Errorf("stops %v, want one at the new start of the worker", out.Stop)
 	}
 }
+
+// Guards against a start that waits in a frozen agent and is sent when it is no longer
+// valid: a worker that has restarted meanwhile has a new clock, on which Until is ahead.
+func TestStartIsNotSentAfterItsValidity(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tc := range []struct {
+		name        string
+		ownersLease time.Duration // zero for none
+		validity    time.Duration
+	}{
+		{"no-lease", 0, startValidity},
+		{"owners-lease", 100 * ms, 100*ms + 300*ms},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for _, wait := range []time.Duration{tc.validity - ms, tc.validity, tc.validity + 2*time.Second} {
+				c := New(0, Config{Fence: 7, Born: bornBefore, Lease: time.Second, StopWindow: 300 * ms, Clock: time.Hour})
+				c.SetOwnersLease(tc.ownersLease)
+				c.Run(0, startOf(1, "task"), tc.ownersLease)
+				out := c.Tick(wait) // the agent was frozen since Run
+				if wait < tc.validity {
+					if len(out.Start) != 1 {
+						t.Errorf("after %v: %d starts sent, want one", wait, len(out.Start))
+					}
+					continue
+				}
+				if len(out.Start) != 0 {
+					t.Errorf("after %v: a start is sent that was valid for %v", wait, tc.validity)
+				}
+				if len(out.Ended) != 1 || out.Ended[0].Verdict != verdict.NotRun || out.Ended[0].Evidence != EvidenceExpired {
+					t.Errorf("after %v: answers %v, want one refusal", wait, out.Ended)
+				}
+			}
+		})
+	}
+}
