worker: let the request of a start expire by the sender's clock

A start that worker.Core has decided to request waits in a goroutine of the runner. A freeze there had no bound but the time on the worker's clock, which ends with a restart of the worker: the check where the queue is read only moved the place. The request now carries SendBy on the core's clock, and the runner doesn't send it from then on, nor after Close.

The emulator has a disruption for it (agents frozen at requests).

--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -37,6 +37,9 @@
 	// lostAnswers are resets of the callers of an entry beside agents that stand still and
 	// workers that leave stops unanswered.
 	lostAnswers
+	// agentsFrozenAtRequests freeze agents that have decided to request a start and have not
+	// sent the request yet.
+	agentsFrozenAtRequests
 
 	allDisruptions = lateGrantsAtUnreached - 1
 )
@@ -124,6 +127,10 @@
 		p.resetCallersOf(p.randomLiveEntry())
 	case lostAnswers:
 		p.loseAnswersOf(p.randomLiveEntry())
+	case agentsFrozenAtRequests:
+		for _, n := range p.randomNodes() {
+			n.freezeAtRequest = p.drawPause(4 * time.Second)
+		}
 	}
 }
 
@@ -179,8 +186,10 @@
 			kinds = append(kinds, kind)
 		}
 	}
-	if d.has(lostAnswers) {
-		kinds = append(kinds, lostAnswers)
+	for _, kind := range []disruptionSet{lostAnswers, agentsFrozenAtRequests} {
+		if d.has(kind) {
+			kinds = append(kinds, kind)
+		}
 	}
 	return kinds
 }
--- a/dispatch/pathrunner_test.go
+++ b/dispatch/pathrunner_test.go
@@ -115,6 +115,10 @@
 	now := func() time.Duration { return r.path.now }
 	r.send(&workerCall{
 		kind: callStart, run: req.Run, timeout: workerCallTimeout,
+		expired: func() bool { return req.Expired(now()) },
+		refused: func() {
+			r.core.Started(now(), req.Run, worker.StartReply{Refused: worker.RefusedExpired}, false)
+		},
 		execute: func(w *workerLife, shift time.Duration, c *workerCall) {
 			req := req
 			req.Until += shift
--- a/dispatch/workercall_test.go
+++ b/dispatch/workercall_test.go
@@ -24,6 +24,8 @@
 	execute     func(w *workerLife, shift time.Duration, c *workerCall)
 	misdirected func(c *workerCall) // another instance of the worker has received the call
 	unanswered  func()
+	expired     func() bool // the agent must not send the call any more, nil for never
+	refused     func()      // the agent has not sent the call since it has expired
 
 	runner    *pathRunner
 	sentAt    time.Duration
@@ -39,6 +41,10 @@
 	c.runner, c.sentAt = r, p.now
 	p.after(c.timeout, func() { c.complete(c.unanswered) })
 	p.after(p.drawUpTo(maxWriteDelay), c.write)
+	if d := r.node.freezeAtRequest; d > 0 && c.kind == callStart {
+		r.node.freezeAtRequest = 0
+		p.freezeAgent(r.node, d)
+	}
 }
 
 // complete passes the first result of a call to the core. Later ones are dropped.
@@ -60,6 +66,8 @@
 	case r.agent.frozen && p.rng.IntN(2) == 0:
 	case r.agent.frozen:
 		r.agent.receive(workerSource, c.write)
+	case c.expired != nil && c.expired():
+		c.complete(c.refused)
 	default:
 		c.travel()
 	}
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -23,7 +23,9 @@
 	faults     callFaults
 	// freezeAtStart makes the agent freeze for that long when it next starts a task.
 	freezeAtStart time.Duration
-	contact       contact
+	// freezeAtRequest makes the agent freeze for that long before it next sends a start.
+	freezeAtRequest time.Duration
+	contact         contact
 }
 
 const (
--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -128,6 +128,8 @@
 		{"slow-workers", 200, slowWorkers},
 		{"failing-stops-and-frozen-agents", 200, failingStops | frozenAgents},
 		{"reborn-workers-and-late-calls", 100, rebornWorkers | lateCalls | lateGrants},
+		{"agents-frozen-at-requests", 200, agentsFrozenAtRequests},
+		{"agents-frozen-at-requests-and-reborn-workers", 400, agentsFrozenAtRequests | rebornWorkers},
 		{"lost-answers", 400, lostAnswers | callsOfFrozenEntries},
 		{"lost-answers-and-cut-agents", 400, lostAnswers | callsOfFrozenEntries | cutAgents},
 	} {
--- a/worker/api.go
+++ b/worker/api.go
@@ -38,8 +38,14 @@
 	// Until is a time on the worker's clock. After it the request is refused; if accepted,
 	// the request extends the lease of all runs until then.
 	Until time.Duration
+	// SendBy is the time on the core's clock from which the request must not be sent. A
+	// worker that has restarted has a new clock, on which Until bounds nothing.
+	SendBy time.Duration
 }
 
+// Expired reports whether the request must not be sent at now, on the core's clock.
+func (r StartRequest) Expired(now time.Duration) bool { return now >= r.SendBy }
+
 // Refusal is the reason why a worker refused a start. A refused run has not started and
 // never will.
 type Refusal string
--- a/worker/requests.go
+++ b/worker/requests.go
@@ -53,7 +53,7 @@
 		}
 		r.phase, r.fence = starting, c.fence
 		out.Start = append(out.Start, StartRequest{
-			Run: r.id, Spec: r.spec, Fence: c.fence, Until: c.grantUntil(r.startBy),
+			Run: r.id, Spec: r.spec, Fence: c.fence, Until: c.grantUntil(r.startBy), SendBy: r.startBy,
 		})
 	}
 	c.queuedRuns = nil
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -155,7 +155,16 @@
 	}
 }
 
+// start sends a start, unless the process stood still until it was too late for that.
 func (r *Runner) start(req StartRequest) {
+	if r.ctx.Err() != nil {
+		return
+	}
+	if req.Expired(r.loop.Now()) {
+		r.log("worker: Start expired before it was sent", "task", req.Run.Task, "run", req.Run.Number)
+		r.loop.Post(func(now time.Duration) { r.core.Started(now, req.Run, StartReply{Refused: RefusedExpired}, false) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, requestTimeout)
 	defer cancel()
 	reply, err := r.client.Start(ctx, req)
--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -57,3 +58,46 @@
 		}
 	})
 }
+
+// Guards against two overlapping runs of a task: an agent freezes between the decision to
+// request a start and the request, its worker restarts, and the start is sent when the
+// agent goes on.
+func TestRequestOfAStartExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 2 * time.Second
+		w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
+		answers := make(chan wire.Answer, 1)
+		r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(a wire.Answer) { answers <- a })
+		defer r.Close()
+		if err := r.WaitOrphansCleared(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		var req StartRequest
+		r.loop.Call(func(now time.Duration) {
+			r.core.Run(now, wire.Start{Key: ids.RequestOf(1, 1), Try: 1, Name: "task"}, 0)
+			req = r.core.Tick(now).Start[0]
+		})
+		time.Sleep(wait)
+		r.start(req)
+		synctest.Wait()
+		if _, sent := w.expires["task"]; sent {
+			t.Errorf("a start was sent %v after its decision, %v are allowed", wait, startValidity)
+		}
+		if a := <-answers; a.Verdict != verdict.NotRun {
+			t.Errorf("the start was answered with %v, want %v", a.Verdict, verdict.NotRun)
+		}
+	})
+}
+
+// Guards against a start that is sent for an incarnation of the agent that has ended.
+func TestClosedRunnerSendsNoStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
+		r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(wire.Answer) {})
+		r.Close()
+		r.start(StartRequest{Run: RunID{Task: "task", Number: 1}, Until: time.Second, SendBy: r.loop.Now() + time.Second})
+		if len(w.expires) != 0 {
+			t.Error("a start was sent after Close")
+		}
+	})
+}
