executor: bound the lease that a message grants by the agent's own clock

The lease of an entry's tasks followed from what the entry took the agent's clock to show, and a message without a time of expiry granted none, that is, no bound at all. Nothing shortens a lease later. By reading: an entry sends no start before a report of the agent, which carries the clock, unless that clock shows less than 1 ms; no chain of today's code reaches the case. The agent now never grants more than the entry's lease from the arrival.

--- a/executor/sized.go
+++ b/executor/sized.go
@@ -116,9 +116,15 @@
 	return run
 }
 
-// extendLease extends the lease of an entry's tasks.
+// extendLease extends the lease of an entry's tasks until the given time, zero for none. By
+// this agent's clock it never lasts longer than Leases.Entry from now, whatever the entry
+// takes this clock to show: nothing shortens a lease, and the tasks of a lost entry end with it.
 func (c *Core) extendLease(now time.Duration, s *session, until time.Duration) {
-	s.leaseExpiresAt = max(s.leaseExpiresAt, until)
+	longest := now + c.cfg.Leases.Entry
+	if until == 0 {
+		until = longest
+	}
+	s.leaseExpiresAt = max(s.leaseExpiresAt, min(until, longest))
 	if now-s.lastReportAt >= maxReportAge {
 		s.reportDue = true
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -41,7 +41,7 @@
 	for _, id := range m.Ended {
 		c.markJobEnded(now, s, id)
 	}
-	if valid && until > 0 {
+	if valid && (until > 0 || c.sized()) {
 		c.extendLease(now, s, until)
 	}
 }
--- a/wire/task.go
+++ b/wire/task.go
@@ -119,7 +119,8 @@
 	// Demand is the number of tasks for the agent's service that wait at the entry.
 	Demand int `json:"d"`
 	// ValidUntilMS is the time on the agent's clock until which the message is valid
-	// and the entry's sized tasks may run. Zero means no limit. Without it, a message
+	// and the entry's sized tasks may run. Zero means that the message doesn't expire; it
+	// prolongs sized tasks by an entry's lease from its arrival. Without it, a message
 	// that is delayed by a network partition could start or prolong work.
 	ValidUntilMS int64 `json:"v,omitempty"`
 }
