--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -40,6 +40,8 @@
 	// agentsFrozenAtRequests freeze agents that have decided to request a start and have not
 	// sent the request yet.
 	agentsFrozenAtRequests
+	// agentsFrozenAfterStarts freeze agents just after a request of a start has left.
+	agentsFrozenAfterStarts
 
 	allDisruptions = lateGrantsAtUnreached - 1
 )
@@ -131,6 +133,10 @@
 		for _, n := range p.randomNodes() {
 			n.freezeAtRequest = p.drawPause(4 * time.Second)
 		}
+	case agentsFrozenAfterStarts:
+		for _, n := range p.randomNodes() {
+			n.freezeAfterStart = p.drawPause(4 * time.Second)
+		}
 	}
 }
 
@@ -186,7 +192,7 @@
 			kinds = append(kinds, kind)
 		}
 	}
-	for _, kind := range []disruptionSet{lostAnswers, agentsFrozenAtRequests} {
+	for _, kind := range []disruptionSet{lostAnswers, agentsFrozenAtRequests, agentsFrozenAfterStarts} {
 		if d.has(kind) {
 			kinds = append(kinds, kind)
 		}
--- a/dispatch/workercall_test.go
+++ b/dispatch/workercall_test.go
@@ -79,6 +79,10 @@
 	fate := n.drawFate(c.kind)
 	c.sentTo = n.life
 	c.traceSent(fate)
+	if d := n.freezeAfterStart; d > 0 && c.kind == callStart {
+		n.freezeAfterStart = 0
+		p.freezeAgent(n, d)
+	}
 	n.contact.note(p.now, fate < fateLate && fate != fateLost)
 	switch fate {
 	case fateLost:
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -25,7 +25,9 @@
 	freezeAtStart time.Duration
 	// freezeAtRequest makes the agent freeze for that long before it next sends a start.
 	freezeAtRequest time.Duration
-	contact         contact
+	// freezeAfterStart makes the agent freeze for that long after it has next sent a start.
+	freezeAfterStart time.Duration
+	contact          contact
 }
 
 const (
--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -130,6 +130,8 @@
 		{"reborn-workers-and-late-calls", 100, rebornWorkers | lateCalls | lateGrants},
 		{"agents-frozen-at-requests", 200, agentsFrozenAtRequests},
 		{"agents-frozen-at-requests-and-reborn-workers", 400, agentsFrozenAtRequests | rebornWorkers},
+		{"agents-frozen-after-starts", 100, agentsFrozenAfterStarts},
+		{"agents-frozen-after-starts-and-reborn-workers", 200, agentsFrozenAfterStarts | rebornWorkers | lostAnswers},
 		{"lost-answers", 400, lostAnswers | callsOfFrozenEntries},
 		{"lost-answers-and-cut-agents", 400, lostAnswers | callsOfFrozenEntries | cutAgents},
 	} {
