worker: don't send a start later than 100 ms after its handover

A start that waited in a frozen agent for less than its validity of 0.8 s was still sent. At a worker that has restarted meanwhile it is bound by the worker's longest lease only, which then counts from the late sending. A start is sent within a millisecond of its handover unless the process stands still, so it is refused as not run after 100 ms. Its time on the worker's clock stays as it was: that one is for requests that the worker holds back.

The emulator restarts workers under their ids while a start is under way and freezes their agents before they learn of it. The test of worker.Core that named the former limit now names this one.

--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -42,6 +42,9 @@
 	agentsFrozenAtRequests
 	// agentsFrozenAfterStarts freeze agents just after a request of a start has left.
 	agentsFrozenAfterStarts
+	// restartsUnnoticed restart workers under their ids while a start is under way to them,
+	// and freeze their agents before they learn of it.
+	restartsUnnoticed
 
 	allDisruptions = lateGrantsAtUnreached - 1
 )
@@ -133,6 +136,11 @@
 		for _, n := range p.randomNodes() {
 			n.freezeAtRequest = p.drawPause(4 * time.Second)
 		}
+	case restartsUnnoticed:
+		for _, n := range p.randomNodes() {
+			n.freezeAfterStart = p.drawPause(4 * time.Second)
+			n.restartAtStart = true
+		}
 	case agentsFrozenAfterStarts:
 		for _, n := range p.randomNodes() {
 			n.freezeAfterStart = p.drawPause(4 * time.Second)
@@ -192,7 +200,7 @@
 			kinds = append(kinds, kind)
 		}
 	}
-	for _, kind := range []disruptionSet{lostAnswers, agentsFrozenAtRequests, agentsFrozenAfterStarts} {
+	for _, kind := range []disruptionSet{lostAnswers, agentsFrozenAtRequests, agentsFrozenAfterStarts, restartsUnnoticed} {
 		if d.has(kind) {
 			kinds = append(kinds, kind)
 		}
--- a/dispatch/workercall_test.go
+++ b/dispatch/workercall_test.go
@@ -79,6 +79,13 @@
 	fate := n.drawFate(c.kind)
 	c.sentTo = n.life
 	c.traceSent(fate)
+	if n.restartAtStart && c.kind == callStart && n.life.up {
+		n.restartAtStart = false
+		p.traceDisruption("worker %s restarts", n.life.id)
+		n.life.crash()
+		n.startLife(n.life.id)
+		n.heartbeat(p.drawUpTo(maxHeartbeatDelay))
+	}
 	if d := n.freezeAfterStart; d > 0 && c.kind == callStart {
 		n.freezeAfterStart = 0
 		p.freezeAgent(n, d)
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -27,7 +27,9 @@
 	freezeAtRequest time.Duration
 	// freezeAfterStart makes the agent freeze for that long after it has next sent a start.
 	freezeAfterStart time.Duration
-	contact          contact
+	// restartAtStart makes the worker restart under its id when the agent next sends a start.
+	restartAtStart bool
+	contact        contact
 }
 
 const (
--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -132,6 +132,7 @@
 		{"agents-frozen-at-requests-and-reborn-workers", 400, agentsFrozenAtRequests | rebornWorkers},
 		{"agents-frozen-after-starts", 100, agentsFrozenAfterStarts},
 		{"agents-frozen-after-starts-and-reborn-workers", 200, agentsFrozenAfterStarts | rebornWorkers | lostAnswers},
+		{"unnoticed-restarts", 200, restartsUnnoticed},
 		{"lost-answers", 400, lostAnswers | callsOfFrozenEntries},
 		{"lost-answers-and-cut-agents", 400, lostAnswers | callsOfFrozenEntries | cutAgents},
 	} {
@@ -190,6 +191,7 @@
 		2501: allDisruptions | hangingTasks, 2961: allDisruptions | hangingTasks, 3098: allDisruptions | hangingTasks,
 		125: lostAnswersAndCuts, 1827: lostAnswersAndCuts,
 		13038: allDisruptions, 17377: allDisruptions | hangingTasks,
+		294: restartsUnnoticed | lostAnswers,
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := playPath(seed, defaultFigures(), set)
--- a/worker/core.go
+++ b/worker/core.go
@@ -24,6 +24,9 @@
 	// left a start unanswered may still execute it, 2 s later or more; it must refuse it
 	// by then.
 	startValidity = 800 * time.Millisecond
+	// maxSendDelay is the age from which a start is not sent any more. It takes less than a
+	// millisecond unless the process stands still, and meanwhile the worker may restart.
+	maxSendDelay = 100 * time.Millisecond
 	// minRenewRetryDelay is the delay after an unanswered renewal. It doubles up to
 	// maxRenewRetryDelay until one is answered, to save requests to a worker that is down.
 	minRenewRetryDelay = 20 * time.Millisecond
@@ -52,6 +55,7 @@
 	id          RunID
 	phase       phase
 	requestedAt time.Duration // when the start was requested
+	sendBy      time.Duration // time from which the start must not be sent
 	startBy     time.Duration // time after which the start must not be carried out
 	endBy       time.Duration // time by which the owner's lease wants the run over, zero for never
 	fence       Fence         // token of the start
@@ -148,6 +152,7 @@
 		return
 	}
 	r := &run{key: s.Key, id: id, requestedAt: now, startBy: c.withinOwnersLease(now + startValidity), spec: s.Body}
+	r.sendBy = min(r.startBy, now+maxSendDelay)
 	if leaseEnd > 0 {
 		r.endBy = leaseEnd + c.cfg.StopWindow
 	}
--- a/worker/requests.go
+++ b/worker/requests.go
@@ -44,7 +44,7 @@
 		switch {
 		case c.runs[r.id] != r:
 			continue // answered since
-		case now >= r.startBy:
+		case now >= r.sendBy:
 			c.refuseQueued(r, EvidenceExpired)
 			continue
 		case r.endBy > 0 && c.leaseEnd > r.endBy:
@@ -53,7 +53,7 @@
 		}
 		r.phase, r.fence = starting, c.fence
 		out.Start = append(out.Start, StartRequest{
-			Run: r.id, Spec: r.spec, Fence: c.fence, Until: c.grantUntil(r.startBy), SendBy: r.startBy,
+			Run: r.id, Spec: r.spec, Fence: c.fence, Until: c.grantUntil(r.startBy), SendBy: r.sendBy,
 		})
 	}
 	c.queuedRuns = nil
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -217,18 +217,21 @@
 // Guards against a start that waits in a frozen agent and is sent when it is no longer
 // valid: a worker that has restarted meanwhile has a new clock, on which Until is ahead.
 func TestStartIsNotSentAfterItsValidity(t *testing.T) {
-	const ms = time.Millisecond
+	const (
+		ms     = time.Millisecond
+		window = 50 * ms
+	)
 	for _, tc := range []struct {
 		name        string
 		ownersLease time.Duration // zero for none
 		validity    time.Duration
 	}{
-		{"no-lease", 0, startValidity},
-		{"owners-lease", 100 * ms, 100*ms + 300*ms},
+		{"no-lease", 0, maxSendDelay},
+		{"owners-lease", 20 * ms, 20*ms + window},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			for _, wait := range []time.Duration{tc.validity - ms, tc.validity, tc.validity + 2*time.Second} {
-				c := New(0, Config{Fence: 7, Born: bornBefore, Lease: time.Second, StopWindow: 300 * ms, Clock: time.Hour})
+				c := New(0, Config{Fence: 7, Born: bornBefore, Lease: time.Second, StopWindow: window, Clock: time.Hour})
 				c.SetOwnersLease(tc.ownersLease)
 				c.Run(0, startOf(1, "task"), tc.ownersLease)
 				out := c.Tick(wait) // the agent was frozen since Run
--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -81,7 +81,7 @@
 		r.start(req)
 		synctest.Wait()
 		if _, sent := w.expires["task"]; sent {
-			t.Errorf("a start was sent %v after its decision, %v are allowed", wait, startValidity)
+			t.Errorf("a start was sent %v after its decision, %v are allowed", wait, maxSendDelay)
 		}
 		if a := <-answers; a.Verdict != verdict.NotRun {
 			t.Errorf("the start was answered with %v, want %v", a.Verdict, verdict.NotRun)
