worker: let the request of a renewal expire by the sender's clock

Like a start, a renewal that waited in a frozen process reached a worker that had restarted under its id, where its time on the clock of the earlier start grants the longest lease: a run that had begun there unnoticed went on for 1 s from the thaw of its agent. A renewal is now not sent 100 ms after its decision and counts as unanswered.

--- a/dispatch/pathrunner_test.go
+++ b/dispatch/pathrunner_test.go
@@ -154,6 +154,8 @@
 	unanswered := func() { r.core.Renewed(r.path.now, req, worker.Status{}, true) }
 	r.send(&workerCall{
 		kind: callRenewal, timeout: req.Wait + workerCallTimeout,
+		expired: func() bool { return req.Expired(r.path.now) },
+		refused: unanswered,
 		execute: func(w *workerLife, shift time.Duration, c *workerCall) {
 			sent := req
 			if sent.Until > 0 {
--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -192,6 +192,7 @@
 		125: lostAnswersAndCuts, 1827: lostAnswersAndCuts,
 		13038: allDisruptions, 17377: allDisruptions | hangingTasks,
 		294: restartsUnnoticed | lostAnswers,
+		553: restartsUnnoticed | lostAnswers | hangingTasks,
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := playPath(seed, defaultFigures(), set)
--- a/worker/api.go
+++ b/worker/api.go
@@ -95,6 +95,11 @@
 	Born int64
 }
 
+// Expired reports whether the request must not be sent at now, on the core's clock. Like a
+// start, a renewal that waited in a frozen process would extend the lease at a worker that
+// has restarted, and with it the runs there.
+func (r RenewRequest) Expired(now time.Duration) bool { return now >= r.SentAt+maxSendDelay }
+
 // EndKind is the outcome of a run.
 type EndKind string
 
--- a/worker/core.go
+++ b/worker/core.go
@@ -24,7 +24,7 @@
 	// left a start unanswered may still execute it, 2 s later or more; it must refuse it
 	// by then.
 	startValidity = 800 * time.Millisecond
-	// maxSendDelay is the age from which a start is not sent any more. It takes less than a
+	// maxSendDelay is the age from which a start or a renewal is not sent any more. It takes less than a
 	// millisecond unless the process stands still, and meanwhile the worker may restart.
 	maxSendDelay = 100 * time.Millisecond
 	// minRenewRetryDelay is the delay after an unanswered renewal. It doubles up to
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -187,7 +187,12 @@
 	r.loop.Post(func(now time.Duration) { r.core.Stopped(now, req.Run, reply, err != nil) })
 }
 
+// renew sends a renewal, unless the process stood still until it was too late for that.
 func (r *Runner) renew(req RenewRequest) {
+	if req.Expired(r.loop.Now()) {
+		r.loop.Post(func(now time.Duration) { r.core.Renewed(now, req, Status{}, true) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, req.Wait+requestTimeout)
 	defer cancel()
 	st, err := r.client.Renew(ctx, req)
--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -16,6 +16,7 @@
 type fullWorker struct {
 	startTime time.Time
 	expires   map[string]time.Duration // end of a start's validity on the worker's clock, by task
+	renewals  int                      // that have arrived
 }
 
 func (w *fullWorker) clock() time.Duration { return time.Since(w.startTime) }
@@ -28,6 +29,7 @@
 func (w *fullWorker) Stop(context.Context, StopRequest) (StopReply, error) { return StopReply{}, nil }
 
 func (w *fullWorker) Renew(context.Context, RenewRequest) (Status, error) {
+	w.renewals++
 	return Status{Clock: w.clock()}, nil
 }
 
@@ -101,3 +103,31 @@
 		}
 	})
 }
+
+// Guards against a run that goes on for a lost owner: an agent freezes between the decision
+// to renew and the request, its worker restarts, and the renewal extends the lease there
+// when the agent goes on.
+func TestRequestOfARenewalExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
+		r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(wire.Answer) {})
+		defer r.Close()
+		if err := r.WaitOrphansCleared(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		req := RenewRequest{Fence: 8, SentAt: r.loop.Now()}
+		time.Sleep(maxSendDelay - time.Millisecond)
+		before := w.renewals
+		r.renew(req)
+		synctest.Wait()
+		if w.renewals != before+1 {
+			t.Errorf("%d renewals were sent in time, want one", w.renewals-before)
+		}
+		time.Sleep(time.Millisecond)
+		before = w.renewals
+		r.renew(req)
+		if w.renewals != before {
+			t.Errorf("a renewal was sent %v after its decision", maxSendDelay)
+		}
+	})
+}
