--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -37,6 +37,14 @@
 	// lostAnswers are resets of the callers of an entry beside agents that stand still and
 	// workers that leave stops unanswered.
 	lostAnswers
+	// agentsFrozenAtRequests freeze agents that have decided to request a start and have not
+	// sent the request yet.
+	agentsFrozenAtRequests
+	// agentsFrozenAfterStarts freeze agents just after a request of a start has left.
+	agentsFrozenAfterStarts
+	// restartsUnnoticed restart workers under their ids while a start is under way to them,
+	// and freeze their agents before they learn of it.
+	restartsUnnoticed
 
 	allDisruptions = lateGrantsAtUnreached - 1
 )
@@ -124,6 +132,19 @@
 		p.resetCallersOf(p.randomLiveEntry())
 	case lostAnswers:
 		p.loseAnswersOf(p.randomLiveEntry())
+	case agentsFrozenAtRequests:
+		for _, n := range p.randomNodes() {
+			n.freezeAtRequest = p.drawPause(4 * time.Second)
+		}
+	case restartsUnnoticed:
+		for _, n := range p.randomNodes() {
+			n.freezeAfterStart = p.drawPause(4 * time.Second)
+			n.restartAtStart = true
+		}
+	case agentsFrozenAfterStarts:
+		for _, n := range p.randomNodes() {
+			n.freezeAfterStart = p.drawPause(4 * time.Second)
+		}
 	}
 }
 
@@ -179,8 +200,10 @@
 			kinds = append(kinds, kind)
 		}
 	}
-	if d.has(lostAnswers) {
-		kinds = append(kinds, lostAnswers)
+	for _, kind := range []disruptionSet{lostAnswers, agentsFrozenAtRequests, agentsFrozenAfterStarts, restartsUnnoticed} {
+		if d.has(kind) {
+			kinds = append(kinds, kind)
+		}
 	}
 	return kinds
 }
--- a/dispatch/pathrunner_test.go
+++ b/dispatch/pathrunner_test.go
@@ -115,6 +115,10 @@
 	now := func() time.Duration { return r.path.now }
 	r.send(&workerCall{
 		kind: callStart, run: req.Run, timeout: workerCallTimeout,
+		expired: func() bool { return req.Expired(now()) },
+		refused: func() {
+			r.core.Started(now(), req.Run, worker.StartReply{Refused: worker.RefusedExpired}, false)
+		},
 		execute: func(w *workerLife, shift time.Duration, c *workerCall) {
 			req := req
 			req.Until += shift
@@ -150,6 +154,8 @@
 	unanswered := func() { r.core.Renewed(r.path.now, req, worker.Status{}, true) }
 	r.send(&workerCall{
 		kind: callRenewal, timeout: req.Wait + workerCallTimeout,
+		expired: func() bool { return req.Expired(r.path.now) },
+		refused: unanswered,
 		execute: func(w *workerLife, shift time.Duration, c *workerCall) {
 			sent := req
 			if sent.Until > 0 {
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -23,7 +23,13 @@
 	faults     callFaults
 	// freezeAtStart makes the agent freeze for that long when it next starts a task.
 	freezeAtStart time.Duration
-	contact       contact
+	// freezeAtRequest makes the agent freeze for that long before it next sends a start.
+	freezeAtRequest time.Duration
+	// freezeAfterStart makes the agent freeze for that long after it has next sent a start.
+	freezeAfterStart time.Duration
+	// restartAtStart makes the worker restart under its id when the agent next sends a start.
+	restartAtStart bool
+	contact        contact
 }
 
 const (
--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -128,6 +128,11 @@
 		{"slow-workers", 200, slowWorkers},
 		{"failing-stops-and-frozen-agents", 200, failingStops | frozenAgents},
 		{"reborn-workers-and-late-calls", 100, rebornWorkers | lateCalls | lateGrants},
+		{"agents-frozen-at-requests", 200, agentsFrozenAtRequests},
+		{"agents-frozen-at-requests-and-reborn-workers", 400, agentsFrozenAtRequests | rebornWorkers},
+		{"agents-frozen-after-starts", 100, agentsFrozenAfterStarts},
+		{"agents-frozen-after-starts-and-reborn-workers", 200, agentsFrozenAfterStarts | rebornWorkers | lostAnswers},
+		{"unnoticed-restarts", 200, restartsUnnoticed},
 		{"lost-answers", 400, lostAnswers | callsOfFrozenEntries},
 		{"lost-answers-and-cut-agents", 400, lostAnswers | callsOfFrozenEntries | cutAgents},
 	} {
@@ -186,6 +191,8 @@
 		2501: allDisruptions | hangingTasks, 2961: allDisruptions | hangingTasks, 3098: allDisruptions | hangingTasks,
 		125: lostAnswersAndCuts, 1827: lostAnswersAndCuts,
 		13038: allDisruptions, 17377: allDisruptions | hangingTasks,
+		294: restartsUnnoticed | lostAnswers,
+		553: restartsUnnoticed | lostAnswers | hangingTasks,
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := playPath(seed, defaultFigures(), set)
--- a/worker/api.go
+++ b/worker/api.go
@@ -38,8 +38,14 @@
 	// Until is a time on the worker's clock. After it the request is refused; if accepted,
 	// the request extends the lease of all runs until then.
 	Until time.Duration
+	// SendBy is the time on the core's clock from which the request must not be sent. A
+	// worker that has restarted has a new clock, on which Until bounds nothing.
+	SendBy time.Duration
 }
 
+// Expired reports whether the request must not be sent at now, on the core's clock.
+func (r StartRequest) Expired(now time.Duration) bool { return now >= r.SendBy }
+
 // Refusal is the reason why a worker refused a start. A refused run has not started and
 // never will.
 type Refusal string
@@ -89,6 +95,11 @@
 	Born int64
 }
 
+// Expired reports whether the request must not be sent at now, on the core's clock. Like a
+// start, a renewal that waited in a frozen process would extend the lease at a worker that
+// has restarted, and with it the runs there.
+func (r RenewRequest) Expired(now time.Duration) bool { return now >= r.SentAt+maxSendDelay }
+
 // EndKind is the outcome of a run.
 type EndKind string
 
@@ -167,6 +178,7 @@
 	EvidenceAbsent    Evidence = "absent"           // a status doesn't list a run that had started or was stopped
 	EvidenceRefused   Evidence = "start refused"    // the worker or the core has refused the start
 	EvidenceLeased    Evidence = "lease too long"   // the lease in force outlasts the owner's lease by too much
+	EvidenceExpired   Evidence = "start expired"    // the start was not sent while it was valid
 	EvidenceRestarted Evidence = "worker restarted" // another instance of the worker has answered
 	EvidenceFenced    Evidence = "fenced"           // the worker obeys a higher fencing token
 )
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -155,7 +155,16 @@
 	}
 }
 
+// start sends a start, unless the process stood still until it was too late for that.
 func (r *Runner) start(req StartRequest) {
+	if r.ctx.Err() != nil {
+		return
+	}
+	if req.Expired(r.loop.Now()) {
+		r.log("worker: Start expired before it was sent", "task", req.Run.Task, "run", req.Run.Number)
+		r.loop.Post(func(now time.Duration) { r.core.Started(now, req.Run, StartReply{Refused: RefusedExpired}, false) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, requestTimeout)
 	defer cancel()
 	reply, err := r.client.Start(ctx, req)
@@ -178,7 +187,12 @@
 	r.loop.Post(func(now time.Duration) { r.core.Stopped(now, req.Run, reply, err != nil) })
 }
 
+// renew sends a renewal, unless the process stood still until it was too late for that.
 func (r *Runner) renew(req RenewRequest) {
+	if req.Expired(r.loop.Now()) {
+		r.loop.Post(func(now time.Duration) { r.core.Renewed(now, req, Status{}, true) })
+		return
+	}
 	ctx, cancel := context.WithTimeout(r.ctx, req.Wait+requestTimeout)
 	defer cancel()
 	st, err := r.client.Renew(ctx, req)
--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -15,6 +16,7 @@
 type fullWorker struct {
 	startTime time.Time
 	expires   map[string]time.Duration // end of a start's validity on the worker's clock, by task
+	renewals  int                      // that have arrived
 }
 
 func (w *fullWorker) clock() time.Duration { return time.Since(w.startTime) }
@@ -27,6 +29,7 @@
 func (w *fullWorker) Stop(context.Context, StopRequest) (StopReply, error) { return StopReply{}, nil }
 
 func (w *fullWorker) Renew(context.Context, RenewRequest) (Status, error) {
+	w.renewals++
 	return Status{Clock: w.clock()}, nil
 }
 
@@ -57,3 +60,74 @@
 		}
 	})
 }
+
+// Guards against two overlapping runs of a task: an agent freezes between the decision to
+// request a start and the request, its worker restarts, and the start is sent when the
+// agent goes on.
+func TestRequestOfAStartExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const wait = 2 * time.Second
+		w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
+		answers := make(chan wire.Answer, 1)
+		r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(a wire.Answer) { answers <- a })
+		defer r.Close()
+		if err := r.WaitOrphansCleared(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		var req StartRequest
+		r.loop.Call(func(now time.Duration) {
+			r.core.Run(now, wire.Start{Key: ids.RequestOf(1, 1), Try: 1, Name: "task"}, 0)
+			req = r.core.Tick(now).Start[0]
+		})
+		time.Sleep(wait)
+		r.start(req)
+		synctest.Wait()
+		if _, sent := w.expires["task"]; sent {
+			t.Errorf("a start was sent %v after its decision, %v are allowed", wait, maxSendDelay)
+		}
+		if a := <-answers; a.Verdict != verdict.NotRun {
+			t.Errorf("the start was answered with %v, want %v", a.Verdict, verdict.NotRun)
+		}
+	})
+}
+
+// Guards against a start that is sent for an incarnation of the agent that has ended.
+func TestClosedRunnerSendsNoStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
+		r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(wire.Answer) {})
+		r.Close()
+		r.start(StartRequest{Run: RunID{Task: "task", Number: 1}, Until: time.Second, SendBy: r.loop.Now() + time.Second})
+		if len(w.expires) != 0 {
+			t.Error("a start was sent after Close")
+		}
+	})
+}
+
+// Guards against a run that goes on for a lost owner: an agent freezes between the decision
+// to renew and the request, its worker restarts, and the renewal extends the lease there
+// when the agent goes on.
+func TestRequestOfARenewalExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
+		r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(wire.Answer) {})
+		defer r.Close()
+		if err := r.WaitOrphansCleared(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		req := RenewRequest{Fence: 8, SentAt: r.loop.Now()}
+		time.Sleep(maxSendDelay - time.Millisecond)
+		before := w.renewals
+		r.renew(req)
+		synctest.Wait()
+		if w.renewals != before+1 {
+			t.Errorf("%d renewals were sent in time, want one", w.renewals-before)
+		}
+		time.Sleep(time.Millisecond)
+		before = w.renewals
+		r.renew(req)
+		if w.renewals != before {
+			t.Errorf("a renewal was sent %v after its decision", maxSendDelay)
+		}
+	})
+}
