control, controlstate: make and pack patches outside the event loop

Each submission built a map of all settings in the loop, each change a sorted copy, and each proposal was packed there.

The settings are now a table in order of the keys whose content never changes, so that differences are made outside the loop by one pass over two lists. The node that makes a patch packs it once (PatchChanges.Pack).

--- a/control/configuration.go
+++ b/control/configuration.go
@@ -31,42 +31,35 @@
 		return wire.ApplyReply{Err: e}, nil
 	}
 	for {
-		d, err := runInLoop(ctx, n, func(c *core) configDiff { return c.diffConfig(a) })
+		held, err := n.heldConfig(ctx)
 		if err != nil {
 			return wire.ApplyReply{}, err
 		}
-		if d.inForce {
-			return d.reply, nil
+		if a.Revision <= held.source.Revision {
+			return held.reply, nil
 		}
-		controlstate.SetSource(&d.patch, d.baseText, a.Source)
-		r, err := n.client.Patch(ctx, d.patch)
+		p := held.source.Patch(a)
+		r, err := n.client.Patch(ctx, p)
 		if err != nil || r.Err == nil || r.Err.Reason != verdict.VersionConflict {
 			return r, err
 		}
 		klog.InfoS("control: Configuration made from an outdated one", "revision", a.Revision,
-			"baseVersion", d.patch.Base.ConfigVer, "version", r.ConfigVer)
+			"base", p.Base, "inForce", r.Revision, "index", r.Index)
 		if err := n.awaitIndex(ctx, uint64(r.Index)); err != nil {
 			return wire.ApplyReply{}, err
 		}
 	}
 }
 
-// configDiff is a patch to a new configuration, without the differences of the source
-// texts.
-type configDiff struct {
-	patch    wire.Patch
-	baseText []byte
-	// inForce is set if the configuration in force has the revision or a higher one.
-	inForce bool
-	reply   wire.ApplyReply
+// heldConfig is the configuration in the tables of a node, and the reply to a revision
+// that is not above it.
+type heldConfig struct {
+	source controlstate.ConfigSource
+	reply  wire.ApplyReply
 }
 
-func (c *core) diffConfig(a wire.Apply) configDiff {
-	base := c.state.ConfigSource()
-	if a.Revision <= base.Revision {
-		return configDiff{inForce: true, reply: c.state.ConfigReply()}
-	}
-	return configDiff{patch: c.state.DiffSettings(a), baseText: base.Text}
+func (n *Node) heldConfig(ctx context.Context) (heldConfig, error) {
+	return runInLoop(ctx, n, func(c *core) heldConfig { return heldConfig{c.state.ConfigSource(), c.state.ConfigReply()} })
 }
 
 // awaitIndex waits until the tables of this node are complete up to a log index.
@@ -130,14 +123,15 @@
 	if err != nil {
 		return controlstate.ConfigSource{}, err
 	}
-	held, err := n.configSource(ctx)
-	if err != nil || held.ConfigID == r.ConfigID {
-		return held, err
+	held, err := n.heldConfig(ctx)
+	if err != nil || held.source.ConfigID == r.ConfigID {
+		return held.source, err
 	}
 	wait, cancel := context.WithTimeout(ctx, catchUpTimeout)
 	defer cancel()
 	if n.awaitIndex(wait, uint64(r.Index)) == nil {
-		return n.configSource(ctx)
+		held, err = n.heldConfig(ctx)
+		return held.source, err
 	}
 	if r, err = n.client.Confirm(ctx, wire.Confirm{WithSource: true}); err != nil {
 		return controlstate.ConfigSource{}, err
@@ -145,11 +139,6 @@
 	return controlstate.ConfigSource{ConfigID: r.ConfigID, Revision: r.Revision, Text: r.Source}, nil
 }
 
-// configSource returns the operator's text in the tables of this node.
-func (n *Node) configSource(ctx context.Context) (controlstate.ConfigSource, error) {
-	return runInLoop(ctx, n, func(c *core) controlstate.ConfigSource { return c.state.ConfigSource() })
-}
-
 func (n *Node) serveConfirm(ctx context.Context, _ *rpc.Conn, p wire.Confirm) (wire.ConfirmReply, error) {
 	var out wire.ConfirmReply
 	_, err := n.await(ctx, func(c *core, reply func(controlstate.Result, *verdict.Error)) {
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -55,8 +55,7 @@
 	return o
 }
 
-// Daemon is a running control node. It queries its own node over the network
-// listener, as any other process does.
+// Daemon is a running control node with its HTTP pages.
 type Daemon struct {
 	*control.Node
 	sec rpc.Security
--- a/control/submission.go
+++ b/control/submission.go
@@ -8,7 +8,6 @@
 
 	"k8s.io/klog/v2"
 
-	"github.com/baobabshore/baobabshore/controlstate"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -45,7 +44,7 @@
 // a configuration which takes longer than the operator waits is not started anew each
 // time. A text that can't be decoded is refused in ApplyReply.Err.
 func (n *Node) SubmitConfiguration(ctx context.Context, source []byte, decode SourceDecoder) (wire.ApplyReply, error) {
-	held, err := runInLoop(ctx, n, func(c *core) heldConfig { return heldConfig{c.state.ConfigSource(), c.state.ConfigReply()} })
+	held, err := n.heldConfig(ctx)
 	if err != nil {
 		return wire.ApplyReply{}, err
 	}
@@ -64,13 +63,6 @@
 	}
 }
 
-// heldConfig is the configuration in the tables of a node, and the reply to a revision
-// that is not above it.
-type heldConfig struct {
-	source controlstate.ConfigSource
-	reply  wire.ApplyReply
-}
-
 // joinSubmission returns the submission of a text, which it starts if there is none.
 func (n *Node) joinSubmission(source []byte, decode SourceDecoder) (*submission, error) {
 	n.submissions.mu.Lock()
--- a/controlstate/changes.go
+++ b/controlstate/changes.go
@@ -123,7 +123,7 @@
 
 func (s *State) wholeView(row *memberRow) wire.Changes {
 	c := wire.Changes{ConfigVer: s.config.version}
-	for _, p := range s.config.sortedPairs() {
+	for _, p := range s.config.pairs.rows {
 		if row.seesSetting(p.Key) {
 			c.Config = append(c.Config, p.Pair)
 		}
@@ -198,7 +198,7 @@
 		if !row.seesSetting(k) {
 			continue
 		}
-		if p, ok := s.config.pairs[k]; ok {
+		if p, ok := s.config.pairs.find(k); ok {
 			c.Config = append(c.Config, p.Pair)
 		} else {
 			c.RemovedKeys = append(c.RemovedKeys, k)
--- a/controlstate/command.go
+++ b/controlstate/command.go
@@ -12,6 +12,8 @@
 import (
 	"encoding/json"
 
+	"github.com/go-faster/errors"
+
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
@@ -54,11 +56,17 @@
 // Encode returns the command as JSON, which Decode reads.
 func (c Command) Encode() ([]byte, error) { return json.Marshal(c) }
 
-// Decode decodes a command from a log record.
+// Decode decodes a command from a log record. It returns an error for a command of a kind
+// that this version doesn't know.
 func Decode(data []byte) (Command, error) {
 	var c Command
-	err := json.Unmarshal(data, &c)
-	return c, err
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, err
+	}
+	if c == (Command{Time: c.Time}) {
+		return c, errors.New("unknown command")
+	}
+	return c, nil
 }
 
 // Result is the reply to the proposer of a command. Err is set if the command was
--- a/controlstate/config.go
+++ b/controlstate/config.go
@@ -1,7 +1,6 @@
 package controlstate
 
 import (
-	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -18,12 +17,12 @@
 	// maxSettings and maxSettingsBytes limit the settings of a configuration, and
 	// MaxSourceBytes the operator's text of it. Each control node and entry holds them in
 	// memory: about 200 bytes for each setting.
-	maxSettings      = 100_000
+	maxSettings      = 60_000
 	maxSettingsBytes = 8 << 20
 	// MaxSourceBytes limits the source text of the operator, which is stored with the
 	// settings.
 	MaxSourceBytes = 2 << 20
-	maxPairBytes   = 4 << 10
+	maxPairBytes   = 64 << 10
 	maxIDBytes     = 128
 	// commandRetention is how long the answer to an operator's command is kept, so
 	// that a repeated command gets the same answer.
@@ -45,12 +44,8 @@
 	version   uint64
 	commandID string // of the command that made the version
 	appliedBy string
-	pairs     map[string]wire.SourcePair
-	size      int // of the keys and values in pairs, in bytes
-	// sorted holds the settings in order of their keys, nil if they have changed since it
-	// was made.
-	sorted []wire.SourcePair
-	limits limits
+	pairs     pairTable
+	limits    limits
 	// revision and source are the operator's revision number and source text of the
 	// configuration. They are zero and empty if the command had none. The content of
 	// source never changes.
@@ -60,7 +55,7 @@
 }
 
 func newConfigTable() configTable {
-	return configTable{pairs: map[string]wire.SourcePair{}, limits: defaultLimits(), sourceHash: xxhash.Sum64(nil)}
+	return configTable{pairs: pairTable{rows: []wire.SourcePair{}}, limits: defaultLimits(), sourceHash: xxhash.Sum64(nil)}
 }
 
 func defaultLimits() limits {
@@ -73,18 +68,6 @@
 	}
 }
 
-// sortedPairs returns the settings in order of their keys. The caller must not change
-// them.
-func (t *configTable) sortedPairs() []wire.SourcePair {
-	if t.sorted == nil {
-		t.sorted = make([]wire.SourcePair, 0, len(t.pairs))
-		for _, k := range slices.Sorted(maps.Keys(t.pairs)) {
-			t.sorted = append(t.sorted, t.pairs[k])
-		}
-	}
-	return t.sorted
-}
-
 func (t *configTable) setSource(revision uint64, source []byte) {
 	t.revision, t.source, t.sourceHash = revision, source, xxhash.Sum64(source)
 }
@@ -96,62 +79,30 @@
 // replace replaces the whole configuration and returns the keys that changed. The
 // version stays the same if nothing changed.
 func (t *configTable) replace(a wire.Apply, l limits) []string {
-	set, removed := t.diff(a.Pairs)
+	set, removed := t.pairs.diff(sortedPairs(a.Pairs))
 	t.limits = l
 	return t.change(set, removed, a.CommandID, a.By)
 }
 
-// diff returns the settings that have to be set and removed to get the given ones, both in
-// order of their keys.
-func (t *configTable) diff(pairs []wire.Pair) (set []wire.Pair, removed []string) {
-	wanted := make(map[string]bool, len(pairs))
-	for _, p := range pairs {
-		wanted[p.Key] = true
-		if old, ok := t.pairs[p.Key]; !ok || old.Value != p.Value {
-			set = append(set, p)
-		}
-	}
-	for k := range t.pairs {
-		if !wanted[k] {
-			removed = append(removed, k)
-		}
-	}
-	slices.SortFunc(set, func(a, b wire.Pair) int { return strings.Compare(a.Key, b.Key) })
-	slices.Sort(removed)
-	return set, removed
-}
-
-// change sets and removes settings and returns their keys in order. The version stays
-// the same if there are none.
+// change sets and removes settings, both in order of their keys, and returns these keys in
+// order. The version stays the same if there are none.
 func (t *configTable) change(set []wire.Pair, removed []string, commandID, by string) []string {
 	if len(set) == 0 && len(removed) == 0 {
 		return nil
 	}
 	t.version++
-	t.commandID, t.appliedBy, t.sorted = commandID, by, nil
+	t.commandID, t.appliedBy = commandID, by
 	keys := slices.Clone(removed)
-	for _, k := range removed {
-		t.size -= pairSize(t.pairs[k].Pair)
-		delete(t.pairs, k)
-	}
+	rows := make([]wire.SourcePair, 0, len(set))
 	for _, p := range set {
-		t.put(wire.SourcePair{Pair: p, ConfigVer: t.version, CommandID: commandID, By: by})
+		rows = append(rows, wire.SourcePair{Pair: p, ConfigVer: t.version, CommandID: commandID, By: by})
 		keys = append(keys, p.Key)
 	}
+	t.pairs = t.pairs.changed(rows, removed)
 	slices.Sort(keys)
 	return keys
 }
 
-func (t *configTable) put(p wire.SourcePair) {
-	if old, ok := t.pairs[p.Key]; ok {
-		t.size -= pairSize(old.Pair)
-	}
-	t.pairs[p.Key] = p
-	t.size += pairSize(p.Pair)
-}
-
-func pairSize(p wire.Pair) int { return len(p.Key) + len(p.Value) }
-
 // checkPairs validates a configuration and returns the limits that it sets.
 func checkPairs(pairs []wire.Pair) (limits, *verdict.Error) {
 	l := defaultLimits()
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -45,7 +45,7 @@
 	out := snapshot{
 		Index: s.index, Now: s.now,
 		ConfigVer: s.config.version, Command: s.config.commandID, By: s.config.appliedBy,
-		Pairs: s.config.sortedPairs(), Commands: slices.Clone(s.commands.order),
+		Pairs: s.config.pairs.rows, Commands: slices.Clone(s.commands.order),
 		Revision: s.config.revision, Source: s.config.source,
 		KeyFloor: s.jobs.keyFloor, LogFloor: s.changes.floor, Log: slices.Clone(s.changes.records),
 	}
@@ -137,13 +137,13 @@
 func (s *State) restoreConfig(in snapshot) error {
 	pairs := make([]wire.Pair, 0, len(in.Pairs))
 	for _, p := range in.Pairs {
-		s.config.put(p)
 		pairs = append(pairs, p.Pair)
 	}
 	l, e := checkPairs(pairs)
 	if e != nil {
 		return errors.Wrap(e, "control state snapshot")
 	}
+	s.config.pairs = pairTable{}.changed(in.Pairs, nil)
 	s.config.version, s.config.commandID, s.config.appliedBy, s.config.limits = in.ConfigVer, in.Command, in.By, l
 	s.config.setSource(in.Revision, in.Source)
 	return nil
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -91,7 +91,7 @@
 	return wire.GetReply{
 		ConfigVer: s.config.version,
 		CommandID: s.config.commandID,
-		Pairs:     s.config.sortedPairs(),
+		Pairs:     s.config.pairs.rows,
 		Revision:  s.config.revision,
 		Source:    s.config.source,
 	}
--- a/wire/control.go
+++ b/wire/control.go
@@ -154,13 +154,12 @@
 	Revision uint64 `json:"rev"`
 	// Base is the configuration from which the differences lead to the new one. The
 	// patch is refused with reason version-conflict if another one is in force.
-	Base    ConfigID `json:"base"`
-	Set     Pairs    `json:"set,omitempty"`
-	Removed Keys     `json:"del,omitempty"`
-	// Source holds the differences between the source texts, as delta.Make returns them.
-	Source Text `json:"src,omitempty"`
+	Base ConfigID `json:"base"`
 	// SourceHash is the xxHash64 of the new source text.
 	SourceHash uint64 `json:"hash"`
+	// Changes is the result of PatchChanges.Pack. It is packed once, by the node that makes
+	// the patch.
+	Changes []byte `json:"c"`
 }
 
 // Same reports whether two patches lead to the same configuration from the same base.
@@ -181,6 +180,15 @@
 	Revision         uint64         `json:"rev,omitempty"`    // revision in force after the command
 }
 
+// PatchChanges are the differences between two configurations. Set and Removed are in
+// order of their keys.
+type PatchChanges struct {
+	Set     []Pair
+	Removed []string
+	// Source holds the differences between the source texts, as delta.Make returns them.
+	Source []byte
+}
+
 // Confirm asks the leader for the configuration in force at the arrival of the call or
 // later.
 type Confirm struct {
--- a/wire/packed.go
+++ b/wire/packed.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -29,12 +30,7 @@
 	if len(p) < packFrom {
 		return json.Marshal([]Pair(p))
 	}
-	var raw []byte
-	for _, pair := range p {
-		raw = appendString(raw, pair.Key)
-		raw = appendString(raw, pair.Value)
-	}
-	return json.Marshal(deflate(raw))
+	return json.Marshal(deflate(appendPairs(nil, p)))
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -49,10 +45,7 @@
 	if len(list)%2 != 0 {
 		return errMalformedPack
 	}
-	*p = make(Pairs, 0, len(list)/2)
-	for i := 0; i < len(list); i += 2 {
-		*p = append(*p, Pair{Key: list[i], Value: list[i+1]})
-	}
+	*p = pairsOf(list)
 	return nil
 }
 
@@ -64,11 +57,7 @@
 	if len(k) < packFrom {
 		return json.Marshal([]string(k))
 	}
-	var raw []byte
-	for _, key := range k {
-		raw = appendString(raw, key)
-	}
-	return json.Marshal(deflate(raw))
+	return json.Marshal(deflate(appendStrings(nil, k)))
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
@@ -100,13 +89,45 @@
 	return err
 }
 
-// deflate returns data in compressed form.
-func deflate(data []byte) []byte {
-	var b bytes.Buffer
-	w, err := flate.NewWriter(&b, flate.BestSpeed)
+// Pack returns the changes in compressed form, which UnpackChanges reads.
+func (c PatchChanges) Pack() []byte {
+	raw := binary.AppendUvarint(nil, uint64(len(c.Set)))
+	raw = appendPairs(raw, c.Set)
+	raw = binary.AppendUvarint(raw, uint64(len(c.Removed)))
+	raw = appendStrings(raw, c.Removed)
+	return deflate(append(raw, c.Source...))
+}
+
+// UnpackChanges reads the result of PatchChanges.Pack.
+func UnpackChanges(packed []byte) (PatchChanges, error) {
+	raw, err := inflate(packed)
+	if err != nil {
+		return PatchChanges{}, err
+	}
+	r := stringReader{raw: raw}
+	set := r.list(2)
+	removed := r.list(1)
+	if r.malformed {
+		return PatchChanges{}, errMalformedPack
+	}
+	return PatchChanges{Set: pairsOf(set), Removed: removed, Source: r.raw}, nil
+}
+
+// compressors holds compressors for reuse, since a new one takes more than a megabyte.
+var compressors = sync.Pool{New: func() any {
+	w, err := flate.NewWriter(nil, flate.BestSpeed)
 	if err != nil {
 		panic(err) // the level is valid
 	}
+	return w
+}}
+
+// deflate returns data in compressed form.
+func deflate(data []byte) []byte {
+	var b bytes.Buffer
+	w := compressors.Get().(*flate.Writer)
+	defer compressors.Put(w)
+	w.Reset(&b)
 	// A write to a buffer never fails.
 	_, _ = w.Write(data)
 	_ = w.Close()
@@ -132,6 +153,76 @@
 	return append(b, s...)
 }
 
+func appendStrings(b []byte, list []string) []byte {
+	for _, s := range list {
+		b = appendString(b, s)
+	}
+	return b
+}
+
+func appendPairs(b []byte, pairs []Pair) []byte {
+	for _, p := range pairs {
+		b = appendString(b, p.Key)
+		b = appendString(b, p.Value)
+	}
+	return b
+}
+
+// pairsOf returns the settings of a list of alternating keys and values.
+func pairsOf(list []string) []Pair {
+	pairs := make([]Pair, 0, len(list)/2)
+	for i := 0; i < len(list); i += 2 {
+		pairs = append(pairs, Pair{Key: list[i], Value: list[i+1]})
+	}
+	return pairs
+}
+
+// stringReader reads a sequence of strings. After malformed bytes it returns nothing.
+type stringReader struct {
+	raw       []byte
+	malformed bool
+}
+
+func (r *stringReader) uvarint() uint64 {
+	n, size := binary.Uvarint(r.raw)
+	if size <= 0 {
+		r.malformed = true
+		return 0
+	}
+	r.raw = r.raw[size:]
+	return n
+}
+
+func (r *stringReader) string() string {
+	n := r.uvarint()
+	if r.malformed || n > uint64(len(r.raw)) {
+		r.malformed = true
+		return ""
+	}
+	s := string(r.raw[:n])
+	r.raw = r.raw[n:]
+	return s
+}
+
+// list reads the number of elements and then that many elements of width strings each.
+func (r *stringReader) list(width int) []string {
+	count := r.uvarint()
+	if count > uint64(len(r.raw)) { // a string takes at least a byte
+		r.malformed = true
+		return nil
+	}
+	var out []string
+	for range count {
+		for range width {
+			out = append(out, r.string())
+		}
+		if r.malformed {
+			return nil
+		}
+	}
+	return out
+}
+
 // unpackStrings decodes a JSON string that holds a compressed list of strings.
 func unpackStrings(data []byte) ([]string, error) {
 	var packed []byte
@@ -142,14 +233,13 @@
 	if err != nil {
 		return nil, err
 	}
+	r := stringReader{raw: raw}
 	var out []string
-	for len(raw) > 0 {
-		n, size := binary.Uvarint(raw)
-		if size <= 0 || n > uint64(len(raw)-size) {
+	for len(r.raw) > 0 {
+		out = append(out, r.string())
+		if r.malformed {
 			return nil, errMalformedPack
 		}
-		out = append(out, string(raw[size:size+int(n)]))
-		raw = raw[size+int(n):]
 	}
 	return out, nil
 }
--- a/wire/packed_test.go
+++ b/wire/packed_test.go
@@ -37,6 +37,31 @@
 	})
 }
 
+// Guards against changes that differ after packing.
+func TestPackedChangesRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := rapid.String()
+		sent := PatchChanges{Set: []Pair{}, Source: []byte(s.Draw(t, "text"))}
+		for range rapid.IntRange(0, 3).Draw(t, "set") {
+			sent.Set = append(sent.Set, Pair{Key: s.Draw(t, "key"), Value: s.Draw(t, "value")})
+		}
+		for range rapid.IntRange(0, 3).Draw(t, "removed") {
+			sent.Removed = append(sent.Removed, s.Draw(t, "name"))
+		}
+		received, err := UnpackChanges(sent.Pack())
+		if err != nil || !reflect.DeepEqual(sent, received) {
+			t.Fatalf("sent %+v, received %+v, %v", sent, received, err)
+		}
+	})
+}
+
+// Guards against malformed changes that crash their reader or exhaust its memory.
+func FuzzUnpackChanges(f *testing.F) {
+	f.Add(PatchChanges{Set: []Pair{{Key: "k", Value: "v"}}, Removed: []string{"r"}, Source: []byte("s")}.Pack())
+	f.Add(deflate([]byte{0xff, 0xff, 0xff, 0xff, 0x0f}))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = UnpackChanges(data) })
+}
+
 // Guards against a malformed packed value that crashes its reader.
 func FuzzPackedPairs(f *testing.F) {
 	valid, err := json.Marshal(make(Pairs, packFrom))
