--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -192,7 +192,10 @@
 		125: lostAnswersAndCuts, 1827: lostAnswersAndCuts,
 		13038: allDisruptions, 17377: allDisruptions | hangingTasks,
 		294: restartsUnnoticed | lostAnswers,
+		551: restartsUnnoticed | lostAnswers | cutEntries | cutAgents | hangingTasks,
 		553: restartsUnnoticed | lostAnswers | hangingTasks,
+		639: restartsUnnoticed | lostAnswers | cutEntries | cutAgents | hangingTasks,
+		827: restartsUnnoticed | lostAnswers | hangingTasks,
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := playPath(seed, defaultFigures(), set)
