worker: test both lengths of a freeze between the handover and the start

TestStartHandedOverBeforeAFreezeExpires had become empty: after its freeze of 3 s the start is not sent any more. It now checks that, and the former bound after a freeze of 100 ms.

--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -36,29 +36,40 @@
 func (w *fullWorker) Close() {}
 
 // Guards against two overlapping runs of a task: an agent freezes between the check of an
-// entry's lease and the request to the worker, and starts the task when it goes on.
+// entry's lease and the request to the worker, and starts the task when it goes on. After a
+// long freeze the start is not sent; after a short one its validity counts from the handover.
 func TestStartHandedOverBeforeAFreezeExpires(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		const freeze = 3 * time.Second
-		w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
-		r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(a wire.Answer) {
-			if a.Key.Index == 1 {
-				time.Sleep(freeze) // the loop's goroutine stands still
-			}
+	for _, freeze := range []time.Duration{maxSendDelay, 3 * time.Second} {
+		t.Run(freeze.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { checkStartAfterFreeze(t, freeze) })
 		})
-		if err := r.WaitOrphansCleared(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		r.Run(wire.Start{Key: ids.RequestOf(1, 1), Try: 1, Name: "first"}, 0)
-		time.Sleep(freeze / 2)
-		handedOverAt := w.clock()
-		r.Run(wire.Start{Key: ids.RequestOf(1, 2), Try: 1, Name: "second"}, 0)
-		time.Sleep(freeze)
-		r.Close()
-		if late := w.expires["second"] - handedOverAt; late > startValidity {
-			t.Errorf("the start may be executed %v after it was handed over, want %v at most", late, startValidity)
+	}
+}
+
+// checkStartAfterFreeze hands a start over in the middle of a freeze.
+func checkStartAfterFreeze(t *testing.T, freeze time.Duration) {
+	w := &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}
+	r := NewRunner(Config{Fence: 7, Lease: time.Second}, w, clock.NewStopwatch(), func(a wire.Answer) {
+		if a.Key.Index == 1 {
+			time.Sleep(freeze) // the loop's goroutine stands still
 		}
 	})
+	if err := r.WaitOrphansCleared(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	r.Run(wire.Start{Key: ids.RequestOf(1, 1), Try: 1, Name: "first"}, 0)
+	time.Sleep(freeze / 2)
+	handedOverAt := w.clock()
+	r.Run(wire.Start{Key: ids.RequestOf(1, 2), Try: 1, Name: "second"}, 0)
+	time.Sleep(freeze)
+	r.Close()
+	expires, sent := w.expires["second"]
+	if wait := freeze / 2; sent != (wait < maxSendDelay) {
+		t.Errorf("sent %v after %v", sent, wait)
+	}
+	if late := expires - handedOverAt; late > startValidity {
+		t.Errorf("the start may be executed %v after it was handed over, want %v at most", late, startValidity)
+	}
 }
 
 // Guards against two overlapping runs of a task: an agent freezes between the decision to
