--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -155,6 +155,12 @@
 	checkPath(t, *pathSeeds, allDisruptions|lostAnswers)
 }
 
+// Guards against overlaps when agents freeze just before and after their requests of starts,
+// under all disruptions and lost answers.
+func TestWorkerPathMixWithFrozenRequests(t *testing.T) {
+	checkPath(t, *pathSeeds, allDisruptions|lostAnswers|agentsFrozenAtRequests|agentsFrozenAfterStarts)
+}
+
 // Guards against overlaps when callers lose their answers and repeat their batches beside
 // each pair of disruptions.
 func TestWorkerPathPairsOfDisruptions(t *testing.T) {
--- a/worker/fence_test.go
+++ b/worker/fence_test.go
@@ -45,3 +45,18 @@
 		t.Error("a worker that obeys another owner is taken for one that has seen a later token of this owner")
 	}
 }
+
+// Guards against a start that is sent again without a bound, after a later request of this
+// owner has overtaken it: the worker may have restarted meanwhile.
+func TestOvertakenStartKeepsTheBoundOfItsHandover(t *testing.T) {
+	for _, wait := range []time.Duration{maxSendDelay - time.Millisecond, maxSendDelay} {
+		c := New(0, Config{Fence: 7, Lease: time.Second, Clock: time.Hour})
+		c.Run(0, startOf(1, "task"), 0)
+		out := c.Tick(0)
+		c.Renewed(0, *out.Renew, Status{}, true)
+		c.Started(wait, out.Start[0].Run, StartReply{Refused: RefusedFenced}, false)
+		if sent := len(c.Tick(wait).Start) == 1; sent != (wait < maxSendDelay) {
+			t.Errorf("sent again after %v: %v", wait, sent)
+		}
+	}
+}
