--- a/worker/core.go
+++ b/worker/core.go
@@ -24,8 +24,9 @@
 	// left a start unanswered may still execute it, 2 s later or more; it must refuse it
 	// by then.
 	startValidity = 800 * time.Millisecond
-	// maxSendDelay is the age from which a start or a renewal is not sent any more. It takes less than a
-	// millisecond unless the process stands still, and meanwhile the worker may restart.
+	// maxSendDelay is the age from which a start or a renewal is not sent any more. Sending
+	// takes less than a millisecond unless the process stands still, and meanwhile the
+	// worker may restart.
 	maxSendDelay = 100 * time.Millisecond
 	// minRenewRetryDelay is the delay after an unanswered renewal. It doubles up to
 	// maxRenewRetryDelay until one is answered, to save requests to a worker that is down.
