--- a/dispatch/workerpath_run_test.go
+++ b/dispatch/workerpath_run_test.go
@@ -155,6 +155,12 @@
 	checkPath(t, *pathSeeds, allDisruptions|lostAnswers)
 }
 
+// Guards against overlaps when agents freeze just before and after their requests of starts,
+// under all disruptions and lost answers.
+func TestWorkerPathMixWithFrozenRequests(t *testing.T) {
+	checkPath(t, *pathSeeds, allDisruptions|lostAnswers|agentsFrozenAtRequests|agentsFrozenAfterStarts)
+}
+
 // Guards against overlaps when callers lose their answers and repeat their batches beside
 // each pair of disruptions.
 func TestWorkerPathPairsOfDisruptions(t *testing.T) {
@@ -192,7 +198,10 @@
 		125: lostAnswersAndCuts, 1827: lostAnswersAndCuts,
 		13038: allDisruptions, 17377: allDisruptions | hangingTasks,
 		294: restartsUnnoticed | lostAnswers,
+		551: restartsUnnoticed | lostAnswers | cutEntries | cutAgents | hangingTasks,
 		553: restartsUnnoticed | lostAnswers | hangingTasks,
+		639: restartsUnnoticed | lostAnswers | cutEntries | cutAgents | hangingTasks,
+		827: restartsUnnoticed | lostAnswers | hangingTasks,
 	} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			p := playPath(seed, defaultFigures(), set)
