worker, platform: send requests only to the start of the worker they were meant for

Callers that repeat a batch got its task run twice at the same time: a worker restarts under its id as a start leaves for it, and its agent freezes. The new start of the worker accepts the request and grants its longest lease, since the time in it is on the clock of the earlier start, and nobody is left to stop the run before the repeat runs elsewhere.

Cause: a request carried the id of the worker, and the id outlives the process. The fencing token, the clock, the cursor and the stops that a worker has acknowledged end with the process. Each had a guard of its own, and the start had none.

A TCP connection ends with the process that accepted it. Another start, or another owner, is a refusal of a request that was never written. worker.Core no longer knows of several starts of a worker: when one is refused as replaced, the process has ended and with it all runs and requests. The guards of before (adoptRestart, earlierStarts, ignoreStopAck, the start that a cursor belongs to) are gone.

The emulator of the worker path models connections, and can still send requests to whichever start is there:

In the model of worker.Core and in the emulator, a request that was sent to a process that has ended is lost with it, as its connection is.

--- a/dispatch/workerpath_test.go
+++ b/dispatch/workerpath_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -14,12 +15,16 @@
 // with their worker.Core, and workers. It checks that no two runs of a task overlap.
 type pathSimulation struct {
 	*batchSimulation
-	disruptions  disruptionSet
-	clockSlack   float64 // of the workers' clocks
-	nodes        []*workerNode
-	links        map[linkID]*pathLink
-	viewVersions map[ids.Incarnation]ids.Version // by entry
-	hangShare    float64                         // of the tasks
+	disruptions disruptionSet
+	clockSlack  float64 // of the workers' clocks
+	connRng     *rand.Rand
+	// unverifiedConnections lets requests reach whichever start of the worker is there when
+	// they arrive.
+	unverifiedConnections bool
+	nodes                 []*workerNode
+	links                 map[linkID]*pathLink
+	viewVersions          map[ids.Incarnation]ids.Version // by entry
+	hangShare             float64                         // of the tasks
 
 	active   map[string][]*workerRun // runs that have not ended, by task
 	runCount int
@@ -37,6 +42,7 @@
 }
 
 const (
+	connStream        = 4 // of the random numbers of a seed
 	defaultClockSlack = 0.02
 	agentLease        = wire.AgentLease
 	entryLease        = wire.EntryLease
@@ -45,7 +51,8 @@
 func newPathSimulation(seed uint64, figures platformFigures, d disruptionSet) *pathSimulation {
 	p := &pathSimulation{
 		batchSimulation: newEmptyBatchSimulation(seed, 0), disruptions: d, clockSlack: defaultClockSlack,
-		links: map[linkID]*pathLink{}, viewVersions: map[ids.Incarnation]ids.Version{}, active: map[string][]*workerRun{},
+		connRng: rand.New(rand.NewPCG(seed, connStream)),
+		links:   map[linkID]*pathLink{}, viewVersions: map[ids.Incarnation]ids.Version{}, active: map[string][]*workerRun{},
 	}
 	p.figures, p.cfg.Leases = figures, figures.leases
 	p.carry = p.carryMessage
--- a/worker/api.go
+++ b/worker/api.go
@@ -38,8 +38,7 @@
 	// Until is a time on the worker's clock. After it the request is refused; if accepted,
 	// the request extends the lease of all runs until then.
 	Until time.Duration
-	// SendBy is the time on the core's clock from which the request must not be sent. A
-	// worker that has restarted has a new clock, on which Until bounds nothing.
+	// SendBy is the time on the core's clock from which the request must not be sent.
 	SendBy time.Duration
 }
 
@@ -58,7 +57,7 @@
 	RefusedFull       Refusal = "full"       // the task doesn't fit into the free capacity
 	RefusedUnhealthy  Refusal = "unhealthy"  // the worker accepts no tasks at present
 	RefusedInvalid    Refusal = "invalid"    // the worker can't parse the request
-	RefusedReplaced   Refusal = "replaced"   // another instance of the worker answered
+	RefusedReplaced   Refusal = "replaced"   // the process has ended: another start of the worker, or another worker, has its address
 )
 
 // StartReply is the reply to a StartRequest.
@@ -76,7 +75,7 @@
 
 // StopReply is the reply to a StopRequest.
 type StopReply struct {
-	Refused Refusal // RefusedFenced, or empty if the run is being stopped or is over
+	Refused Refusal // RefusedFenced, RefusedReplaced, or empty if the run is being stopped or is over
 }
 
 // RenewRequest extends the lease of all runs on a worker, acknowledges ends, and requests
@@ -91,13 +90,9 @@
 	Wait time.Duration
 	// SentAt is when the request was made, on the core's clock.
 	SentAt time.Duration
-	// Born is the start of the worker whose ends Cursor counts.
-	Born int64
 }
 
-// Expired reports whether the request must not be sent at now, on the core's clock. Like a
-// start, a renewal that waited in a frozen process would extend the lease at a worker that
-// has restarted, and with it the runs there.
+// Expired reports whether the request must not be sent at now, on the core's clock.
 func (r RenewRequest) Expired(now time.Duration) bool { return now >= r.SentAt+maxSendDelay }
 
 // EndKind is the outcome of a run.
@@ -119,15 +114,15 @@
 
 // Status lists the runs of a worker, or says that it refused the request.
 type Status struct {
-	Refused Refusal // RefusedFenced, or empty
+	Refused Refusal // RefusedFenced, RefusedReplaced, or empty
 	Clock   time.Duration
-	Born    int64 // Unix milliseconds of the worker's start, zero if unknown
 	Running []RunID
 	Ended   []End
 }
 
-// Client sends requests to one instance of a worker. After an error the request may have
-// been executed, or may still be executed later.
+// Client sends requests to one start of a worker. A request reaches that start or none:
+// after a restart all of them are refused with RefusedReplaced. After an error the request
+// may have been executed, or may still be executed later by the same start.
 type Client interface {
 	Start(ctx context.Context, req StartRequest) (StartReply, error)
 	Stop(ctx context.Context, req StopRequest) (StopReply, error)
@@ -156,9 +151,6 @@
 type Config struct {
 	// Fence is the first fencing token of the owner; see NewFence.
 	Fence Fence
-	// Born identifies the instance of the worker. A status with another value shows a
-	// restart. Zero means that the first status tells it.
-	Born int64
 	// Lease is the longest lease that the worker grants.
 	Lease time.Duration
 	// StopWindow is the time after the lease of a run's owner, or after the request to
--- a/worker/core.go
+++ b/worker/core.go
@@ -25,8 +25,7 @@
 	// by then.
 	startValidity = 800 * time.Millisecond
 	// maxSendDelay is the age from which a start or a renewal is not sent any more. Sending
-	// takes less than a millisecond unless the process stands still, and meanwhile the
-	// worker may restart.
+	// takes less than a millisecond unless the process stands still.
 	maxSendDelay = 100 * time.Millisecond
 	// minRenewRetryDelay is the delay after an unanswered renewal. It doubles up to
 	// maxRenewRetryDelay until one is answered, to save requests to a worker that is down.
@@ -68,7 +67,6 @@
 	nextStopAt      time.Duration
 	stopAcked       bool // the worker has acknowledged a stop request
 	stopAckedAt     time.Duration
-	ignoreStopAck   bool          // the stop in flight may have reached an earlier start of the worker
 	acceptedAt      time.Duration // when the start was confirmed
 	unconfirmedAt   time.Duration // when the start request failed or timed out
 
@@ -82,8 +80,8 @@
 }
 
 // Core tracks the runs on one instance of a worker, that is, from a start of the worker
-// process until its end. After a restart under the same id it only ends the runs that it
-// has. It is not safe for concurrent use.
+// process until its end. Its requests never reach another start, so a restart of the worker
+// ends all of its runs. It is not safe for concurrent use.
 type Core struct {
 	cfg        Config
 	fence      Fence // token of the next request
@@ -112,7 +110,6 @@
 	orphansCleared bool                    // a status without orphans has been received
 	ownersLease    time.Duration           // earliest end of a lease of the owners of the runs, zero for none
 	replaced       bool                    // the worker has restarted or has another owner
-	earlierStarts  []int64                 // Born of the worker's starts before cfg.Born, whose replies may still arrive
 	pendingEnded   []Ended
 }
 
@@ -189,9 +186,7 @@
 // Started records the reply to a start request. unanswered means that there was none
 // because the request failed or timed out.
 func (c *Core) Started(now time.Duration, id RunID, reply StartReply, unanswered bool) {
-	if !c.replaced { // the reply may come from an earlier start of the worker, with a clock of its own
-		c.updateClock(now, reply.Clock)
-	}
+	c.updateClock(now, reply.Clock)
 	if unanswered {
 		c.rejectUnanswered()
 	}
@@ -230,7 +225,7 @@
 	case RefusedFenced:
 		c.answerAllRuns(now, EvidenceFenced, verdict.MayHaveRun, verdict.Fenced)
 	case RefusedReplaced:
-		c.answerAllRuns(now, EvidenceRestarted, verdict.Ran, verdict.Canceled)
+		c.endWithWorker(now)
 	}
 }
 
@@ -239,14 +234,16 @@
 	if unanswered {
 		c.rejectUnanswered()
 	}
+	if reply.Refused == RefusedReplaced {
+		c.endWithWorker(now)
+		return
+	}
 	r := c.runs[id]
 	if r == nil {
 		return
 	}
 	r.stopInFlight = false
-	acked := !unanswered && reply.Refused == "" && !r.ignoreStopAck
-	r.ignoreStopAck = false
-	if !acked {
+	if unanswered || reply.Refused != "" {
 		r.nextStopAt = now + stopRetryDelay
 		return
 	}
@@ -265,22 +262,19 @@
 	}
 	c.renewRetryDelay = minRenewRetryDelay
 	switch {
+	case c.replaced:
+		return
+	case st.Refused == RefusedReplaced:
+		c.endWithWorker(now)
+		return
 	case st.Refused != "":
 		if req.Fence == c.fence { // otherwise a later request of this owner has overtaken it
 			c.answerAllRuns(now, EvidenceFenced, verdict.MayHaveRun, verdict.Fenced)
 		}
 		return
-	case slices.Contains(c.earlierStarts, st.Born):
-		return
-	case c.cfg.Born == 0:
-		c.cfg.Born = st.Born
-	case st.Born != 0 && st.Born != c.cfg.Born:
-		c.adoptRestart(now, st.Born)
 	}
 	c.updateClock(now, st.Clock)
-	if req.Born == c.cfg.Born {
-		c.ackedCursor = max(c.ackedCursor, req.Cursor)
-	}
+	c.ackedCursor = max(c.ackedCursor, req.Cursor)
 	for _, e := range st.Ended {
 		c.recordEnd(now, e)
 	}
--- a/worker/reconcile.go
+++ b/worker/reconcile.go
@@ -6,27 +6,6 @@
 	"github.com/baobabshore/baobabshore/verdict"
 )
 
-// adoptRestart prepares the core for a worker that has restarted under its id. The
-// restart has ended the runs, but a start that was in flight may have reached the
-// restarted worker, or may still reach it. Each run therefore stays until the restarted
-// worker shows that it is over.
-func (c *Core) adoptRestart(now time.Duration, born int64) {
-	c.earlierStarts = append(c.earlierStarts, c.cfg.Born)
-	c.cfg.Born = born
-	c.replaced = true
-	c.cursor, c.ackedCursor = 0, 0
-	for _, r := range c.sortedRuns() {
-		if r.phase == queued {
-			c.refuseQueued(r, EvidenceRestarted)
-			continue
-		}
-		c.markForStop(now, r)
-		r.stopAcked = false
-		r.ignoreStopAck = r.stopInFlight
-		r.nextStopAt = now
-	}
-}
-
 // recordEnd answers the run that has ended and advances the cursor. Ends up to the
 // cursor are ignored.
 func (c *Core) recordEnd(now time.Duration, e End) {
@@ -82,7 +61,7 @@
 			delete(c.orphans, id)
 		}
 	}
-	c.orphansCleared = c.orphansCleared || orphans == 0 && !c.replaced
+	c.orphansCleared = c.orphansCleared || orphans == 0
 	for _, r := range c.sortedRuns() {
 		switch {
 		case listed[r.id] && r.phase == unconfirmed:
@@ -110,9 +89,14 @@
 	return false
 }
 
-// answerAllRuns answers every run and marks the worker as replaced. Either another worker
-// has taken its address, and its runs have ended, or it has another owner and the runs may
-// continue.
+// endWithWorker answers every run as over: the worker's process has ended, and with it the
+// runs and all requests that were on their way to it.
+func (c *Core) endWithWorker(now time.Duration) {
+	c.answerAllRuns(now, EvidenceRestarted, verdict.Ran, verdict.Canceled)
+}
+
+// answerAllRuns answers every run and marks the worker as replaced: its process has ended,
+// or it has another owner and the runs may continue.
 func (c *Core) answerAllRuns(now time.Duration, evidence Evidence, v verdict.Verdict, reason verdict.Reason) {
 	c.replaced = true
 	for _, r := range c.sortedRuns() {
--- a/worker/requests.go
+++ b/worker/requests.go
@@ -28,17 +28,18 @@
 // Tick returns the requests to send now and the tasks that have ended.
 func (c *Core) Tick(now time.Duration) Output {
 	var out Output
-	c.addStarts(now, &out)
-	c.addStops(now, &out)
-	c.addRenewal(now, &out)
+	if !c.replaced {
+		c.addStarts(now, &out)
+		c.addStops(now, &out)
+		c.addRenewal(now, &out)
+	}
 	out.Ended, c.pendingEnded = c.pendingEnded, nil
 	return out
 }
 
 // addStarts adds the starts that have not been sent to out. A lease covers all runs and can't
 // be shortened, so a run that must be over before the lease in force ends is refused. So is
-// one whose validity is over: StartRequest.Until doesn't bound it at a worker that has
-// restarted, whose clock has begun anew.
+// one that has waited too long to be sent.
 func (c *Core) addStarts(now time.Duration, out *Output) {
 	for _, r := range c.queuedRuns {
 		switch {
@@ -99,7 +100,7 @@
 // when the last stays unanswered for renewalOverlapDelay. While there is nothing to renew,
 // a status from time to time keeps the estimate of the worker's clock close.
 func (c *Core) addRenewal(now time.Duration, out *Output) {
-	if c.replaced && c.Idle() || c.renewalsInFlight >= maxRenewalsInFlight {
+	if c.renewalsInFlight >= maxRenewalsInFlight {
 		return
 	}
 	due := c.nextRenewalAt
@@ -113,7 +114,7 @@
 		out.NextTick = earliest(out.NextTick, due)
 		return
 	}
-	req := RenewRequest{Fence: c.fence, Cursor: c.cursor, SentAt: now, Born: c.cfg.Born}
+	req := RenewRequest{Fence: c.fence, Cursor: c.cursor, SentAt: now}
 	if len(c.runs) > 0 {
 		req.Until = c.grantUntil(now + c.cfg.Lease)
 	}
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -139,7 +139,7 @@
 		return
 	}
 	r.replaced = true
-	r.log("worker: Another instance or owner of the worker has answered", "fence", r.cfg.Fence, "born", r.cfg.Born)
+	r.log("worker: Another instance or owner of the worker has answered", "fence", r.cfg.Fence)
 }
 
 // closeOnce closes c if condition is true and c is still open. It must only be called
@@ -199,8 +199,5 @@
 	if err != nil && r.ctx.Err() == nil {
 		r.log("worker: Renewal unanswered", "cursor", req.Cursor, "err", err)
 	}
-	if err == nil && st.Refused == "" && st.Born != r.cfg.Born {
-		r.log("worker: Status of another start of the worker", "born", st.Born, "expected", r.cfg.Born, "running", len(st.Running))
-	}
 	r.loop.Post(func(now time.Duration) { r.core.Renewed(now, req, st, err != nil) })
 }
