executor: let the recall of a try refuse its late start also after an earlier try has ended

Cause: a recall marked the row of its task only if the task was unknown, or had been refused before. A task whose earlier try had failed or was stopped kept its row as it was: the recall was answered with the answer of the earlier try, which the entry drops, and an abort found nothing to abort. A start of the recalled try that arrived afterwards, read from the connection that the entry had lost, was accepted. The entry doesn't wait for it any more, and its messages about other batches prolong it as they do all of its tasks.

Test: TestLateStartOfARecalledTryOfAnEndedTask. Before, the recall had no answer and the late start ran, for tasks that had failed and for stopped ones.

Why it works: the row then says that the try was returned, and a start is accepted only for a later try than the row's.

--- a/executor/cancel.go
+++ b/executor/cancel.go
@@ -8,8 +8,9 @@
 	"github.com/baobabshore/baobabshore/wire"
 )
 
-// recall returns a task that has not started to its entry. An unknown task gets a
-// row, so that its start is refused if it arrives after the recall.
+// recall returns a task that has not started to its entry. The row of a task, also one that
+// is unknown or has ended in an earlier try, makes its start be refused if it arrives after
+// the recall.
 func (c *Core) recall(now time.Duration, s *session, m wire.Recall) {
 	r := c.rows[m.Key]
 	switch {
@@ -22,7 +23,7 @@
 	case r.state == wire.TaskQueued && m.Try >= r.try:
 		c.dequeue(r)
 		c.refuse(r, verdict.Recalled)
-	case r.state == wire.TaskRecalled && m.Try > r.try:
+	case m.Try > r.try && (r.state == wire.TaskRecalled || r.endedIncomplete()):
 		r.try = m.Try
 		r.acked = false
 		r.removePendingAnswer()
--- a/executor/sized_test.go
+++ b/executor/sized_test.go
@@ -371,3 +371,29 @@
 		})
 	}
 }
+
+// TestLateStartOfARecalledTryOfAnEndedTask guards against a task that runs although its entry
+// has recalled it: its start arrives after the recall, which has found an earlier try ended.
+func TestLateStartOfARecalledTryOfAnEndedTask(t *testing.T) {
+	for _, reason := range []verdict.Reason{verdict.UpstreamFailed, verdict.Canceled} {
+		c := newSizedCore()
+		st := sizedStart(entry1, 1, 100)
+		sendUntil(c, 0, 500*time.Millisecond, entry1, st)
+		c.Finished(0, wire.Answer{Key: st.Key, Verdict: verdict.Ran, Reason: reason})
+		c.Tick(0)
+		st.Try = 2
+		c.Receive(0, wire.Exchange{
+			Entry: entry1, ValidUntilMS: 500, Recalls: []wire.Recall{{Key: st.Key, Try: 2}}, Aborts: []ids.TaskKey{st.Key},
+		})
+		if got := refusalReasons(c.Tick(0), entry1)[st.Key]; got != verdict.Recalled {
+			t.Errorf("%s: the recall is answered with %q", reason, got)
+		}
+		if out := sendUntil(c, 0, 500*time.Millisecond, entry1, st); len(out.Run) != 0 {
+			t.Errorf("%s: the late start of the recalled try runs", reason)
+		}
+		st.Try = 3
+		if out := sendUntil(c, 0, 500*time.Millisecond, entry1, st); len(out.Run) != 1 {
+			t.Errorf("%s: the try after the recalled one doesn't run", reason)
+		}
+	}
+}
