agent: drop messages from a connection that its entry has replaced

Cause: a message was applied whenever it had been read, also after the entry had made another connection, or after the end of its own had been recorded. Each connection has a goroutine that reads it, so what was read from the former one may be applied after what the new one says: a start after the abort of its task, a renewal after the lease was shortened for the lost connection.

Test: TestMessageOfAFormerConnectionStartsNothing. Before, the start of the replaced connection ran. It also checks that a start on the present connection runs.

Why it works: the loop that owns the connections of entries looks at them when it applies the message. Dropping a message is what the loss of its connection does anyway: the entry repeats all that has no answer. A connection that the entry closes loses nothing, since its messages are in the queue of the loop before its end.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -257,10 +257,7 @@
 		c.Close() // the sender sent no hello, or the message names another entry
 		return wire.Empty{}, nil
 	}
-	p.incarnation.loop.Post(func(now time.Duration) {
-		p.incarnation.updateViewCurrent()
-		p.incarnation.core.Receive(now, m)
-	})
+	p.incarnation.loop.Post(func(now time.Duration) { p.incarnation.receive(now, p, m) })
 	return wire.Empty{}, nil
 }
 
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -158,6 +158,18 @@
 	})
 }
 
+// receive applies a message of an entry, unless its connection has ended or the entry has
+// made another one. The entry repeats on a new connection what has no answer yet, and what it
+// says there may be the opposite: a start that has been read from the former one must not
+// follow its abort, nor prolong a lease that has been shortened.
+func (inc *incarnation) receive(now time.Duration, p *peer, m wire.Exchange) {
+	if inc.peers[p.entry] != p {
+		return
+	}
+	inc.updateViewCurrent()
+	inc.core.Receive(now, m)
+}
+
 func (inc *incarnation) removePeerWhenClosed(p *peer) {
 	<-p.conn.Done()
 	inc.loop.Post(func(now time.Duration) {
--- /dev/null
+++ b/agent/peer_test.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/rpc"
+	"github.com/baobabshore/baobabshore/wire"
+	"github.com/baobabshore/baobabshore/worker"
+)
+
+// Guards against a task that runs beside its repetition: its start was read from a connection
+// that the entry has given up for another one, on which it has recalled the task.
+func TestMessageOfAFormerConnectionStartsNothing(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			w := &leasedWorker{startTime: time.Now()}
+			inc := newIncarnation(Options{
+				TickMin: time.Millisecond, Capacity: wire.Resources{CPU: 1000},
+				Worker: WorkerOpener(w, worker.Config{Lease: time.Second}),
+			}, nil, newMetrics(tally.NoopScope), fixedSession{})
+			if err := inc.openWorker(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+			inc.start()
+			former, present := testPeer(inc), testPeer(inc)
+			from := &rpc.Conn{}
+			from.Peer.Store(former)
+			inc.loop.Call(func(time.Duration) {
+				inc.peers[testEntry] = former
+				if replaced {
+					inc.peers[testEntry] = present
+				}
+			})
+			now := inc.loop.Now()
+			_, _ = (&Agent{}).exchange(t.Context(), from, wire.Exchange{
+				Entry: testEntry, ValidUntilMS: (now + 500*time.Millisecond).Milliseconds(),
+				Starts: []wire.Start{{
+					Key: ids.RequestOf(testEntry, 1), Try: 2, Name: "task", Size: wire.Resources{CPU: 100}, BudgetMS: 5000,
+				}},
+			})
+			time.Sleep(100 * time.Millisecond)
+			inc.loop.Call(func(time.Duration) { clear(inc.peers) })
+			inc.stop()
+			time.Sleep(time.Second) // the last renewal waits for its reply
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if started := w.leaseEnd > 0; started == replaced {
+				t.Errorf("connection replaced %v, task started %v", replaced, started)
+			}
+		})
+	}
+}
+
+// testPeer returns a peer without a connection, which keeps its reports.
+func testPeer(inc *incarnation) *peer {
+	return &peer{entry: testEntry, incarnation: inc, reports: make(chan wire.Report, maxQueuedReports)}
+}
