agent: tell the present start of a worker by its heartbeats, not by their order

Cause: among heartbeats with one id the sidecar took the one that came last for the newer start of the worker, and ignored the other start for good. A heartbeat of an earlier start that the agent's process hadn't heard, and that a partition had held up, thus took the place of the start that is up, and nothing gave it back. A late heartbeat of a worker with another id took the place until the next heartbeat, and closed the agent.

The order of arrival says nothing, and born alone only while the VM's clock isn't set back.

The change: agent/starts.go keeps what is known of each start. One that is heard for the first time is the present one at once if born and the worker's own clock agree that it is later. A late heartbeat shows the age that its start had when it was sent, so on the agent's clock that start began no later than the arrival less the age: that exposes most late ones also where the VM's clock was set back. Any other start takes the place of the present one once it has been heard for 1.5 intervals in which the present one is silent, which takes its third heartbeat. The list of replaced starts is gone.

Why it works: a start that is up sends a heartbeat in each interval, and one that is over doesn't. Late ones that arrive together don't last 1.5 intervals, and one heartbeat of the present start ends what others have gathered.

TestDelayedHeartbeatOfAnEarlierStartIsIgnored passes unchanged but for the interval.

--- a/agent/sidecar.go
+++ b/agent/sidecar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -23,75 +22,44 @@
 	background sync.WaitGroup
 	changed    chan struct{}
 
-	mu            sync.Mutex
-	latest        worker.Announcement
-	replaced      []instance // instances before a restart under the same id, whose heartbeats may still arrive
-	workerPresent bool       // the worker has announced itself and has not left
-	leaving       bool       // Drain has been called
-	agent         *Agent
+	mu      sync.Mutex
+	starts  starts // of the worker
+	leaving bool   // Drain has been called
+	agent   *Agent
 }
 
-// NewSidecar returns a sidecar that waits for a worker. agentOptions returns the
-// options of the agent for that worker.
-func NewSidecar(agentOptions func(worker.Announcement) Options) *Sidecar {
-	s := &Sidecar{agentOptions: agentOptions, changed: make(chan struct{}, 1)}
+// NewSidecar returns a sidecar that waits for a worker, which announces itself once in each
+// heartbeatInterval. agentOptions returns the options of the agent for that worker.
+func NewSidecar(heartbeatInterval time.Duration, agentOptions func(worker.Announcement) Options) *Sidecar {
+	s := &Sidecar{agentOptions: agentOptions, changed: make(chan struct{}, 1), starts: starts{heartbeatInterval: heartbeatInterval}}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	s.background.Go(s.reconcile)
 	return s
 }
 
-// instance identifies a start of a worker.
-type instance struct {
-	id   string
-	born int64
-}
-
-// maxReplacedInstances bounds the instances that are remembered.
-const maxReplacedInstances = 64
-
-// SetWorker records a heartbeat of the worker. It ignores one that arrives after a
-// later heartbeat of the same instance, or of its successor under the same id. It returns
-// false for one that lacks the start of a worker whose start is known: nothing shows that
-// the worker has restarted.
+// SetWorker records a heartbeat of the worker, unless it is late or names a start that is not
+// the present one; see starts. It returns false for one that lacks the start of a worker whose
+// start is known: nothing shows that the worker has restarted.
 func (s *Sidecar) SetWorker(a worker.Announcement) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.workerPresent && s.latest.ID == a.ID && s.latest.Born != 0 && a.Born == 0 {
+	before, present := s.announcedLocked()
+	if present && before.ID == a.ID && before.Born != 0 && a.Born == 0 {
 		return false
 	}
-	sameWorker := s.workerPresent && s.latest.SameInstance(a)
-	if sameWorker && a.Sequence < s.latest.Sequence {
+	if !s.starts.announce(time.Now(), a) {
 		return true
 	}
-	if slices.Contains(s.replaced, instance{a.ID, a.Born}) {
-		return true
-	}
-	if s.workerPresent && !sameWorker && s.latest.ID == a.ID {
-		s.rememberReplaced(s.latest)
-	}
-	changed := !sameWorker || a.Draining != s.latest.Draining
+	sameWorker := present && before.SameInstance(a)
 	if !sameWorker {
 		klog.InfoS("agent: Worker announced", "worker", a.ID, "born", a.Born, "service", a.Service, "addr", a.Addr, "cpu", a.Capacity.CPU)
 	}
-	s.latest, s.workerPresent = a, true
-	if changed {
+	if !sameWorker || a.Draining != before.Draining {
 		s.signalChange()
 	}
 	return true
 }
 
-// rememberReplaced makes later heartbeats of an instance be ignored. One without a known
-// start can't be told from its successor.
-func (s *Sidecar) rememberReplaced(a worker.Announcement) {
-	if a.Born == 0 {
-		return
-	}
-	s.replaced = append(s.replaced, instance{a.ID, a.Born})
-	if n := len(s.replaced) - maxReplacedInstances; n > 0 {
-		s.replaced = s.replaced[n:]
-	}
-}
-
 // Worker returns the latest announcement of the worker. ok is false if there is none.
 func (s *Sidecar) Worker() (latest worker.Announcement, ok bool) { return s.latestWorker() }
 
@@ -99,11 +67,11 @@
 func (s *Sidecar) RemoveWorker(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.workerPresent || s.latest.ID != id {
+	if latest, ok := s.announcedLocked(); !ok || latest.ID != id {
 		return
 	}
 	klog.InfoS("agent: Worker left", "worker", id)
-	s.workerPresent = false
+	s.starts.present = nil
 	s.signalChange()
 }
 
@@ -151,13 +119,23 @@
 func (s *Sidecar) acceptsTasks(w worker.Announcement) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.workerPresent && s.latest.SameInstance(w) && !s.latest.Draining && !s.leaving
+	latest, present := s.announcedLocked()
+	return present && latest.SameInstance(w) && !latest.Draining && !s.leaving
 }
 
-func (s *Sidecar) latestWorker() (worker.Announcement, bool) {
+func (s *Sidecar) latestWorker() (latest worker.Announcement, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.latest, s.workerPresent
+	return s.announcedLocked()
+}
+
+// announcedLocked returns the latest announcement of the present start of the worker. ok is
+// false if there is none. The caller holds mu.
+func (s *Sidecar) announcedLocked() (latest worker.Announcement, ok bool) {
+	if s.starts.present == nil {
+		return worker.Announcement{}, false
+	}
+	return s.starts.present.latest, true
 }
 
 func (s *Sidecar) currentAgent() *Agent {
--- a/agent/sidecar_test.go
+++ b/agent/sidecar_test.go
@@ -19,7 +19,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var startAttempts atomic.Int64
 		var lastWorker atomic.Value
-		s := NewSidecar(func(a worker.Announcement) Options {
+		s := NewSidecar(time.Second, func(a worker.Announcement) Options {
 			return Options{
 				Node: "n", Service: "s", Upstream: "u:1", Listen: "256.0.0.1:bad", // not an address, so the listen fails
 				Session: func(context.Context, wire.Registration) (Session, error) {
@@ -56,7 +56,7 @@
 // Guards against an agent that is closed, with the runs of its healthy worker, by a heartbeat
 // of an earlier start of the worker that a partition has held back.
 func TestDelayedHeartbeatOfAnEarlierStartIsIgnored(t *testing.T) {
-	s := &Sidecar{changed: make(chan struct{}, 1)}
+	s := &Sidecar{changed: make(chan struct{}, 1), starts: starts{heartbeatInterval: time.Second}}
 	s.SetWorker(worker.Announcement{ID: "w", Born: 1000, Sequence: 9})
 	s.SetWorker(worker.Announcement{ID: "w", Born: 2000, Sequence: 1})
 	s.SetWorker(worker.Announcement{ID: "w", Born: 1000, Sequence: 8})
@@ -79,7 +79,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			var registering atomic.Int64
-			s := NewSidecar(func(worker.Announcement) Options {
+			s := NewSidecar(time.Second, func(worker.Announcement) Options {
 				return Options{
 					Node: "n", Service: "s", Upstream: "u:1",
 					Session: func(ctx context.Context, _ wire.Registration) (Session, error) {
