agent: forget a Sequence that is too high

Cause: a heartbeat with a lower Sequence than the highest one of its start counted as late for good. One that comes with a Sequence that its start hasn't reached, so one from another writer, made all later ones be ignored, among them that of a drain.

Test: TestSequenceThatIsTooHighIsForgotten. Before, the drain was still ignored after three heartbeats; now the third one counts.

Why it works: a start that is up sends a higher Sequence in each interval. When none came for 2.5 intervals, the highest one says nothing of what arrives now.

--- a/agent/starts.go
+++ b/agent/starts.go
@@ -24,9 +24,10 @@
 
 // start is what is known of one start of the worker.
 type start struct {
-	latest     worker.Announcement // the one with the highest Sequence
-	begunBy    time.Time           // the start was no later, by the worker's own clock
-	heardSince time.Time           // when it was heard first after the present start was heard last, zero if it wasn't
+	latest     worker.Announcement
+	heardAt    time.Time // when latest arrived
+	begunBy    time.Time // the start was no later, by the worker's own clock
+	heardSince time.Time // when it was heard first after the present start was heard last, zero if it wasn't
 }
 
 const (
@@ -36,16 +37,24 @@
 	// during the silence of the present one to take its place. It takes the third heartbeat
 	// of a start that is up, and not the late ones that arrive together.
 	heardFor = 1.5
+	// sequenceValidFor, in the same unit, is how long a Sequence shows a lower one to be late.
+	// A start that is up sends higher ones meanwhile, unless the Sequence was wrong.
+	sequenceValidFor = 2.5
 )
 
+// intervals returns the duration of n intervals between heartbeats.
+func (l *starts) intervals(n float64) time.Duration {
+	return time.Duration(n * float64(l.heartbeatInterval))
+}
+
 // announce records a heartbeat and reports whether it is news of the present start, which
 // the heartbeat may have changed.
 func (l *starts) announce(now time.Time, a worker.Announcement) bool {
 	s, first := l.find(a)
-	if a.Sequence < s.latest.Sequence {
+	if a.Sequence < s.latest.Sequence && now.Sub(s.heardAt) < l.intervals(sequenceValidFor) {
 		return false
 	}
-	s.latest = a
+	s.latest, s.heardAt = a, now
 	if begunBy := now.Add(-a.Clock); first || begunBy.Before(s.begunBy) {
 		s.begunBy = begunBy
 	}
@@ -90,5 +99,5 @@
 		klog.InfoS("agent: Heartbeat of another start of the worker ignored", "worker", s.latest.ID, "born", s.latest.Born,
 			"sequence", s.latest.Sequence, "present", l.present.latest.ID, "presentBorn", l.present.latest.Born)
 	}
-	return now.Sub(s.heardSince) >= time.Duration(heardFor*float64(l.heartbeatInterval))
+	return now.Sub(s.heardSince) >= l.intervals(heardFor)
 }
--- a/agent/starts_test.go
+++ b/agent/starts_test.go
@@ -221,6 +221,22 @@
 	})
 }
 
+// Guards against a worker whose heartbeats are ignored for good, here that of its drain, after
+// one of them has come with a Sequence that was too high.
+func TestSequenceThatIsTooHighIsForgotten(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := bareSidecar()
+		s.SetWorker(worker.Announcement{ID: "w", Born: 1000, Sequence: 1 << 63})
+		for n := range uint64(maxIgnored + 1) {
+			time.Sleep(testHeartbeatInterval)
+			s.SetWorker(worker.Announcement{ID: "w", Born: 1000, Sequence: 3 + n, Draining: true})
+		}
+		if a := must(s.Worker()); !a.Draining {
+			t.Errorf("the drain is ignored after heartbeat %d", a.Sequence)
+		}
+	})
+}
+
 func must(a worker.Announcement, ok bool) worker.Announcement {
 	if !ok {
 		panic(fmt.Sprint("no worker, latest ", a))
