agent: serve a worker that reports ready again

Cause: the agent of a worker that has announced a drain was drained once and kept, whatever the worker reported afterwards. A drained agent accepts no tasks, so the worker was ignored for good. Workers that drain end, so it takes a heartbeat that was not theirs.

Test: TestWorkerThatReportsReadyAgainIsServed. Before, no tasks were accepted 5 s after the worker had reported ready again.

Why it works: the heartbeat that reports ready is later than that of the drain by its Sequence. The drained agent is closed, and another one starts, which waits until nothing runs at the worker.

--- a/agent/sidecar.go
+++ b/agent/sidecar.go
@@ -91,7 +91,7 @@
 	for s.ctx.Err() == nil {
 		want, present := s.latestWorker()
 		switch {
-		case agent != nil && (!present || !want.SameInstance(served)):
+		case agent != nil && (!present || !want.SameInstance(served) || draining && !want.Draining):
 			s.setAgent(nil)
 			agent.Close()
 			agent = nil
--- a/agent/sidecar_test.go
+++ b/agent/sidecar_test.go
@@ -104,3 +104,22 @@
 		})
 	}
 }
+
+// Guards against a worker that is never used again after a heartbeat has named it as draining,
+// since its agent, once drained, accepts no tasks.
+func TestWorkerThatReportsReadyAgainIsServed(t *testing.T) {
+	c := &scriptedControl{}
+	s := NewSidecar(time.Second, func(worker.Announcement) Options {
+		return Options{Node: "n", Service: "s", Upstream: "u:1", Session: c.open}
+	})
+	for i, draining := range []bool{false, true, false} {
+		s.SetWorker(worker.Announcement{ID: "a", Born: 1, Sequence: uint64(i), Draining: draining})
+		for end := time.Now().Add(5 * time.Second); (s.Ready() == nil) == draining && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		if err := s.Ready(); (err == nil) == draining {
+			t.Errorf("heartbeat %d, draining %v: the agent accepts tasks: %v", i, draining, err == nil)
+		}
+	}
+	s.Close()
+}
