dispatch: add slow processes, slow links and reset links to the worker path emulator

Change: three classes, each with tests alone and beside lost answers, and a mix with all: - slowProcesses: entries, agents or both stand still for 20 to 300 ms at a time with 1 to 15 ms between, for up to 2 s. What waits at them is read, not lost. - slowLinks: messages take 100 to 700 ms longer for up to 1.5 s, in one direction or both. - resetLinks: each end learns of the reset by itself; the entry may connect again before the agent has learned of it. TestWorkerPathSeesOverlapsUnderStress shows that each of them can make runs overlap: with callers that repeat after 100 ms, none of 40 calm seeds does and each class has one that does.

--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -45,50 +45,19 @@
 	// restartsUnnoticed restart workers under their ids while a start is under way to them,
 	// and freeze their agents before they learn of it.
 	restartsUnnoticed
+	// slowProcesses are entries and agents that stand still again and again.
+	slowProcesses
+	// slowLinks are connections between entries and agents that take longer.
+	slowLinks
+	// resetLinks are resets of connections between live entries and live agents.
+	resetLinks
+	endOfDisruptions
 
 	allDisruptions = lateGrantsAtUnreached - 1
 )
 
 func (d disruptionSet) has(o disruptionSet) bool { return d&o != 0 }
 
-// callFate is what happens to a request to a worker.
-type callFate uint8
-
-const (
-	fateInTime callFate = iota
-	fateLost
-	fateReplyLost
-	fateSlow // executed around its timeout
-	fateLate
-	fateLateShifted
-)
-
-func (f callFate) String() string {
-	return [...]string{"", "is lost", "has no answer", "is slow", "is late", "is late, with its time counted from its arrival"}[f]
-}
-
-// callFaults is the disruption of the requests to one worker.
-type callFaults struct {
-	until      time.Duration
-	fate       callFate
-	share      float64 // of the requests
-	stopsUntil time.Duration
-}
-
-func (n *workerNode) drawFate(kind callKind) callFate {
-	now, f := n.path.now, n.faults
-	if kind == callStop && now < f.stopsUntil {
-		return fateLost
-	}
-	if now >= f.until || n.path.rng.Float64() >= f.share {
-		return fateInTime
-	}
-	if f.fate == fateLost {
-		return []callFate{fateLost, fateReplyLost, fateSlow}[n.path.rng.IntN(3)]
-	}
-	return f.fate
-}
-
 // disrupt applies one disruption of the given kind at a random process.
 func (p *pathSimulation) disrupt(kind disruptionSet) {
 	switch kind {
@@ -145,6 +114,12 @@
 		for _, n := range p.randomNodes() {
 			n.freezeAfterStart = p.drawPause(4 * time.Second)
 		}
+	case slowProcesses:
+		p.slowProcesses()
+	case slowLinks:
+		p.slowLinks()
+	case resetLinks:
+		p.resetLinks()
 	}
 }
 
@@ -170,44 +145,6 @@
 	return nodes
 }
 
-// scheduleDisruptions draws times for the disruptions that are switched on. Half of them
-// come in groups, a few hundred milliseconds apart.
-func (p *pathSimulation) scheduleDisruptions(from, until time.Duration, count int) {
-	if p.disruptions.has(hangingTasks) {
-		p.hangShare = 0.2
-	}
-	kinds := p.disruptions.events()
-	if len(kinds) == 0 {
-		return
-	}
-	at := from
-	for range count {
-		if p.rng.IntN(2) == 0 {
-			at = p.drawBetween(from, until)
-		} else {
-			at += p.drawUpTo(700 * millis)
-		}
-		kind := kinds[p.rng.IntN(len(kinds))]
-		p.at(at, func() { p.disrupt(kind) })
-	}
-}
-
-// events returns the disruptions that happen at a moment, one for each kind.
-func (d disruptionSet) events() []disruptionSet {
-	var kinds []disruptionSet
-	for kind := killedEntries; kind < callsOfFrozenEntries; kind <<= 1 {
-		if d.has(kind) && kind != hangingTasks {
-			kinds = append(kinds, kind)
-		}
-	}
-	for _, kind := range []disruptionSet{lostAnswers, agentsFrozenAtRequests, agentsFrozenAfterStarts, restartsUnnoticed} {
-		if d.has(kind) {
-			kinds = append(kinds, kind)
-		}
-	}
-	return kinds
-}
-
 func (p *pathSimulation) traceDisruption(format string, args ...any) {
 	p.trace.add(pathEvent{at: p.now, what: eventDisruption, detail: fmt.Sprintf(format, args...)})
 }
@@ -237,6 +174,12 @@
 }
 
 func (p *pathSimulation) freezeEntry(e *entryProc, d time.Duration) {
+	p.suspendEntry(e, d, !p.disruptions.has(callsOfFrozenEntries))
+}
+
+// suspendEntry freezes an entry. If dropCalls is set, the requests of callers that wait at
+// it are lost.
+func (p *pathSimulation) suspendEntry(e *entryProc, d time.Duration, dropCalls bool) {
 	if e.frozen || !e.alive {
 		return
 	}
@@ -247,7 +190,7 @@
 			return
 		}
 		p.traceDisruption("entry %d thaws", e.incarnation)
-		if !p.disruptions.has(callsOfFrozenEntries) {
+		if dropCalls {
 			e.dropFrom(callerSource)
 		}
 		if d > p.figures.leases.Notice {
@@ -374,23 +317,6 @@
 	})
 }
 
-func (p *pathSimulation) disruptCalls(nodes []*workerNode, fate callFate) {
-	share := []float64{0.1, 0.3, 0.7, 1}[p.rng.IntN(4)]
-	d := p.drawBetween(100*millis, 2*time.Second)
-	for _, n := range nodes {
-		p.traceDisruption("of the requests to worker %s, a share of %v %v, for %v", n.life.id, share, fate, d)
-		n.faults.until, n.faults.fate, n.faults.share = p.now+d, fate, share
-	}
-}
-
-func (p *pathSimulation) failStops(nodes []*workerNode) {
-	d := p.drawBetween(500*millis, 4*time.Second)
-	for _, n := range nodes {
-		p.traceDisruption("stops at worker %s fail for %v", n.life.id, d)
-		n.faults.stopsUntil = p.now + d
-	}
-}
-
 // resetCallersOf resets the connections of the callers that wait at an entry.
 func (p *pathSimulation) resetCallersOf(e *entryProc) {
 	p.traceDisruption("the connections of callers to entry %d are reset", e.incarnation)
@@ -413,10 +339,3 @@
 	}
 	p.after(p.drawUpTo(200*millis), func() { p.resetCallersOf(e) })
 }
-
-func (p *pathSimulation) slowDown(n *workerNode) {
-	p.traceDisruption("worker %s is slow", n.life.id)
-	before := n.slowness
-	n.slowness *= 8
-	p.after(p.drawBetween(500*millis, 2*time.Second), func() { n.slowness = before })
-}
--- a/dispatch/pathlink_test.go
+++ b/dispatch/pathlink_test.go
@@ -22,6 +22,18 @@
 	cuts        int // in force
 	held        []func()
 	lastArrival time.Duration
+	slowUntil   time.Duration
+	slowBy      time.Duration // longest extra time of a message until slowUntil
+	lostBefore  int           // messages on earlier connections are lost
+}
+
+// latency draws how long a message takes in a direction.
+func (p *pathSimulation) latency(d *pathDirection) time.Duration {
+	latency := p.link.delay + p.drawUpTo(p.link.jitter)
+	if p.now < d.slowUntil {
+		latency += p.drawBetween(minSlowness, d.slowBy)
+	}
+	return latency
 }
 
 func (l *pathLink) isCut() bool { return l.toAgent.cuts+l.toEntry.cuts > 0 }
@@ -53,7 +65,7 @@
 	}
 	generation := l.generation
 	arriveOnce := func() {
-		if l.generation == generation {
+		if l.generation == generation && generation >= d.lostBefore {
 			arrive()
 		}
 	}
@@ -61,7 +73,7 @@
 		d.held = append(d.held, arriveOnce)
 		return
 	}
-	d.lastArrival = max(d.lastArrival, p.now+p.link.delay+p.drawUpTo(p.link.jitter))
+	d.lastArrival = max(d.lastArrival, p.now+p.latency(d))
 	p.at(d.lastArrival, arriveOnce)
 }
 
@@ -73,7 +85,7 @@
 	held := d.held
 	d.held = nil
 	for _, arrive := range held {
-		d.lastArrival = max(d.lastArrival, p.now+p.link.delay+p.drawUpTo(p.link.jitter))
+		d.lastArrival = max(d.lastArrival, p.now+p.latency(d))
 		p.at(d.lastArrival, arrive)
 	}
 }
@@ -93,7 +105,7 @@
 		p.after(p.drawBetween(maxRedial/6, maxRedial), func() { p.dial(e, a) })
 		return
 	}
-	*l = pathLink{open: true, generation: l.generation + 1}
+	p.open(l)
 	p.connect(e, a)
 }
 
--- /dev/null
+++ b/dispatch/workerpath_stress_test.go
@@ -0,0 +1,57 @@
+package dispatch_test
+
+import "testing"
+
+// stressDisruptions are those of processes, links and connections that work, but badly.
+const stressDisruptions = slowProcesses | slowLinks | resetLinks
+
+// Guards against overlaps when processes and links are slow and connections are reset while
+// both ends live: leases have to hold without a process that ends or stands still for long.
+func TestWorkerPathStress(t *testing.T) {
+	const withLostAnswers = lostAnswers | callsOfFrozenEntries
+	for _, tc := range []struct {
+		name  string
+		seeds uint64
+		set   disruptionSet
+	}{
+		{"slow-processes", 100, slowProcesses},
+		{"slow-processes-and-lost-answers", 100, slowProcesses | withLostAnswers},
+		{"slow-links", 100, slowLinks},
+		{"slow-links-and-lost-answers", 100, slowLinks | withLostAnswers},
+		{"reset-links", 100, resetLinks},
+		{"reset-links-and-lost-answers", 100, resetLinks | withLostAnswers},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			checkPath(t, tc.seeds, tc.set)
+		})
+	}
+}
+
+// Guards against overlaps under all disruptions together with those above.
+func TestWorkerPathMixWithStress(t *testing.T) {
+	checkPath(t, *pathSeeds/2, allDisruptions|lostAnswers|stressDisruptions)
+}
+
+// Guards against an emulator in which these disruptions do nothing: with callers that
+// repeat too early, each of them alone makes runs overlap, and a calm day doesn't.
+func TestWorkerPathSeesOverlapsUnderStress(t *testing.T) {
+	figures := defaultFigures()
+	figures.repeat = 100 * millis
+	overlaps := func(set disruptionSet) bool {
+		for seed := range uint64(40) {
+			if p := playPath(seed, figures, set|hangingTasks); len(p.overlaps) > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	for _, set := range stressDisruptions.events() {
+		if !overlaps(set) {
+			t.Errorf("no overlap under %#x, although callers repeat their batches after 100 ms", set)
+		}
+	}
+	if overlaps(0) {
+		t.Error("runs overlap on a calm day, so that the above shows nothing")
+	}
+}
