dispatch: give the processes of the worker path emulator clocks of their own

Change: the class differingClocks. Each entry and each agent, with its worker.Core, reads a clock with an offset of up to an hour that is slow by up to 0.1 %. The cores sit behind that clock (entryCore, agentCore, workerCore); the emulator goes on in its own time. Workers had a clock of their own that is slow by up to 2 % already. On the path of a batch the time of day is used in two places: the start that a worker announces (Born), which now jumps by up to 5 s either way in this class, and the pings of entry/agentconn.go, which the emulator doesn't have. Nothing else was found to step (grep for time.Now, UnixNano and UnixMilli in entry, agent, worker, platform, executor, dispatch, member and rpc).

--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -77,7 +77,7 @@
 	a.incarnation = b.registerMember(wire.Member{Registration: wire.Registration{
 		Kind: wire.KindAgent, Service: svc, Capacity: workerCapacity, Node: ids.Node(fmt.Sprint("n", node)),
 	}})
-	a.core = executor.New(executor.Config{Self: a.incarnation, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerCapacity})
+	a.core.Core = executor.New(executor.Config{Self: a.incarnation, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerCapacity})
 	a.core.SetTradeoff(1)
 	b.agents = append(b.agents, a)
 	return a
--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -51,6 +51,9 @@
 	slowLinks
 	// resetLinks are resets of connections between live entries and live agents.
 	resetLinks
+	// differingClocks give each process a clock of its own, and make the workers' announced
+	// starts jump.
+	differingClocks
 	endOfDisruptions
 
 	allDisruptions = lateGrantsAtUnreached - 1
--- a/dispatch/pathrunner_test.go
+++ b/dispatch/pathrunner_test.go
@@ -24,7 +24,7 @@
 	path        *pathSimulation
 	node        *workerNode
 	agent       *agentProc
-	core        *worker.Core
+	core        workerCore
 	served      *workerLife
 	instance    string // id of the worker that the requests are meant for
 	closed      bool
--- a/dispatch/pathschedule_test.go
+++ b/dispatch/pathschedule_test.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for kind := lostAnswers; kind < endOfDisruptions; kind <<= 1 {
-		if d.has(kind) {
+		if d.has(kind) && kind != differingClocks {
 			kinds = append(kinds, kind)
 		}
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -64,7 +64,7 @@
 type entryProc struct {
 	suspension
 	incarnation ids.Incarnation
-	core        *dispatch.Core
+	core        entryCore
 	alive       bool
 	nextTick    time.Duration
 	requestSeq  uint64
@@ -74,7 +74,7 @@
 	suspension
 	incarnation ids.Incarnation
 	node        int
-	core        *executor.Core
+	core        agentCore
 	alive       bool
 	nextTick    time.Duration
 	running     map[ids.TaskKey]bool
@@ -181,7 +181,7 @@
 	e.incarnation = sim.registerMember(wire.Member{Registration: wire.Registration{Kind: wire.KindEntry}})
 	cfg := sim.cfg
 	cfg.Self = e.incarnation
-	e.core = dispatch.New(cfg, uint64(e.incarnation))
+	e.core.Core = dispatch.New(cfg, uint64(e.incarnation))
 	e.core.SetCurrent(true)
 	sim.entries = append(sim.entries, e)
 	return e
@@ -192,7 +192,7 @@
 	a.incarnation = sim.registerMember(wire.Member{Registration: wire.Registration{
 		Kind: wire.KindAgent, Service: svc, Slots: sim.slots, Connections: 64, Node: ids.Node(fmt.Sprint("n", node)),
 	}})
-	a.core = executor.New(executor.Config{Self: a.incarnation, Slots: sim.slots, Connections: 64, LookAhead: 1, AnswerBytes: 8 << 20})
+	a.core.Core = executor.New(executor.Config{Self: a.incarnation, Slots: sim.slots, Connections: 64, LookAhead: 1, AnswerBytes: 8 << 20})
 	a.core.SetCurrent(true)
 	sim.agents = append(sim.agents, a)
 	return a
--- a/dispatch/simworker_test.go
+++ b/dispatch/simworker_test.go
@@ -42,7 +42,7 @@
 func newWorkerLife(n *workerNode, id string) *workerLife {
 	p := n.path
 	return &workerLife{
-		path: p, node: n, id: id, born: 1 + p.now.Milliseconds(), up: true, startedAt: p.now,
+		path: p, node: n, id: id, born: p.drawBorn(), up: true, startedAt: p.now,
 		rate: 1 - p.clockSlack*p.rng.Float64(), highestClosed: map[string]uint32{},
 	}
 }
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -85,14 +85,14 @@
 // predecessors have ended.
 func (n *workerNode) register(w *workerLife, clock time.Duration) {
 	p := n.path
-	a := &agentProc{node: n.number}
+	a := &agentProc{node: n.number, core: agentCore{clock: p.drawClock()}}
 	a.incarnation = p.registerMember(wire.Member{Registration: wire.Registration{
 		Kind: wire.KindAgent, Service: svc, Capacity: workerCapacity, Node: ids.Node(fmt.Sprint("n", n.number)),
 	}})
-	a.core = executor.New(executor.Config{Self: a.incarnation, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerCapacity, Leases: p.figures.leases})
+	a.core.Core = executor.New(executor.Config{Self: a.incarnation, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerCapacity, Leases: p.figures.leases})
 	a.core.SetTradeoff(1)
-	r := &pathRunner{path: p, node: n, agent: a, served: w, instance: w.id}
-	r.core = worker.New(p.now, worker.Config{
+	r := &pathRunner{path: p, node: n, agent: a, served: w, instance: w.id, core: workerCore{clock: a.core.clock}}
+	r.core.Core = worker.New(a.core.clock.read(p.now), worker.Config{
 		Fence: worker.NewFence(uint64(a.incarnation)), Born: w.born, Clock: clock,
 		Lease: p.figures.longestLease, StopWindow: p.figures.leases.Worker,
 	})
--- a/dispatch/workerpath_search_test.go
+++ b/dispatch/workerpath_search_test.go
@@ -23,6 +23,7 @@
 	"agentsFrozenAtStarts": agentsFrozenAtStarts, "agentsFrozenAfterCuts": agentsFrozenAfterCuts,
 	"agentsFrozenAtRequests": agentsFrozenAtRequests, "agentsFrozenAfterStarts": agentsFrozenAfterStarts,
 	"slowProcesses": slowProcesses, "slowLinks": slowLinks, "resetLinks": resetLinks,
+	"differingClocks": differingClocks,
 }
 
 // TestWorkerPathSearch plays many seeds of a set of disruptions and reports each overlap.
--- a/dispatch/workerpath_test.go
+++ b/dispatch/workerpath_test.go
@@ -21,10 +21,11 @@
 	viewVersions map[ids.Incarnation]ids.Version // by entry
 	hangShare    float64                         // of the tasks
 
-	active   map[string][]*workerRun // runs that have not ended, by task
-	runCount int
-	overlaps []overlap
-	trace    pathTrace
+	active    map[string][]*workerRun // runs that have not ended, by task
+	runCount  int
+	bornCount int64 // starts of workers whose announced time was drawn
+	overlaps  []overlap
+	trace     pathTrace
 	// sparedLateGrants counts the late requests that were lost or were executed with their
 	// Until as it was, since no dispatcher could have prevented what they extend.
 	sparedLateGrants int
@@ -68,6 +69,11 @@
 	pathWorkers = 4
 )
 
+// addEntry adds an entry with a clock of its own.
+func (p *pathSimulation) addEntry() {
+	p.batchSimulation.addEntry().core.clock = p.drawClock()
+}
+
 func (p *pathSimulation) drawUpTo(d time.Duration) time.Duration {
 	return time.Duration(p.rng.Int64N(int64(d) + 1))
 }
