dispatch: add planned stops and lapsed registrations to the worker path emulator

Change: two classes. They share how a process leaves the members, so one commit has both. - plannedStops: an entry that drains accepts batches with a shorter deadline, refuses them, and leaves when it has none or its time is over (entry.Drain, departure.go). An agent that drains calls executor.Core.Drain, is shown as draining to entries, and leaves when its core is idle or its time is over, with runs still going on. A worker that leaves at short notice has its agent drained and ends 2 s later. - lapsedRegistrations: entries or agents are cut off from the control group. Members that hear of the end of the registration drop them; those that are cut off too go on with them. Up to 2 s later the process learns of it. An entry ends its batches and registers again at once, an agent when its runs have ended (Agent.supervise). An entry connects no more to an agent whose end it has heard of.

--- a/dispatch/batchcallers_test.go
+++ b/dispatch/batchcallers_test.go
@@ -111,10 +111,10 @@
 // acceptBatch passes a batch to an entry, which has just read it. The entry ignores it if
 // its caller has left by then.
 func (b *batchSimulation) acceptBatch(e *entryProc, batch dispatch.Batch, p *pendingBatch) {
-	if p.left {
+	if p.left || b.refuseLeaving(e, p) {
 		return
 	}
-	batch.Arrived, batch.Deadline = b.now, b.now+b.figures.entryDeadline
+	batch.Arrived, batch.Deadline = b.now, e.leaving.capDeadline(b.now+b.figures.entryDeadline)
 	if err := e.core.Batch(b.now, batch); err != nil {
 		p.answer(err)
 		return
--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -54,6 +54,10 @@
 	// differingClocks give each process a clock of its own, and make the workers' announced
 	// starts jump.
 	differingClocks
+	// plannedStops drain entries and agents, and workers that leave at short notice.
+	plannedStops
+	// lapsedRegistrations are registrations that end while their processes go on.
+	lapsedRegistrations
 	endOfDisruptions
 
 	allDisruptions = lateGrantsAtUnreached - 1
@@ -123,6 +127,10 @@
 		p.slowLinks()
 	case resetLinks:
 		p.resetLinks()
+	case plannedStops:
+		p.stopAsPlanned()
+	case lapsedRegistrations:
+		p.lapseRegistrations()
 	}
 }
 
@@ -158,6 +166,16 @@
 		return
 	}
 	p.traceDisruption("entry %d is killed", e.incarnation)
+	p.endEntry(e)
+	p.after(entryLease, func() { p.expire(e.incarnation) })
+	p.after(p.drawBetween(500*millis, 1500*millis), func() {
+		p.addEntry()
+		p.propagate()
+	})
+}
+
+// endEntry ends an incarnation of an entry. Its callers lose their answers.
+func (p *pathSimulation) endEntry(e *entryProc) {
 	e.alive, e.frozen, e.inbox = false, false, nil
 	p.loseCallers(e)
 	for _, a := range p.agents {
@@ -169,11 +187,6 @@
 			})
 		})
 	}
-	p.after(entryLease, func() { p.expire(e.incarnation) })
-	p.after(p.drawBetween(500*millis, 1500*millis), func() {
-		p.addEntry()
-		p.propagate()
-	})
 }
 
 func (p *pathSimulation) freezeEntry(e *entryProc, d time.Duration) {
--- a/dispatch/pathlink_test.go
+++ b/dispatch/pathlink_test.go
@@ -97,7 +97,8 @@
 // reach each other.
 func (p *pathSimulation) dial(e *entryProc, a *agentProc) {
 	l := p.linkOf(e.incarnation, a.incarnation)
-	listed := p.viewVersions[e.incarnation] >= ids.Version(a.incarnation)
+	view, expired := p.viewVersions[e.incarnation], p.expiredAt(a.incarnation)
+	listed := view >= ids.Version(a.incarnation) && (expired == 0 || view < expired)
 	if !e.alive || !a.alive || !listed || l.open {
 		return
 	}
--- a/dispatch/sim_test.go
+++ b/dispatch/sim_test.go
@@ -68,6 +68,7 @@
 	alive       bool
 	nextTick    time.Duration
 	requestSeq  uint64
+	leaving     departure
 }
 
 type agentProc struct {
@@ -76,6 +77,7 @@
 	node        int
 	core        agentCore
 	alive       bool
+	draining    bool
 	nextTick    time.Duration
 	running     map[ids.TaskKey]bool
 	startCount  int
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -30,6 +30,7 @@
 	// restartAtStart makes the worker restart under its id when the agent next sends a start.
 	restartAtStart bool
 	contact        contact
+	leaving        bool // its worker has announced that it ends
 }
 
 const (
@@ -56,7 +57,7 @@
 func (n *workerNode) heartbeat(delay time.Duration) {
 	w := n.life
 	n.path.after(delay, func() {
-		if !w.up {
+		if !w.up || n.leaving {
 			return
 		}
 		clock := w.clock()
@@ -138,6 +139,8 @@
 }
 
 func (p *pathSimulation) expire(inc ids.Incarnation) {
-	p.expireMember(inc)
-	p.propagate()
+	if p.expiredAt(inc) == 0 {
+		p.expireMember(inc)
+		p.propagate()
+	}
 }
--- a/dispatch/workerpath_search_test.go
+++ b/dispatch/workerpath_search_test.go
@@ -14,7 +14,7 @@
 
 // namedDisruptions are the disruptions that a search can name.
 var namedDisruptions = map[string]disruptionSet{
-	"all": allDisruptions, "allButHanging": allDisruptions &^ hangingTasks, "stress": stressDisruptions,
+	"all": allDisruptions, "stress": stressDisruptions, "members": memberDisruptions,
 	"killedEntries": killedEntries, "frozenEntries": frozenEntries, "cutEntries": cutEntries,
 	"frozenAgents": frozenAgents, "killedAgents": killedAgents, "cutAgents": cutAgents,
 	"crashedWorkers": crashedWorkers, "rebornWorkers": rebornWorkers, "lateCalls": lateCalls, "lateGrants": lateGrants,
@@ -23,7 +23,8 @@
 	"agentsFrozenAtStarts": agentsFrozenAtStarts, "agentsFrozenAfterCuts": agentsFrozenAfterCuts,
 	"agentsFrozenAtRequests": agentsFrozenAtRequests, "agentsFrozenAfterStarts": agentsFrozenAfterStarts,
 	"slowProcesses": slowProcesses, "slowLinks": slowLinks, "resetLinks": resetLinks,
-	"differingClocks": differingClocks,
+	"differingClocks": differingClocks, "plannedStops": plannedStops,
+	"lapsedRegistrations": lapsedRegistrations,
 }
 
 // TestWorkerPathSearch plays many seeds of a set of disruptions and reports each overlap.
--- a/dispatch/workerpath_test.go
+++ b/dispatch/workerpath_test.go
@@ -23,7 +23,8 @@
 
 	active    map[string][]*workerRun // runs that have not ended, by task
 	runCount  int
-	bornCount int64 // starts of workers whose announced time was drawn
+	deaf      map[ids.Incarnation]bool // members that the control group doesn't reach
+	bornCount int64                    // starts of workers whose announced time was drawn
 	overlaps  []overlap
 	trace     pathTrace
 	// sparedLateGrants counts the late requests that were lost or were executed with their
@@ -46,7 +47,7 @@
 func newPathSimulation(seed uint64, figures platformFigures, d disruptionSet) *pathSimulation {
 	p := &pathSimulation{
 		batchSimulation: newEmptyBatchSimulation(seed, 0), disruptions: d, clockSlack: defaultClockSlack,
-		links: map[linkID]*pathLink{}, viewVersions: map[ids.Incarnation]ids.Version{}, active: map[string][]*workerRun{},
+		links: map[linkID]*pathLink{}, deaf: map[ids.Incarnation]bool{}, viewVersions: map[ids.Incarnation]ids.Version{}, active: map[string][]*workerRun{},
 	}
 	p.figures, p.cfg.Leases = figures, figures.leases
 	p.carry = p.carryMessage
@@ -114,9 +115,15 @@
 func (p *pathSimulation) propagate() {
 	at, rows := p.logIndex, slices.Clone(p.members)
 	for _, e := range p.liveEntries() {
+		if p.deaf[e.incarnation] {
+			continue
+		}
 		p.after(p.drawUpTo(viewDelay), func() { e.receive(callerSource, func() { p.applyEntryView(e, at, rows) }) })
 	}
 	for _, a := range p.agents {
+		if p.deaf[a.incarnation] {
+			continue
+		}
 		p.after(p.drawUpTo(viewDelay), func() {
 			a.receive(workerSource, func() {
 				a.core.SetEntries(p.now, at, rows)
@@ -136,6 +143,7 @@
 	p.viewVersions[e.incarnation] = at
 	e.core.SetUpstreams(p.now, rows)
 	p.tickEntry(e)
+	p.dropUnlisted(e, rows)
 	for _, a := range p.agents {
 		p.dial(e, a)
 	}
