dispatch: change the configuration in the worker path emulator, and repeat refused batches

Cause: the emulator had one service and one timeout, and its callers gave a batch up that was answered as not run. So neither a queue that moves while its tasks run could show an overlap, nor an answer "not run" that isn't true.

Change: the class configChanges moves the queue between two services, each with half of the workers, changes its timeout, or does both. Entries learn of it one by one, so that two of them may route one batch differently.

--- a/dispatch/batchcallers_test.go
+++ b/dispatch/batchcallers_test.go
@@ -36,6 +36,9 @@
 	}
 }
 
+// maxRefusedWait bounds the time after which callers repeat a batch that has not run.
+const maxRefusedWait = 20 * time.Millisecond
+
 // submitBatch submits a batch at an entry. Its caller submits it again at a random live
 // entry if the entry crashes, does not answer or answers that the batch may have run.
 func (b *batchSimulation) submitBatch(name string, e *entryProc, tasks int, runTime time.Duration, resubmissions int) {
@@ -90,6 +93,10 @@
 		switch {
 		case err != nil && err.Verdict == verdict.MayHaveRun:
 			resubmit()
+		case err != nil && err.Verdict == verdict.NotRun && b.repeatRefused && resubmissions > 0:
+			b.after(time.Duration(b.rng.Int64N(int64(maxRefusedWait))), func() {
+				b.submitBatch(name, b.randomLiveEntry(), tasks, classRunTime, resubmissions-1)
+			})
 		case err != nil && err.Verdict == verdict.NotRun && b.now-submittedAt > declaredObjective:
 			b.lateRefusals++
 		}
@@ -115,6 +122,9 @@
 		return
 	}
 	batch.Arrived, batch.Deadline = b.now, e.leaving.capDeadline(b.now+b.figures.entryDeadline)
+	if b.route != nil {
+		b.route(e, &batch)
+	}
 	if err := e.core.Batch(b.now, batch); err != nil {
 		p.answer(err)
 		return
--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/baobabshore/baobabshore/dispatch"
 	"github.com/baobabshore/baobabshore/executor"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/lease"
@@ -40,10 +41,13 @@
 	// varyRunTimes makes run times differ between the batches of a class, and declared
 	// run times deviate from the actual ones.
 	varyRunTimes bool
-	runTimes     map[string]batchRunTimes                                 // by batch name, set if varyRunTimes
-	resultCounts map[string]int                                           // batches by result
-	lateRefusals int                                                      // batches refused after their declared objective
-	ended        func(class string, runTime time.Duration, answered bool) // called at the end of each batch, may be nil
+	runTimes     map[string]batchRunTimes              // by batch name, set if varyRunTimes
+	resultCounts map[string]int                        // batches by result
+	route        func(e *entryProc, b *dispatch.Batch) // sets the service and the deadline of a batch, may be nil
+	// repeatRefused makes callers repeat a batch soon after the answer that it has not run.
+	repeatRefused bool
+	lateRefusals  int                                                      // batches refused after their declared objective
+	ended         func(class string, runTime time.Duration, answered bool) // called at the end of each batch, may be nil
 }
 
 var workerCapacity = wire.Resources{CPU: 16000, Memory: 32768}
--- a/dispatch/pathdisrupt_test.go
+++ b/dispatch/pathdisrupt_test.go
@@ -7,7 +7,7 @@
 )
 
 // disruptionSet says which disruptions a simulation draws.
-type disruptionSet uint32
+type disruptionSet uint64
 
 const (
 	killedEntries         disruptionSet = 1 << iota // their connections are reset
@@ -58,6 +58,11 @@
 	plannedStops
 	// lapsedRegistrations are registrations that end while their processes go on.
 	lapsedRegistrations
+	// configChanges move the queue to another service, or change its timeout.
+	configChanges
+	// repeatedRefusals are callers that repeat a batch at once after the answer that it has
+	// not run, so that a run of it which begins or goes on after that answer shows.
+	repeatedRefusals
 	endOfDisruptions
 
 	allDisruptions = lateGrantsAtUnreached - 1
@@ -131,6 +136,8 @@
 		p.stopAsPlanned()
 	case lapsedRegistrations:
 		p.lapseRegistrations()
+	case configChanges:
+		p.changeConfig()
 	}
 }
 
--- a/dispatch/pathschedule_test.go
+++ b/dispatch/pathschedule_test.go
@@ -33,7 +33,7 @@
 		}
 	}
 	for kind := lostAnswers; kind < endOfDisruptions; kind <<= 1 {
-		if d.has(kind) && kind != differingClocks {
+		if d.has(kind) && kind != differingClocks && kind != repeatedRefusals {
 			kinds = append(kinds, kind)
 		}
 	}
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -88,7 +88,7 @@
 	p := n.path
 	a := &agentProc{node: n.number, core: agentCore{clock: p.drawClock()}}
 	a.incarnation = p.registerMember(wire.Member{Registration: wire.Registration{
-		Kind: wire.KindAgent, Service: svc, Capacity: workerCapacity, Node: ids.Node(fmt.Sprint("n", n.number)),
+		Kind: wire.KindAgent, Service: p.serviceOf(n), Capacity: workerCapacity, Node: ids.Node(fmt.Sprint("n", n.number)),
 	}})
 	a.core.Core = executor.New(executor.Config{Self: a.incarnation, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerCapacity, Leases: p.figures.leases})
 	a.core.SetTradeoff(1)
--- a/dispatch/workerpath_test.go
+++ b/dispatch/workerpath_test.go
@@ -27,6 +27,8 @@
 	bornCount int64                    // starts of workers whose announced time was drawn
 	overlaps  []overlap
 	trace     pathTrace
+	queue     pathQueue                     // as configured
+	queues    map[ids.Incarnation]pathQueue // as entries know it
 	// sparedLateGrants counts the late requests that were lost or were executed with their
 	// Until as it was, since no dispatcher could have prevented what they extend.
 	sparedLateGrants int
@@ -54,6 +56,10 @@
 	p.onCaller = func(name, text string) {
 		p.trace.add(pathEvent{at: p.now, what: eventCaller, run: worker.RunID{Task: name}, detail: text})
 	}
+	p.repeatRefused = d.has(repeatedRefusals)
+	if d.has(configChanges) {
+		p.queue, p.queues, p.route = pathQueue{service: svc}, map[ids.Incarnation]pathQueue{}, p.routeByQueue
+	}
 	p.link.jitter = 2 * time.Millisecond
 	for range pathEntries {
 		p.addEntry()
