--- a/dispatch/pathrunner_test.go
+++ b/dispatch/pathrunner_test.go
@@ -24,7 +24,7 @@
 	path   *pathSimulation
 	node   *workerNode
 	agent  *agentProc
-	core   *worker.Core
+	core   workerCore
 	served *workerLife // that the requests are meant for
 	pool   connPool
 	// highestFence is the highest fencing token of the requests so far.
--- a/dispatch/workernode_test.go
+++ b/dispatch/workernode_test.go
@@ -30,6 +30,7 @@
 	// restartAtStart makes the worker restart under its id when the agent next sends a start.
 	restartAtStart bool
 	contact        contact
+	leaving        bool // its worker has announced that it ends
 }
 
 const (
@@ -56,7 +57,7 @@
 func (n *workerNode) heartbeat(delay time.Duration) {
 	w := n.life
 	n.path.after(delay, func() {
-		if !w.up {
+		if !w.up || n.leaving {
 			return
 		}
 		clock := w.clock()
@@ -85,14 +86,14 @@
 // predecessors have ended.
 func (n *workerNode) register(w *workerLife, clock time.Duration) {
 	p := n.path
-	a := &agentProc{node: n.number}
+	a := &agentProc{node: n.number, core: agentCore{clock: p.drawClock()}}
 	a.incarnation = p.registerMember(wire.Member{Registration: wire.Registration{
-		Kind: wire.KindAgent, Service: svc, Capacity: workerCapacity, Node: ids.Node(fmt.Sprint("n", n.number)),
+		Kind: wire.KindAgent, Service: p.serviceOf(n), Capacity: workerCapacity, Node: ids.Node(fmt.Sprint("n", n.number)),
 	}})
-	a.core = executor.New(executor.Config{Self: a.incarnation, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerCapacity, Leases: p.figures.leases})
+	a.core.Core = executor.New(executor.Config{Self: a.incarnation, LookAhead: 1, AnswerBytes: 8 << 20, Capacity: workerCapacity, Leases: p.figures.leases})
 	a.core.SetTradeoff(1)
-	r := &pathRunner{path: p, node: n, agent: a, served: w}
-	r.core = worker.New(p.now, worker.Config{
+	r := &pathRunner{path: p, node: n, agent: a, served: w, core: workerCore{clock: a.core.clock}}
+	r.core.Core = worker.New(a.core.clock.read(p.now), worker.Config{
 		Fence: worker.NewFence(uint64(a.incarnation)), Clock: clock,
 		Lease: p.figures.longestLease, StopWindow: p.figures.leases.Worker,
 	})
@@ -138,6 +139,8 @@
 }
 
 func (p *pathSimulation) expire(inc ids.Incarnation) {
-	p.expireMember(inc)
-	p.propagate()
+	if p.expiredAt(inc) == 0 {
+		p.expireMember(inc)
+		p.propagate()
+	}
 }
--- a/dispatch/workerpath_test.go
+++ b/dispatch/workerpath_test.go
@@ -26,10 +26,14 @@
 	viewVersions          map[ids.Incarnation]ids.Version // by entry
 	hangShare             float64                         // of the tasks
 
-	active   map[string][]*workerRun // runs that have not ended, by task
-	runCount int
-	overlaps []overlap
-	trace    pathTrace
+	active    map[string][]*workerRun // runs that have not ended, by task
+	runCount  int
+	deaf      map[ids.Incarnation]bool // members that the control group doesn't reach
+	bornCount int64                    // starts of workers whose announced time was drawn
+	overlaps  []overlap
+	trace     pathTrace
+	queue     pathQueue                     // as configured
+	queues    map[ids.Incarnation]pathQueue // as entries know it
 	// sparedLateGrants counts the late requests that were lost or were executed with their
 	// Until as it was, since no dispatcher could have prevented what they extend.
 	sparedLateGrants int
@@ -52,13 +56,17 @@
 	p := &pathSimulation{
 		batchSimulation: newEmptyBatchSimulation(seed, 0), disruptions: d, clockSlack: defaultClockSlack,
 		connRng: rand.New(rand.NewPCG(seed, connStream)),
-		links:   map[linkID]*pathLink{}, viewVersions: map[ids.Incarnation]ids.Version{}, active: map[string][]*workerRun{},
+		links:   map[linkID]*pathLink{}, deaf: map[ids.Incarnation]bool{}, viewVersions: map[ids.Incarnation]ids.Version{}, active: map[string][]*workerRun{},
 	}
 	p.figures, p.cfg.Leases = figures, figures.leases
 	p.carry = p.carryMessage
 	p.onCaller = func(name, text string) {
 		p.trace.add(pathEvent{at: p.now, what: eventCaller, run: worker.RunID{Task: name}, detail: text})
 	}
+	p.repeatRefused = d.has(repeatedRefusals)
+	if d.has(configChanges) {
+		p.queue, p.queues, p.route = pathQueue{service: svc}, map[ids.Incarnation]pathQueue{}, p.routeByQueue
+	}
 	p.link.jitter = 2 * time.Millisecond
 	for range pathEntries {
 		p.addEntry()
@@ -75,6 +83,11 @@
 	pathWorkers = 4
 )
 
+// addEntry adds an entry with a clock of its own.
+func (p *pathSimulation) addEntry() {
+	p.batchSimulation.addEntry().core.clock = p.drawClock()
+}
+
 func (p *pathSimulation) drawUpTo(d time.Duration) time.Duration {
 	return time.Duration(p.rng.Int64N(int64(d) + 1))
 }
@@ -115,9 +128,15 @@
 func (p *pathSimulation) propagate() {
 	at, rows := p.logIndex, slices.Clone(p.members)
 	for _, e := range p.liveEntries() {
+		if p.deaf[e.incarnation] {
+			continue
+		}
 		p.after(p.drawUpTo(viewDelay), func() { e.receive(callerSource, func() { p.applyEntryView(e, at, rows) }) })
 	}
 	for _, a := range p.agents {
+		if p.deaf[a.incarnation] {
+			continue
+		}
 		p.after(p.drawUpTo(viewDelay), func() {
 			a.receive(workerSource, func() {
 				a.core.SetEntries(p.now, at, rows)
@@ -137,6 +156,7 @@
 	p.viewVersions[e.incarnation] = at
 	e.core.SetUpstreams(p.now, rows)
 	p.tickEntry(e)
+	p.dropUnlisted(e, rows)
 	for _, a := range p.agents {
 		p.dial(e, a)
 	}
