--- a/dispatch/workerpath_search_test.go
+++ b/dispatch/workerpath_search_test.go
@@ -24,7 +24,7 @@
 	"agentsFrozenAtRequests": agentsFrozenAtRequests, "agentsFrozenAfterStarts": agentsFrozenAfterStarts,
 	"slowProcesses": slowProcesses, "slowLinks": slowLinks, "resetLinks": resetLinks,
 	"differingClocks": differingClocks, "plannedStops": plannedStops,
-	"lapsedRegistrations": lapsedRegistrations, "configChanges": configChanges, "repeatedRefusals": repeatedRefusals,
+	"restartsUnnoticed": restartsUnnoticed, "lapsedRegistrations": lapsedRegistrations, "configChanges": configChanges, "repeatedRefusals": repeatedRefusals,
 }
 
 // TestWorkerPathSearch plays many seeds of a set of disruptions and reports each overlap.
