worker: let no entry start a task again that its caller has repeated, also after a restart

Since a restart of the worker goes through answerAllRuns, which answered such a run with ran/canceled and its repeats with not-run, so that both entries start the task elsewhere. The same held for a run whose start is refused or expires after the repeat. At a fenced worker the repeats of a run that had not been sent got no answer at all.

Change: answerAllRuns uses answerUnfinished; answerNotRun does the same for a run that has not begun.

Evidence: TestRepeatedRunOfARestartedWorkerIsNotStartedTwice and the five cases of TestRefusedRunOfARepeatedBatchIsNotStartedTwice failed before, pass now; go test ./worker and go test ./dispatch -run TestWorkerPath pass (136 s).

--- a/worker/core.go
+++ b/worker/core.go
@@ -220,7 +220,7 @@
 		reason = verdict.NoCredit
 	}
 	c.deleteRun(r)
-	c.queueAnswer(r.key, r.id, EvidenceRefused, verdict.NotRun, reason, 0)
+	c.answerNotRun(r, EvidenceRefused, reason)
 	switch refusal {
 	case RefusedFenced:
 		c.answerAllRuns(now, EvidenceFenced, verdict.MayHaveRun, verdict.Fenced)
--- a/worker/reconcile.go
+++ b/worker/reconcile.go
@@ -40,6 +40,16 @@
 	c.queueAnswer(r.key, r.id, evidence, verdict.Ran, reason, ranUS)
 }
 
+// answerNotRun answers a run that has not begun and will not. Its entry may start the task
+// elsewhere, unless the caller has repeated the batch; see answerUnfinished.
+func (c *Core) answerNotRun(r *run, evidence Evidence, reason verdict.Reason) {
+	if len(r.repeats) > 0 {
+		c.queueAnswer(r.key, r.id, evidence, verdict.MayHaveRun, verdict.Superseded, 0)
+		return
+	}
+	c.queueAnswer(r.key, r.id, evidence, verdict.NotRun, reason, 0)
+}
+
 // reconcile compares the runs listed by the worker with those of the core. Unknown
 // runs become orphans to be stopped, listed runs with an unanswered start are confirmed,
 // and runs missing from the list are answered as ended if endedBefore allows it. sentAt
@@ -100,19 +110,20 @@
 func (c *Core) answerAllRuns(now time.Duration, evidence Evidence, v verdict.Verdict, reason verdict.Reason) {
 	c.replaced = true
 	for _, r := range c.sortedRuns() {
-		repeats := r.repeats
-		if v == verdict.MayHaveRun {
-			r.repeats = nil // the run may go on, so a refusal would not be safe either
-		}
-		c.deleteRun(r)
 		if r.phase == queued {
-			c.queueAnswer(r.key, r.id, evidence, verdict.NotRun, reason, 0)
+			c.deleteRun(r)
+			c.answerNotRun(r, evidence, reason)
 			continue
 		}
-		c.queueAnswer(r.key, r.id, evidence, v, reason, (now - r.requestedAt).Microseconds())
 		if v != verdict.MayHaveRun {
+			c.deleteRun(r)
+			c.answerUnfinished(r, evidence, reason, (now - r.requestedAt).Microseconds())
 			continue
 		}
+		repeats := r.repeats
+		r.repeats = nil // the run may go on, so a refusal would not be safe either
+		c.deleteRun(r)
+		c.queueAnswer(r.key, r.id, evidence, v, reason, (now - r.requestedAt).Microseconds())
 		for _, s := range repeats {
 			c.queueAnswer(s.key, s.id, evidence, v, reason, 0)
 		}
--- a/worker/requests.go
+++ b/worker/requests.go
@@ -63,7 +63,7 @@
 // refuseQueued answers a run whose start has not been sent and will not be.
 func (c *Core) refuseQueued(r *run, evidence Evidence) {
 	c.deleteRun(r)
-	c.queueAnswer(r.key, r.id, evidence, verdict.NotRun, verdict.UpstreamRefused, 0)
+	c.answerNotRun(r, evidence, verdict.UpstreamRefused)
 }
 
 // rejectUnanswered makes the worker reject the requests so far that it has not executed.
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -162,3 +162,81 @@
 		})
 	}
 }
+
+// Guards against two runs of a task at the same time: the worker restarts while a run is being
+// stopped because its caller has repeated the batch, and the entries of both batches start the
+// task again.
+func TestRepeatedRunOfARestartedWorkerIsNotStartedTwice(t *testing.T) {
+	c, running := newCoreWithRun()
+	c.Tick(0)
+	c.Started(0, running, StartReply{Clock: time.Hour}, false)
+	c.Run(time.Millisecond, wire.Start{Key: ids.RequestOf(2, 1), Name: "task", Try: 2}, 0)
+	out := c.Tick(renewalOverlapDelay)
+	if out.Renew == nil {
+		t.Fatal("no renewal")
+	}
+	c.Renewed(renewalOverlapDelay, *out.Renew, Status{Refused: RefusedReplaced}, false)
+	var restartable []Ended
+	ended := c.Tick(renewalOverlapDelay).Ended
+	for _, e := range ended {
+		if e.Verdict != verdict.MayHaveRun {
+			restartable = append(restartable, e)
+		}
+	}
+	if len(ended) != 2 || len(restartable) > 1 {
+		t.Errorf("%d answers, of which %d let their entry start the task again: %v", len(ended), len(restartable), restartable)
+	}
+}
+
+// Guards against two runs of a task at the same time: a run that has not begun is refused after
+// the caller has repeated the batch, and the entries of both batches start the task elsewhere.
+func TestRefusedRunOfARepeatedBatchIsNotStartedTwice(t *testing.T) {
+	repeat := func(c *Core) {
+		c.Run(0, wire.Start{Key: ids.RequestOf(2, 1), Name: "task", Try: 2}, 0)
+	}
+	for _, tc := range []struct {
+		name string
+		end  func(c *Core, task RunID) []Ended
+	}{
+		{"refused", func(c *Core, task RunID) []Ended {
+			c.Tick(0)
+			repeat(c)
+			c.Started(0, task, StartReply{Refused: RefusedFull}, false)
+			return c.Tick(0).Ended
+		}},
+		{"replaced", func(c *Core, task RunID) []Ended {
+			c.Tick(0)
+			repeat(c)
+			c.Started(0, task, StartReply{Refused: RefusedReplaced}, false)
+			return c.Tick(0).Ended
+		}},
+		{"expired", func(c *Core, _ RunID) []Ended {
+			repeat(c)
+			return c.Tick(time.Second).Ended
+		}},
+		{"queued-at-a-fenced-worker", func(c *Core, _ RunID) []Ended {
+			repeat(c)
+			c.Renewed(0, RenewRequest{Fence: c.fence}, Status{Refused: RefusedFenced}, false)
+			return c.Tick(0).Ended
+		}},
+		{"queued-at-a-restarted-worker", func(c *Core, _ RunID) []Ended {
+			repeat(c)
+			c.Renewed(0, RenewRequest{Fence: c.fence}, Status{Refused: RefusedReplaced}, false)
+			return c.Tick(0).Ended
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			c, task := newCoreWithRun()
+			ended := tc.end(c, task)
+			restartable := 0
+			for _, e := range ended {
+				if e.Verdict != verdict.MayHaveRun {
+					restartable++
+				}
+			}
+			if len(ended) != 2 || restartable > 1 {
+				t.Errorf("%d answers, of which %d let their entry start the task again: %v", len(ended), restartable, ended)
+			}
+		})
+	}
+}
