--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -166,6 +166,14 @@
 	longestLease  time.Duration // that a worker grants
 	stopGrace     time.Duration // that a worker takes at most to stop a run
 	leases        lease.Times   // that follow from the settings
+	size          platformSize
+}
+
+// platformSize is the size of the simulations of the worker path.
+type platformSize struct {
+	entries, workers int
+	maxTasks         int // of a batch
+	maxPerWorker     int // tasks of a batch on one worker, zero for any number
 }
 
 func defaultFigures() platformFigures { return figuresOf(lease.Limits{}) }
@@ -177,6 +185,7 @@
 	f := platformFigures{
 		repeat: t.RepeatAfter, callerTimeout: t.RepeatAfter * 150 / 130, entryDeadline: t.RepeatAfter * 148 / 130,
 		longestLease: l.Longest, stopGrace: t.StopGrace, leases: t,
+		size: platformSize{entries: 3, workers: 4, maxTasks: 4},
 	}
 	if f.longestLease == 0 {
 		f.longestLease = time.Second
--- a/dispatch/workerpath_clock_test.go
+++ b/dispatch/workerpath_clock_test.go
@@ -8,6 +8,7 @@
 // Guards against overlaps that depend on what a clock shows: a time that one process reads
 // on its clock and another one compares with its own.
 func TestWorkerPathDifferingClocks(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name string
 		set  disruptionSet
@@ -25,6 +26,7 @@
 // Guards against clocks that disturb a calm day, and against an emulator in which the
 // clocks agree after all.
 func TestWorkerPathWithDifferingClocksOnly(t *testing.T) {
+	t.Parallel()
 	done, all := 0, 0
 	for seed := range uint64(20) {
 		p := playPath(seed, defaultFigures(), differingClocks)
@@ -49,6 +51,7 @@
 // Guards against a tick that comes before the time that the core has asked for, and against
 // times that change on their way through a clock.
 func TestProcessClockRoundTrip(t *testing.T) {
+	t.Parallel()
 	for _, c := range []processClock{{}, {offset: time.Hour}, {offset: -3 * time.Second, slow: 0.001}, {offset: 1, slow: 0.0003}} {
 		for _, now := range []time.Duration{1, millis, 4*time.Second + 12345, 14 * time.Second} {
 			shown := c.read(now)
