dispatch: play fewer seeds of the new worker path tests with -short

Cause: with the race detector a seed of the large size takes seconds, and the guards played as many seeds with -short as without.

Without -short nothing changes.

--- a/dispatch/workerpath_large_test.go
+++ b/dispatch/workerpath_large_test.go
@@ -21,6 +21,9 @@
 		{"lost-answers", lostAnswers | callsOfFrozenEntries | rebornWorkers},
 		{"mix", mixOfAll},
 	} {
+		if testing.Short() && tc.set != mixOfAll {
+			continue // a seed takes 30 times as long as one of the default size
+		}
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			checkPathWith(t, 6, largeFigures(), tc.set)
