--- a/agent/starts_test.go
+++ b/agent/starts_test.go
@@ -243,3 +243,29 @@
 	}
 	return a
 }
+
+// Guards against a late heartbeat that makes a worker which drains seem ready.
+func TestLateHeartbeatOfThePresentStartIsIgnored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := bareSidecar()
+		s.SetWorker(worker.Announcement{ID: "w", Born: 1000, Sequence: 8, Draining: true})
+		time.Sleep(time.Millisecond)
+		s.SetWorker(worker.Announcement{ID: "w", Born: 1000, Sequence: 7})
+		if a := must(s.Worker()); !a.Draining {
+			t.Error("a late heartbeat ends the drain")
+		}
+	})
+}
+
+// Guards against a worker of another id that has to wait since its start is unknown.
+func TestWorkerOfUnknownStartIsServedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := bareSidecar()
+		s.SetWorker(worker.Announcement{ID: "a", Born: 1000, Sequence: 1, Clock: time.Millisecond})
+		time.Sleep(testHeartbeatInterval)
+		s.SetWorker(worker.Announcement{ID: "b", Sequence: 1, Clock: time.Millisecond})
+		if a := must(s.Worker()); a.ID != "b" {
+			t.Errorf("serves %q", a.ID)
+		}
+	})
+}
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -240,3 +240,16 @@
 		})
 	}
 }
+
+// Guards against an agent that registers for a worker whose process has ended: a late status of
+// that process lists no run.
+func TestLateStatusOfAnEndedWorkerClearsNoOrphans(t *testing.T) {
+	c := New(0, Config{Fence: 7, Lease: time.Second, Clock: time.Hour})
+	first := *c.Tick(0).Renew
+	second := *c.Tick(renewalOverlapDelay).Renew
+	c.Renewed(renewalOverlapDelay, second, Status{Refused: RefusedReplaced}, false)
+	c.Renewed(renewalOverlapDelay, first, Status{Clock: time.Hour}, false)
+	if c.OrphansCleared() {
+		t.Error("orphans cleared")
+	}
+}
