worker: let only the last of several repeats start a task again

Starts of repeated batches that wait for the end of a run were all answered as not run, so that each of their entries could start the task elsewhere. Now only the last one is answered so, the others with may-have-run: their callers have left.

TestOnlyTheLastRepeatMayStartTheTaskAgain failed before.

--- a/worker/core.go
+++ b/worker/core.go
@@ -295,10 +295,15 @@
 	return list
 }
 
-// deleteRun removes a run that has ended, and refuses the starts that waited for its end.
+// deleteRun removes a run that has ended, and refuses the starts that waited for its end. Only
+// the entry of the last one may start the task again.
 func (c *Core) deleteRun(r *run) {
-	for _, s := range r.repeats {
-		c.queueAnswer(s.key, s.id, EvidenceRefused, verdict.NotRun, verdict.Superseded, 0)
+	for i, s := range r.repeats {
+		v := verdict.MayHaveRun
+		if i == len(r.repeats)-1 {
+			v = verdict.NotRun
+		}
+		c.queueAnswer(s.key, s.id, EvidenceRefused, v, verdict.Superseded, 0)
 	}
 	delete(c.runs, r.id)
 	if c.runsByKey[r.key] == r {
--- a/worker/restart_test.go
+++ b/worker/restart_test.go
@@ -253,3 +253,24 @@
 		t.Error("orphans cleared")
 	}
 }
+
+// Guards against two runs of a task at the same time: the starts of two repeated batches wait
+// for the end of one run, and the entries of both start the task elsewhere.
+func TestOnlyTheLastRepeatMayStartTheTaskAgain(t *testing.T) {
+	c, running := newCoreWithRun()
+	out := c.Tick(0)
+	c.Started(0, running, StartReply{Clock: time.Hour}, false)
+	for entry := ids.Incarnation(2); entry <= 3; entry++ {
+		c.Run(0, wire.Start{Key: ids.RequestOf(entry, 1), Name: "task", Try: 1}, 0)
+	}
+	c.Renewed(0, *out.Renew, Status{Clock: time.Hour, Ended: []End{{Number: 1, Run: running, How: EndStopped}}}, false)
+	ended := c.Tick(0).Ended
+	if len(ended) != 3 {
+		t.Fatalf("answers %v, want three", ended)
+	}
+	for _, e := range ended {
+		if last := e.Key == ids.RequestOf(3, 1); (e.Verdict != verdict.MayHaveRun) != last {
+			t.Errorf("%v is answered with %v", e.Key, e.Verdict)
+		}
+	}
+}
