--- a/agent/lease_test.go
+++ b/agent/lease_test.go
@@ -74,6 +74,20 @@
 
 func (w *leasedWorker) Close() {}
 
+// startIncarnationOf starts an incarnation of an agent for a worker.
+func startIncarnationOf(t *testing.T, w *leasedWorker) *incarnation {
+	t.Helper()
+	inc := newIncarnation(Options{
+		TickMin: time.Millisecond, Capacity: wire.Resources{CPU: 1000},
+		Worker: WorkerOpener(w, worker.Config{Lease: time.Second}),
+	}, nil, newMetrics(tally.NoopScope), fixedSession{})
+	if err := inc.openWorker(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	inc.start()
+	return inc
+}
+
 // Guards against two overlapping runs of a task: an agent freezes just before the lease of
 // a lost entry ends, and the worker's own lease outlasts the repetition of the batch.
 func TestLeasesOfALostEntryEndBeforeItsBatchIsRepeated(t *testing.T) {
@@ -81,14 +95,7 @@
 		const repeatedAfter = 1300 * time.Millisecond // PROTOCOL.md, RetransmitMs
 		const entryLease = 500 * time.Millisecond
 		w := &leasedWorker{startTime: time.Now()}
-		inc := newIncarnation(Options{
-			TickMin: time.Millisecond, Capacity: wire.Resources{CPU: 1000},
-			Worker: WorkerOpener(w, worker.Config{Lease: time.Second}),
-		}, nil, newMetrics(tally.NoopScope), fixedSession{})
-		if err := inc.openWorker(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		inc.start()
+		inc := startIncarnationOf(t, w)
 		lastMessageAt := w.clock()
 		inc.loop.Call(func(now time.Duration) {
 			inc.core.Receive(now, wire.Exchange{
