entry, platform: end a batch everywhere before its DELETE is answered

Change: the entry that receives a DELETE asks all live entries to end their copies and to refuse later ones, and answers once no agent holds a task of the batch any more. New entries are told of deleted batches.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -284,6 +284,26 @@
 	}
 }
 
+// DeleteBatch ends a batch that its caller has deleted. HeldBatches tells when its tasks
+// have ended.
+func (c *Core) DeleteBatch(now time.Duration, key ids.TaskKey) {
+	if j := c.requests[key]; j != nil {
+		c.failJob(now, j, wire.JobCanceled, c.unfinishedError(j, verdict.Deleted, "deleted by the caller"))
+	}
+}
+
+// HeldBatches returns the keys of the batches and single requests of which agents hold
+// tasks, also of those that have ended here.
+func (c *Core) HeldBatches() map[ids.TaskKey]bool {
+	held := map[ids.TaskKey]bool{}
+	for _, a := range c.attempts {
+		if a.job.unrecorded {
+			held[a.job.key] = true
+		}
+	}
+	return held
+}
+
 // Disown drops a job that has been given to another owner. The outcome has an
 // unknown verdict, since the new owner has the answer. The agents get no
 // message, since the tasks now belong to the new owner.
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -8,6 +8,7 @@
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/lease"
 	"github.com/baobabshore/baobabshore/verdict"
+	"github.com/baobabshore/baobabshore/wire"
 )
 
 // batchTeam is the team of all batches. Batches are ordered by the time at which
@@ -17,6 +18,7 @@
 // Batch is a job without a record in the control group, whose caller waits for the
 // answer.
 type Batch struct {
+	ID       string // given by the caller, who may delete the batch by it
 	Service  ids.Service
 	Steps    []dispatch.Step
 	Name     func(step, index int) string // returns the name of a task at its worker
@@ -36,6 +38,9 @@
 	return b.Objective.Fixed + time.Duration(b.Objective.Stretch*float64(dispatch.LongestChain(b.Steps)))
 }
 
+// id returns the name of the batch among those of all callers.
+func (b Batch) id() wire.BatchID { return wire.BatchID{Queue: b.Queue, ID: b.ID} }
+
 // Tasks returns the number of tasks of all steps.
 func (b Batch) Tasks() int {
 	n := 0
@@ -109,7 +114,7 @@
 	// One sequence number is reserved for each task, so that the keys of the tasks
 	// follow the key of the batch.
 	keyCount := uint64(max(b.Tasks(), 1))
-	r := &request{key: ids.RequestOf(inc.self, inc.requestSeq.Add(keyCount)-keyCount+1), conn: conn, done: make(chan struct{})}
+	r := &request{key: ids.RequestOf(inc.self, inc.requestSeq.Add(keyCount)-keyCount+1), batch: b.id(), conn: conn, done: make(chan struct{})}
 	var refused *verdict.Error
 	ok := inc.loop.Call(func(now time.Duration) { refused = inc.addBatch(now, b, r) })
 	if !ok {
@@ -120,6 +125,9 @@
 
 // addBatch passes a batch to the core on the event loop. r gets its outcome.
 func (inc *incarnation) addBatch(now time.Duration, b Batch, r *request) *verdict.Error {
+	if inc.entry.deleted.contains(b.id()) {
+		return verdict.Refuse(verdict.Deleted, "the caller has deleted the batch")
+	}
 	arrived := now - time.Since(b.Arrived)
 	refused := inc.core.Batch(now, dispatch.Batch{
 		Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -46,6 +46,7 @@
 	callers     net.Listener
 	peers       *peers
 	jobs        *jobTable
+	deleted     *deletedBatches
 	metrics     *metrics
 	incarnation atomic.Pointer[incarnation]
 	// registered is closed after the first registration; incarnation is set from then
@@ -68,7 +69,7 @@
 		return nil, err
 	}
 	e := &Entry{
-		opts: o, jobs: newJobTable(o.AnswerBytes), metrics: newMetrics(o.Scope),
+		opts: o, jobs: newJobTable(o.AnswerBytes), deleted: newDeletedBatches(), metrics: newMetrics(o.Scope),
 		registered: make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
--- a/entry/life.go
+++ b/entry/life.go
@@ -19,7 +19,8 @@
 )
 
 // incarnation is one registration of the entry, from its start to the loss of the
-// session. Its event loop owns core, agents and requests.
+// session. Its event loop owns core, agents, requests, deletions and
+// latestEntry.
 type incarnation struct {
 	entry   *Entry
 	self    ids.Incarnation
@@ -31,6 +32,9 @@
 	lastTickAt time.Duration // owned by the loop
 	agents     map[ids.Incarnation]*agentConn
 	requests   map[ids.TaskKey]*request
+	deletions  []*batchDeletion
+
+	latestEntry ids.Incarnation // the entry that was registered last in the views so far
 
 	requestSeq        atomic.Uint64                    // last sequence number of single requests and tasks of batches
 	agentsUnreachable atomic.Bool                      // the core has no usable agent
@@ -50,6 +54,7 @@
 // request is a single request or a batch that waits for its outcome.
 type request struct {
 	key     ids.TaskKey
+	batch   wire.BatchID  // of a batch, zero for a single request
 	conn    net.Conn      // of the caller of a batch, nil if it is not watched
 	done    chan struct{} // closed once outcome or lostErr is set
 	outcome dispatch.Outcome
@@ -125,6 +130,7 @@
 	}
 	inc.core.SetUpstreams(now, v.Members)
 	inc.syncAgentConns(v.Members)
+	inc.shareDeletions()
 	for _, a := range v.Assigned {
 		inc.takeOver(now, a)
 	}
@@ -205,6 +211,7 @@
 	for _, o := range out.Finished {
 		inc.deliverOutcome(o)
 	}
+	inc.endDeletions()
 	return out.NextTick
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -98,6 +98,12 @@
 	return st, err
 }
 
+func (p *peers) sendDelete(ctx context.Context, addr string, d wire.DeleteBatches) (wire.BatchesDeleted, *verdict.Error) {
+	var reply wire.BatchesDeleted
+	err := p.call(ctx, 0, addr, wire.MethodDelete, d, &reply)
+	return reply, err
+}
+
 func (p *peers) sendBodies(ctx context.Context, addr string, b wire.Bodies) *verdict.Error {
 	return p.call(ctx, 0, addr, wire.MethodBodies, b, nil)
 }
@@ -108,6 +114,9 @@
 	m.Concurrent(wire.MethodState, rpc.Handle(e.serveState))
 	m.Concurrent(wire.MethodBodies, rpc.Handle(e.serveBodies))
 	m.Concurrent(wire.MethodCancel, rpc.Handle(e.serveCancel))
+	m.Concurrent(wire.MethodDelete, rpc.Handle(func(ctx context.Context, _ *rpc.Conn, d wire.DeleteBatches) (wire.BatchesDeleted, error) {
+		return e.serveDelete(ctx, d)
+	}))
 	m.Concurrent(wire.MethodDump, rpc.Handle(func(context.Context, *rpc.Conn, wire.Empty) (any, error) {
 		return e.Dump(), nil
 	}))
--- a/verdict/verdict.go
+++ b/verdict/verdict.go
@@ -77,6 +77,7 @@
 	Recalled         Reason = "recalled"          // the entry recalled the task before it started
 	Superseded       Reason = "superseded"        // the agent has received a later try of the task
 	Canceled         Reason = "canceled"          // the caller canceled it
+	Deleted          Reason = "deleted"           // the caller has deleted the batch by its id
 	DeadlinePassed   Reason = "deadline-passed"   // the request is too late for its deadline
 	UpstreamRefused  Reason = "upstream-refused"  // the upstream answered that it did not run the task
 	UpstreamLost     Reason = "upstream-lost"     // the agent or its incarnation is gone
--- a/wire/fields_test.go
+++ b/wire/fields_test.go
@@ -40,7 +40,7 @@
 // Guards against a field that is lost in the encoding, for example because two fields
 // have the same JSON name.
 func TestMessagesRoundTrip(t *testing.T) {
-	for _, m := range []any{&Start{}, &Exchange{}, &Answer{}, &Report{}, &Registration{}} {
+	for _, m := range []any{&Start{}, &Exchange{}, &Answer{}, &Report{}, &Registration{}, &DeleteBatches{}, &BatchesDeleted{}} {
 		setNonZero(t, reflect.ValueOf(m).Elem())
 		encoded, err := json.Marshal(m)
 		if err != nil {
--- a/wire/task.go
+++ b/wire/task.go
@@ -34,6 +34,7 @@
 	MethodState    = "entry.state"
 	MethodBodies   = "entry.bodies"
 	MethodCancel   = "entry.cancel"
+	MethodDelete   = "entry.delete"
 	MethodDump     = "dump"
 )
 
@@ -228,6 +229,22 @@
 	WaitMS int64   `json:"wait"`
 }
 
+// BatchID is the name that a caller has given to a batch, in the batch's queue.
+type BatchID struct {
+	Queue string `json:"q"`
+	ID    string `json:"id"`
+}
+
+// DeleteBatches asks another entry to end batches and to run none of them from then on.
+type DeleteBatches struct {
+	Batches []BatchID `json:"b"`
+}
+
+// BatchesDeleted is the reply to DeleteBatches: no task of the batches runs any more.
+type BatchesDeleted struct {
+	Known bool `json:"known,omitempty"` // the entry had run one of them, or knew of its deletion
+}
+
 // JobStatus is the state of a job at its owner, with the results once it is complete.
 type JobStatus struct {
 	Job     ids.Job         `json:"job"`
