agent, worker: end the agent of a worker whose restart a connection has shown

Cause: the agent refused all tasks once a connection had reached another start of its worker, and stayed registered until a heartbeat that counts: the next one, or the third one if the VM's clock was set back.

Change: the runner reports the restart to the sidecar, which ends the start. Its next heartbeat of another start is accepted whatever the clocks say; a start that was heard and ignored before takes its place at once.

TestConnectionShowsTheEndOfAStart and TestRestartIsReportedOnce are new and can't be built without the change.

--- a/agent/sidecar.go
+++ b/agent/sidecar.go
@@ -75,6 +75,19 @@
 	s.signalChange()
 }
 
+// WorkerRestarted records that a start of the worker is over: a connection to its address has
+// reached another one. The agent of that start can't run tasks any more.
+func (s *Sidecar) WorkerRestarted(ended worker.Announcement) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.starts.end(ended) {
+		return
+	}
+	latest, present := s.announcedLocked()
+	klog.InfoS("agent: Worker restarted", "worker", ended.ID, "born", ended.Born, "presentKnown", present, "presentBorn", latest.Born)
+	s.signalChange()
+}
+
 func (s *Sidecar) signalChange() {
 	select {
 	case s.changed <- struct{}{}:
--- a/agent/sidecar_test.go
+++ b/agent/sidecar_test.go
@@ -21,7 +21,7 @@
 		var lastWorker atomic.Value
 		s := NewSidecar(time.Second, func(a worker.Announcement) Options {
 			return Options{
-				Node: "n", Service: "s", Upstream: "u:1", Listen: "256.0.0.1:bad", // not an address, so the listen fails
+				Node: "n", Service: "s", Upstream: "u:1", Listen: "127.0.0.1:99999", // no such port, so the listen fails without a lookup
 				Session: func(context.Context, wire.Registration) (Session, error) {
 					return nil, errors.New("no control group")
 				},
--- a/agent/starts.go
+++ b/agent/starts.go
@@ -15,7 +15,8 @@
 // heartbeat shows a start that seems later than it was. Whatever they say, a start goes on to
 // send heartbeats while it is up, and one that is over doesn't. So the present start gives
 // way to another one that is heard for a while during its silence, and nothing is ignored
-// for good.
+// for good. A connection to the worker's address is better evidence than heartbeats: the
+// start that it doesn't reach any more is over.
 type starts struct {
 	heartbeatInterval time.Duration
 	known             []*start
@@ -28,6 +29,7 @@
 	heardAt    time.Time // when latest arrived
 	begunBy    time.Time // the start was no later, by the worker's own clock
 	heardSince time.Time // when it was heard first after the present start was heard last, zero if it wasn't
+	over       bool      // a connection has shown another start in its place
 }
 
 const (
@@ -58,16 +60,46 @@
 	if begunBy := now.Add(-a.Clock); first || begunBy.Before(s.begunBy) {
 		s.begunBy = begunBy
 	}
-	if s != l.present && l.present != nil && !(first && s.follows(l.present)) && !l.outlasts(now, s) {
+	if s != l.present && !l.takesPlace(now, s, first) {
 		return false
 	}
 	l.present = s
+	s.over = false
 	for _, other := range l.known {
 		other.heardSince = time.Time{}
 	}
 	return true
 }
 
+// takesPlace reports whether s, whose heartbeat has arrived, is the present start from now on.
+// first says that it was the first heartbeat of s.
+func (l *starts) takesPlace(now time.Time, s *start, first bool) bool {
+	switch {
+	case s.over:
+		return l.outlasts(now, s)
+	case l.present == nil:
+		return true
+	}
+	return first && s.follows(l.present) || l.outlasts(now, s)
+}
+
+// end records that a start is over, because a connection has reached another one. It returns
+// false if the start is not the present one. A start that was heard during the silence of
+// this one takes its place; otherwise the next heartbeat of any other start decides.
+func (l *starts) end(ended worker.Announcement) bool {
+	if l.present == nil || !l.present.latest.SameInstance(ended) {
+		return false
+	}
+	l.present.over = true
+	l.present = nil
+	for _, s := range l.known {
+		if !s.over && !s.heardSince.IsZero() && (l.present == nil || s.heardAt.After(l.present.heardAt)) {
+			l.present = s
+		}
+	}
+	return true
+}
+
 // find returns the start that a heartbeat names, and whether it is the first one of it.
 func (l *starts) find(a worker.Announcement) (s *start, first bool) {
 	if i := slices.IndexFunc(l.known, func(s *start) bool { return s.latest.SameInstance(a) }); i >= 0 {
@@ -97,7 +129,7 @@
 	if s.heardSince.IsZero() {
 		s.heardSince = now
 		klog.InfoS("agent: Heartbeat of another start of the worker ignored", "worker", s.latest.ID, "born", s.latest.Born,
-			"sequence", s.latest.Sequence, "present", l.present.latest.ID, "presentBorn", l.present.latest.Born)
+			"sequence", s.latest.Sequence, "over", s.over)
 	}
 	return now.Sub(s.heardSince) >= l.intervals(heardFor)
 }
--- a/agent/starts_test.go
+++ b/agent/starts_test.go
@@ -269,3 +269,43 @@
 		}
 	})
 }
+
+// Guards against a worker that is not used after a restart that a connection has shown: its
+// first heartbeat is accepted, whatever the clocks say, and a late one of the start that is
+// over brings its agent back only if it goes on.
+func TestConnectionShowsTheEndOfAStart(t *testing.T) {
+	for _, tc := range []struct {
+		name        string
+		born        int64
+		heardBefore bool // a heartbeat of the new start arrives before the connection shows it
+	}{
+		{"clock goes on", 2000, false},
+		{"clock set back", 500, false},
+		{"clock set back, heard before", 500, true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := bareSidecar()
+			before := worker.Announcement{ID: "w", Born: 1000, Sequence: 9}
+			after := worker.Announcement{ID: "w", Born: tc.born, Sequence: 1}
+			s.SetWorker(before)
+			if tc.heardBefore {
+				s.SetWorker(after)
+			}
+			s.WorkerRestarted(before)
+			if a, ok := s.Worker(); ok != tc.heardBefore || ok && a.Born != tc.born {
+				t.Errorf("%s: present after the end: %v, %+v", tc.name, ok, a)
+			}
+			late := before
+			late.Sequence = 10
+			s.SetWorker(late)
+			s.SetWorker(after)
+			if a, ok := s.Worker(); !ok || a.Born != tc.born {
+				t.Errorf("%s: present %v, %+v, want the start of %d", tc.name, ok, a, tc.born)
+			}
+			s.WorkerRestarted(before)
+			if a, ok := s.Worker(); !ok || a.Born != tc.born {
+				t.Errorf("%s: a report on an earlier start has ended the present one", tc.name)
+			}
+		})
+	}
+}
--- a/worker/api.go
+++ b/worker/api.go
@@ -159,6 +159,9 @@
 	StopWindow time.Duration
 	// Clock is the worker's clock at the time of New.
 	Clock time.Duration
+	// OnRestart, if not nil, is called once when another instance of the worker has
+	// answered. It must not block.
+	OnRestart func()
 }
 
 // Evidence is what the core concluded an answer from.
--- a/worker/core.go
+++ b/worker/core.go
@@ -110,6 +110,7 @@
 	orphansCleared bool                    // a status without orphans has been received
 	ownersLease    time.Duration           // earliest end of a lease of the owners of the runs, zero for none
 	replaced       bool                    // the worker has restarted or has another owner
+	restarted      bool                    // another instance of the worker has answered
 	pendingEnded   []Ended
 }
 
@@ -127,6 +128,9 @@
 // OrphansCleared reports whether all runs of earlier owners have ended at the worker.
 func (c *Core) OrphansCleared() bool { return c.orphansCleared }
 
+// Restarted reports whether another instance of the worker has answered.
+func (c *Core) Restarted() bool { return c.restarted }
+
 // Replaced reports whether the worker has restarted or obeys an owner with a higher
 // fencing token. The core refuses new runs then.
 func (c *Core) Replaced() bool { return c.replaced }
--- a/worker/reconcile.go
+++ b/worker/reconcile.go
@@ -102,6 +102,7 @@
 // endWithWorker answers every run as over: the worker's process has ended, and with it the
 // runs and all requests that were on their way to it.
 func (c *Core) endWithWorker(now time.Duration) {
+	c.restarted = true
 	c.answerAllRuns(now, EvidenceRestarted, verdict.Ran, verdict.Canceled)
 }
 
--- a/worker/runner.go
+++ b/worker/runner.go
@@ -104,6 +104,7 @@
 		r.onEnded(e.Answer)
 	}
 	r.logReplacement()
+	r.reportRestart()
 	closeOnce(r.orphansCleared, r.core.OrphansCleared())
 	return out.NextTick
 }
@@ -142,6 +143,15 @@
 	r.log("worker: Another instance or owner of the worker has answered", "fence", r.cfg.Fence)
 }
 
+// reportRestart calls OnRestart once the worker has restarted.
+func (r *Runner) reportRestart() {
+	if r.cfg.OnRestart == nil || !r.core.Restarted() {
+		return
+	}
+	r.cfg.OnRestart()
+	r.cfg.OnRestart = nil
+}
+
 // closeOnce closes c if condition is true and c is still open. It must only be called
 // on the event loop: two concurrent calls could both close c.
 func closeOnce(c chan struct{}, condition bool) {
--- a/worker/runner_test.go
+++ b/worker/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,3 +143,37 @@
 		}
 	})
 }
+
+// restartedWorker answers each renewal as another start of the worker does.
+type restartedWorker struct{ fullWorker }
+
+func (w *restartedWorker) Renew(context.Context, RenewRequest) (Status, error) {
+	return Status{Refused: RefusedReplaced}, nil
+}
+
+// Guards against a restart that only the next heartbeat tells the sidecar.
+func TestRestartIsReportedOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		client  Client
+		reports int64
+	}{
+		{"restarted", &restartedWorker{}, 1},
+		{"the same start", &fullWorker{startTime: time.Now(), expires: map[string]time.Duration{}}, 0},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			var reports atomic.Int64
+			cfg := Config{Fence: 7, Lease: time.Second, OnRestart: func() { reports.Add(1) }}
+			r := NewRunner(cfg, tc.client, clock.NewStopwatch(), func(wire.Answer) {})
+			time.Sleep(time.Second)
+			for i := range uint64(2) {
+				r.Run(wire.Start{Key: ids.RequestOf(1, i+1), Try: 1, Name: "task"}, 0)
+				time.Sleep(time.Second)
+			}
+			r.Close()
+			if n := reports.Load(); n != tc.reports {
+				t.Errorf("%s: %d reports, want %d", tc.name, n, tc.reports)
+			}
+		})
+	}
+}
