--- a/agent/agent.go
+++ b/agent/agent.go
@@ -266,9 +266,10 @@
 	if !ok || p.entry != m.Entry {
 		return wire.ClaimReply{}, verdict.Refuse(verdict.BadRequest, "no hello of entry %d on this connection", m.Entry)
 	}
-	var reply wire.ClaimReply
-	if !p.incarnation.loop.Call(func(now time.Duration) { reply = p.incarnation.core.Claim(now, m) }) {
-		return reply, verdict.Unknown(verdict.ConnectionFailed, "the incarnation has ended")
+	reply, err := wire.ClaimReply{}, verdict.Unknown(verdict.ConnectionFailed, "the incarnation has ended")
+	p.incarnation.loop.Call(func(now time.Duration) { reply, err = p.incarnation.claim(now, p, m) })
+	if err != nil {
+		return wire.ClaimReply{}, err
 	}
 	return reply, nil
 }
--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -170,6 +170,14 @@
 	inc.core.Receive(now, m)
 }
 
+// claim applies a claim of an entry, with the same condition as receive.
+func (inc *incarnation) claim(now time.Duration, p *peer, m wire.Claim) (wire.ClaimReply, *verdict.Error) {
+	if inc.peers[p.entry] != p {
+		return wire.ClaimReply{}, verdict.Unknown(verdict.ConnectionFailed, "entry %d has another connection", p.entry)
+	}
+	return inc.core.Claim(now, m), nil
+}
+
 func (inc *incarnation) removePeerWhenClosed(p *peer) {
 	<-p.conn.Done()
 	inc.loop.Post(func(now time.Duration) {
--- a/agent/peer_test.go
+++ b/agent/peer_test.go
@@ -46,6 +46,32 @@
 	}
 }
 
+// Guards against a claim that is read from a connection which its entry has given up: it
+// recalls queued tasks that the entry has placed again on the new one.
+func TestClaimOfAFormerConnectionIsRefused(t *testing.T) {
+	for _, replaced := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			inc := startIncarnationOf(t, &leasedWorker{startTime: time.Now()})
+			former, present := testPeer(inc), testPeer(inc)
+			from := &rpc.Conn{}
+			from.Peer.Store(former)
+			inc.loop.Call(func(time.Duration) {
+				inc.peers[testEntry] = former
+				if replaced {
+					inc.peers[testEntry] = present
+				}
+			})
+			_, err := (&Agent{}).claim(t.Context(), from, wire.Claim{Entry: testEntry, Ownership: wire.Ownership{Job: 1, Epoch: 2}})
+			if refused := err != nil; refused != replaced {
+				t.Errorf("connection replaced %v, claim refused %v: %v", replaced, refused, err)
+			}
+			inc.loop.Call(func(time.Duration) { clear(inc.peers) })
+			inc.stop()
+			time.Sleep(time.Second) // the last renewal waits for its reply
+		})
+	}
+}
+
 // testPeer returns a peer without a connection, which keeps its reports.
 func testPeer(inc *incarnation) *peer {
 	return &peer{entry: testEntry, incarnation: inc, reports: make(chan wire.Report, maxQueuedReports)}
--- a/control/voters_test.go
+++ b/control/voters_test.go
@@ -55,6 +55,8 @@
 		{"a complete group keeps its learner", []peerState{v("1", "a"), v("2", "b"), v("3", "c"), v("4", "a"), v("5", "b"), l("6", "c")}, ""},
 		{"a learner that lags doesn't vote", []peerState{v("1", "a"), v("2", "b"), v("3", "c"), lagging}, ""},
 		{"an observer doesn't vote", []peerState{v("1", "a"), v("2", "b"), v("3", "c"), testPeer("o", "4", "4", "a")}, ""},
+		{"a voter that returns as an observer is replaced by a learner", []peerState{v("1", "a"), v("2", "b"), silent(v("3", "c"), testLostAfter), testPeer("o", "new", "3", "c"), l("4", "c")}, "[1 2 4]"},
+		{"a voter that returns as an observer gets no vote", []peerState{v("1", "a"), v("2", "b"), silent(v("3", "c"), testLostAfter), testPeer("o", "new", "3", "c")}, ""},
 		{"no growth while a voter is silent and needed", []peerState{v("1", "a"), v("2", "b"), silent(v("3", "c"), time.Second), l("4", "a")}, ""},
 		{"no growth while a voter has not answered a new leader", []peerState{v("1", "a"), v("2", "b"), unheard, l("4", "a")}, ""},
 		{"a lost voter is replaced", []peerState{v("1", "a"), v("2", "b"), silent(v("3", "c"), testLostAfter), l("4", "c")}, "[1 2 4]"},
