dispatch, member: hold first batches while they can meet their deadline, register sooner

Change: during the start a batch is refused only when it can't meet its deadline any more. The timeout doubles with each round through the control nodes.

Measured: TestBatchWaitsForFirstWorkersWhileItCanMeetItsDeadline (refused after 230 of 450 ms) and TestNodesThatReturnAreReachedSoon (850 ms) fail before.

--- a/dispatch/batch_test.go
+++ b/dispatch/batch_test.go
@@ -231,6 +231,49 @@
 	}
 }
 
+// Guards against a refusal after a loss of all VMs while the answer may still be in time for
+// the caller, and against one that comes later than that is known. The load is a batch that
+// arrives before the first worker has connected.
+func TestBatchWaitsForFirstWorkersWhileItCanMeetItsDeadline(t *testing.T) {
+	const deadline, run = 450 * time.Millisecond, 60 * time.Millisecond
+	for _, tc := range []struct {
+		connectsAt time.Duration
+		started    int
+	}{{300 * time.Millisecond, 1}, {440 * time.Millisecond, 0}} {
+		f := newFixture(1)
+		rows := upstreamMembers(1, 0)
+		rows[0].Capacity = wire.Resources{CPU: 16000, Memory: 32768}
+		f.Core = New(Config{Self: self, Services: map[ids.Service]Service{svc: {Slots: 8, Connections: 64}}}, 1)
+		f.BeginStartup(f.now)
+		arrived := f.now
+		err := f.Batch(f.now, Batch{
+			Key: ids.RequestOf(self, 1), Service: svc, Team: "batches", Attempts: 2,
+			Steps:   []Step{{Tasks: 1, RunTime: run, Spec: wire.TaskSpec{Size: wire.Resources{CPU: 1600, Memory: 64}}}},
+			Name:    func(_, i int) string { return fmt.Sprint(i) },
+			Arrived: arrived, Objective: Objective{Fixed: 60 * time.Millisecond, Stretch: 1.6}, Deadline: arrived + deadline,
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for f.now < arrived+tc.connectsAt {
+			f.now += 10 * time.Millisecond
+			f.tick()
+			if ended := len(f.out.Finished) > 0; ended {
+				if known := deadline - run; tc.started > 0 || f.now-arrived < known || f.now-arrived > known+50*time.Millisecond {
+					t.Errorf("ended after %v: %v", f.now-arrived, f.out.Finished[0].Err)
+				}
+				break
+			}
+		}
+		f.SetUpstreams(f.now, rows)
+		f.Connected(f.now, 1)
+		f.reportFromWorker(1, 10)
+		if n := len(f.tick()[1]); n != tc.started {
+			t.Errorf("worker connected after %v: %d tasks started, want %d", tc.connectsAt, n, tc.started)
+		}
+	}
+}
+
 // Guards against an entry that crashes, or leaves work waiting beside free slots, when a
 // service has both batches and other jobs in its queue.
 func TestBatchesAndJobsShareAService(t *testing.T) {
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -102,16 +102,15 @@
 // batch that has not started is refused once it would probably be late even on
 // the fastest worker, unless a worker that suits its next task has a free
 // slot: while work waits, all workers are taken, and a late answer would make
-// another one late. During startupWait it is refused only once half of the
-// time to its deadline has passed. Any other batch goes on until its next task
+// another one late. During startupWait it is refused only once it can't meet its
+// deadline: after a loss of all VMs no other entry has workers either. Any other batch goes on until its next task
 // would probably miss the deadline.
 func (c *Core) failLateBatchesOf(now time.Duration, s *service) {
 	for _, j := range s.teamQueues.waitingJobs() {
 		switch {
 		case j.batch == nil:
 		case now < c.startupEndsAt && !j.mayHaveStarted():
-			// The caller keeps half of its time to ask another entry.
-			if now-j.batch.arrivedAt > (j.deadline-j.batch.arrivedAt)/2 {
+			if !j.runTimeFactor().mayMeetDeadline(now, j.deadline, j.batch.chainRunTime, s.minSlowness) {
 				c.failJob(now, j, wire.JobFailed, verdict.Refuse(verdict.NoUpstream, "no worker has connected in time").After(noUpstreamRetry))
 			}
 		case !j.mayHaveStarted() && s.nextTaskLateProbability(now, j, s.minSlowness) >= refusalLateProbability && c.bestFreeWorker(now, s, j) == nil:
--- a/member/client_test.go
+++ b/member/client_test.go
@@ -104,6 +104,25 @@
 	})
 }
 
+// Guards against a process that registers late after a loss of all VMs: its first attempts
+// meet control nodes that are still off, and each waits longer than the one before.
+func TestNodesThatReturnAreReachedSoon(t *testing.T) {
+	const off = 320 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		begin := time.Now()
+		elapsed, err := applyUntilReached(t, func(ctx context.Context, addr string) (*rpc.Conn, error) {
+			if time.Since(begin) < off {
+				<-ctx.Done() // the packet is lost, and TCP repeats it only after 1 s
+				return nil, verdict.Refuse(verdict.ConnectionFailed, "dial %s: %v", addr, ctx.Err())
+			}
+			return nil, errReached
+		}, "seed1", "seed2", "seed3")
+		if verdict.FromError(err).Reason != errReached.Reason || elapsed > off+connectTimeout+retryPause {
+			t.Errorf("after %v: %v, although all nodes are on from %v on", elapsed, err, off)
+		}
+	})
+}
+
 // Guards against a client that never connects over a slow network, because its timeout is
 // shorter than the time to connect.
 func TestConnectsOverSlowNetwork(t *testing.T) {
--- a/member/servers.go
+++ b/member/servers.go
@@ -31,8 +31,8 @@
 	// server instead of following the last hint. The count then starts again; an
 	// attempt in between that fails without a hint does not reset it.
 	maxHops = 2
-	// connectTimeout bounds an attempt to connect. It doubles with each consecutive
-	// failure, up to maxConnectTimeout. TCP retransmits a lost SYN only after 1 s, so
+	// connectTimeout bounds an attempt to connect. It doubles with each round of
+	// failures at all control nodes, up to maxConnectTimeout. TCP retransmits a lost SYN only after 1 s, so
 	// it is faster to try another node than to wait for one whose VM was off when the
 	// SYN was sent.
 	connectTimeout    = 250 * time.Millisecond
@@ -121,7 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	timeout := connectTimeout
-	for range s.connectFailures {
+	for range s.connectFailures / max(len(s.directory.Addrs()), 1) {
 		if timeout >= maxConnectTimeout {
 			return maxConnectTimeout
 		}
