control, wal: stop the node in its process while the disk is full

Cause: a write that found no space ended the process like a failed sync, and so did each start, which writes the boot count, until there was room.

Change: a failed sync has an error type of its own and still ends the process. After a write without space the daemon closes the node and opens its log again every 0.5 s; meanwhile it refuses plainly, isn't ready and sets disk_full.

--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -3,13 +3,16 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 	"k8s.io/klog/v2"
 
 	"github.com/baobabshore/baobabshore/control"
+	"github.com/baobabshore/baobabshore/controlstate"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/runner"
@@ -55,26 +58,76 @@
 	return o
 }
 
-// Daemon is a running control node with its HTTP pages.
+// Daemon is a running control node with its HTTP pages. While its disk is full the node is
+// stopped, and the daemon answers for it.
 type Daemon struct {
-	*control.Node
-	sec rpc.Security
+	opts control.Options
+	addr string // on which the node listens
+	node atomic.Pointer[control.Node]
+
+	ctx    context.Context // canceled by Close
+	cancel context.CancelFunc
+	done   chan struct{} // closed when the daemon has stopped
+	err    error         // why the node has stopped; valid once done is closed
 }
 
 // Open starts a control node. If the options have a scope, it reports the message
 // counts there.
 func Open(o control.Options) (*Daemon, error) {
+	if o.Counters == nil {
+		o.Counters = &rpc.Counters{}
+	}
+	d := &Daemon{opts: o, addr: o.Listen, done: make(chan struct{})}
+	if o.Listener != nil {
+		d.addr = o.Listener.Addr().String()
+	}
 	n, err := control.Start(o)
-	if err != nil {
+	if err != nil && !isDiskFull(err) {
 		return nil, err
 	}
-	d := &Daemon{Node: n, sec: o.Security}
+	d.err = err
+	d.node.Store(n)
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.setDiskFull(0)
+	go d.supervise(n)
 	if o.Scope != nil {
 		go d.updateMessageMetrics(o.Scope)
 	}
 	return d, nil
 }
 
+// Addr returns the address of the node.
+func (d *Daemon) Addr() string { return cmp.Or(d.opts.Advertise, d.addr) }
+
+// Done returns a channel that is closed when the daemon has stopped.
+func (d *Daemon) Done() <-chan struct{} { return d.done }
+
+// Close implements runner.Service. It returns the failure that stopped the node earlier, if
+// any.
+func (d *Daemon) Close() error {
+	d.cancel()
+	<-d.done
+	return d.err
+}
+
+// SubmitConfiguration puts a configuration in force; see control.Node.
+func (d *Daemon) SubmitConfiguration(ctx context.Context, source []byte, decode control.SourceDecoder) (wire.ApplyReply, error) {
+	n := d.node.Load()
+	if n == nil {
+		return wire.ApplyReply{}, errDiskFull()
+	}
+	return n.SubmitConfiguration(ctx, source, decode)
+}
+
+// ReadConfiguration returns the configuration in force; see control.Node.
+func (d *Daemon) ReadConfiguration(ctx context.Context) (controlstate.ConfigSource, error) {
+	n := d.node.Load()
+	if n == nil {
+		return controlstate.ConfigSource{}, errDiskFull()
+	}
+	return n.ReadConfiguration(ctx)
+}
+
 // Drain implements runner.Service. It has nothing to wait for: the other nodes elect
 // another leader.
 func (d *Daemon) Drain(context.Context) error {
@@ -85,7 +138,7 @@
 func (d *Daemon) call(method string, params, result any) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	conn, err := rpc.Dial(ctx, d.Addr(), d.sec, nil, nil)
+	conn, err := rpc.Dial(ctx, d.Addr(), d.opts.Security, nil, nil)
 	if err != nil {
 		return err
 	}
@@ -97,7 +150,11 @@
 func (d *Daemon) Ready() error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	return d.Node.CheckReadable(ctx)
+	n := d.node.Load()
+	if n == nil {
+		return errDiskFull()
+	}
+	return n.CheckReadable(ctx)
 }
 
 // Dump returns the state of the group and the configuration as known to this node.
@@ -128,7 +185,7 @@
 			return
 		case <-ticker.C:
 		}
-		c := d.Counters()
+		c := d.opts.Counters
 		scope.Gauge("messages_in").Update(float64(c.MessagesIn.Load()))
 		scope.Gauge("messages_out").Update(float64(c.MessagesOut.Load()))
 		scope.Gauge("bytes_in").Update(float64(c.BytesIn.Load()))
--- a/wal/log.go
+++ b/wal/log.go
@@ -37,6 +37,19 @@
 	err        error     // the first failure
 }
 
+// SyncError is the error of a failed sync of the log file. It isn't known what of the file is
+// on disk, and reading it again doesn't tell.
+type SyncError struct {
+	Path string
+	Err  error
+}
+
+// Error returns the path and the cause.
+func (e *SyncError) Error() string { return fmt.Sprintf("wal: sync %s: %v", e.Path, e.Err) }
+
+// Unwrap returns the cause.
+func (e *SyncError) Unwrap() error { return e.Err }
+
 // errClosed is the error of every call after Close, unless an earlier call failed.
 var errClosed = errors.New("wal: the log is closed")
 
@@ -93,7 +106,7 @@
 		return fmt.Errorf("wal: write %s: %w", logPath(l.dir, l.generation), err)
 	}
 	if err := l.file.Sync(); err != nil {
-		return fmt.Errorf("wal: sync %s: %w", logPath(l.dir, l.generation), err)
+		return &SyncError{Path: logPath(l.dir, l.generation), Err: err}
 	}
 	l.size += int64(len(frame))
 	return nil
