--- a/agent/peer_test.go
+++ b/agent/peer_test.go
@@ -17,15 +17,7 @@
 		synctest.Test(t, func(t *testing.T) {
 			w := &leasedWorker{startTime: time.Now()}
 			inc := startIncarnationOf(t, w)
-			former, present := testPeer(inc), testPeer(inc)
-			from := &rpc.Conn{}
-			from.Peer.Store(former)
-			inc.loop.Call(func(time.Duration) {
-				inc.peers[testEntry] = former
-				if replaced {
-					inc.peers[testEntry] = present
-				}
-			})
+			from := connOfEntry(inc, replaced)
 			now := inc.loop.Now()
 			_, _ = (&Agent{}).exchange(t.Context(), from, wire.Exchange{
 				Entry: testEntry, ValidUntilMS: (now + 500*time.Millisecond).Milliseconds(),
@@ -52,15 +44,7 @@
 	for _, replaced := range []bool{false, true} {
 		synctest.Test(t, func(t *testing.T) {
 			inc := startIncarnationOf(t, &leasedWorker{startTime: time.Now()})
-			former, present := testPeer(inc), testPeer(inc)
-			from := &rpc.Conn{}
-			from.Peer.Store(former)
-			inc.loop.Call(func(time.Duration) {
-				inc.peers[testEntry] = former
-				if replaced {
-					inc.peers[testEntry] = present
-				}
-			})
+			from := connOfEntry(inc, replaced)
 			_, err := (&Agent{}).claim(t.Context(), from, wire.Claim{Entry: testEntry, Ownership: wire.Ownership{Job: 1, Epoch: 2}})
 			if refused := err != nil; refused != replaced {
 				t.Errorf("connection replaced %v, claim refused %v: %v", replaced, refused, err)
@@ -72,6 +56,21 @@
 	}
 }
 
+// connOfEntry returns a connection of the entry, which has replaced it by another one if
+// replaced is set.
+func connOfEntry(inc *incarnation, replaced bool) *rpc.Conn {
+	former, present := testPeer(inc), testPeer(inc)
+	from := &rpc.Conn{}
+	from.Peer.Store(former)
+	inc.loop.Call(func(time.Duration) {
+		inc.peers[testEntry] = former
+		if replaced {
+			inc.peers[testEntry] = present
+		}
+	})
+	return from
+}
+
 // testPeer returns a peer without a connection, which keeps its reports.
 func testPeer(inc *incarnation) *peer {
 	return &peer{entry: testEntry, incarnation: inc, reports: make(chan wire.Report, maxQueuedReports)}
--- a/member/view.go
+++ b/member/view.go
@@ -85,15 +85,7 @@
 	if len(updated) == 0 && len(forgotten) == 0 {
 		return old
 	}
-	out := slices.Clone(old)
-	for _, m := range updated {
-		i, ok := slices.BinarySearchFunc(out, m.Incarnation, compareMember)
-		if ok {
-			out[i] = m
-			continue
-		}
-		out = slices.Insert(out, i, m)
-	}
+	out := withUpdated(old, updated, func(m wire.Member) ids.Incarnation { return m.Incarnation }, compareMember)
 	return slices.DeleteFunc(out, func(m wire.Member) bool {
 		return slices.Contains(forgotten, uint64(m.Incarnation))
 	})
@@ -105,18 +97,25 @@
 	if len(updated) == 0 && len(disowned) == 0 {
 		return old
 	}
+	out := withUpdated(old, updated, func(a wire.Assigned) ids.Job { return a.Job }, compareAssigned)
+	return slices.DeleteFunc(out, func(a wire.Assigned) bool {
+		return slices.ContainsFunc(disowned, func(o wire.Ownership) bool { return o.Job == a.Job && o.Epoch >= a.Epoch })
+	})
+}
+
+// withUpdated returns a copy of old, sorted by key, in which the updated rows have replaced
+// those with the same key.
+func withUpdated[R, K any](old, updated []R, key func(R) K, compare func(R, K) int) []R {
 	out := slices.Clone(old)
-	for _, a := range updated {
-		i, ok := slices.BinarySearchFunc(out, a.Job, compareAssigned)
+	for _, r := range updated {
+		i, ok := slices.BinarySearchFunc(out, key(r), compare)
 		if ok {
-			out[i] = a
+			out[i] = r
 			continue
 		}
-		out = slices.Insert(out, i, a)
+		out = slices.Insert(out, i, r)
 	}
-	return slices.DeleteFunc(out, func(a wire.Assigned) bool {
-		return slices.ContainsFunc(disowned, func(o wire.Ownership) bool { return o.Job == a.Job && o.Epoch >= a.Epoch })
-	})
+	return out
 }
 
 func compareMember(m wire.Member, inc ids.Incarnation) int {
