entry: confirm a DELETE only once runs of an earlier registration have ended

Cause: found in reading the change. An entry that had registered again, or a process that had taken the address of one that was killed, answered at once that nothing of the batch runs, while tasks of the former went on until their leases ended.

Change: a deletion waits until the bound of the leases has passed since the end of the former incarnation, or since the start of the process.

Measured: TestDeleteWaitsForRunsOfAnEarlierRegistration fails without the wait (answered 6 ms after the loss; the bound is 1.2 s). All tests of deletions pass, also with the race detector.

--- a/control/daemon/diskfull.go
+++ b/control/daemon/diskfull.go
@@ -20,8 +20,8 @@
 // written before is intact then: the log can be opened again, which removes a torn end. That
 // is not so after a failed sync, whose pages the system may have dropped.
 func isDiskFull(err error) bool {
-	var sync *wal.SyncError
-	return errors.Is(err, syscall.ENOSPC) && !errors.As(err, &sync)
+	var failedSync *wal.SyncError
+	return errors.Is(err, syscall.ENOSPC) && !errors.As(err, &failedSync)
 }
 
 // errDiskFull is the answer to all calls while the node is stopped.
--- a/entry/deletebatch.go
+++ b/entry/deletebatch.go
@@ -103,6 +103,9 @@
 		return deleteReply{err: err}
 	}
 	ended, found := e.incarnation.Load().deleteBatches(batches)
+	if !e.awaitFormerRuns(ctx) {
+		return deleteReply{known: true, err: errMayStillRun()}
+	}
 	if !found {
 		return deleteReply{known: known}
 	}
@@ -113,11 +116,23 @@
 	case <-ended:
 	case <-limit.C:
 	case <-ctx.Done():
-		return deleteReply{known: true, err: verdict.Unknown(verdict.DeadlinePassed, "tasks may still run").After(defaultRetryAfter)}
+		return deleteReply{known: true, err: errMayStillRun()}
 	}
 	return deleteReply{known: true}
 }
 
+// errMayStillRun is the answer to a deletion whose tasks have not ended in time.
+func errMayStillRun() *verdict.Error {
+	return verdict.Unknown(verdict.DeadlinePassed, "tasks may still run").After(defaultRetryAfter)
+}
+
+// awaitFormerRuns waits until the runs of the incarnation before the present one are over.
+// It left them to their leases. It returns false if ctx ends before.
+func (e *Entry) awaitFormerRuns(ctx context.Context) bool {
+	left := e.leases().Bound() - time.Since(*e.formerEndedAt.Load())
+	return left <= 0 || clock.Sleep(ctx, left)
+}
+
 // batchDeletion is a deletion that waits for the end of the tasks at the agents.
 type batchDeletion struct {
 	keys  []ids.TaskKey // of the copies of the batches at this entry
@@ -126,7 +141,7 @@
 
 // deleteBatches ends the copies of batches in this incarnation. ended is closed when no
 // agent holds any of their tasks. found is false if there is no copy, or if the incarnation
-// has ended and left its tasks to their leases.
+// has ended.
 func (inc *incarnation) deleteBatches(batches []wire.BatchID) (ended <-chan struct{}, found bool) {
 	d := &batchDeletion{ended: make(chan struct{})}
 	inc.loop.Call(func(now time.Duration) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -49,6 +49,9 @@
 	deleted     *deletedBatches
 	metrics     *metrics
 	incarnation atomic.Pointer[incarnation]
+	// formerEndedAt is when the incarnation before the present one ended, or when this
+	// process started: it may follow one that was killed.
+	formerEndedAt atomic.Pointer[time.Time]
 	// registered is closed after the first registration; incarnation is set from then
 	// on.
 	registered      chan struct{}
@@ -73,6 +76,8 @@
 		registered: make(chan struct{}),
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	startedAt := time.Now()
+	e.formerEndedAt.Store(&startedAt)
 	e.peers = newPeers(o.Security, o.Counters)
 	l, err := net.Listen("tcp", o.Listen)
 	if err != nil {
--- a/entry/life.go
+++ b/entry/life.go
@@ -91,6 +91,8 @@
 // outcome is unknown; open jobs belong to their next owner.
 func (inc *incarnation) end() {
 	inc.endOnce.Do(func() {
+		endedAt := time.Now()
+		inc.entry.formerEndedAt.Store(&endedAt)
 		inc.cancel()
 		inc.loop.Stop()
 		lostErr := inc.ownershipLostError()
