--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -103,8 +103,8 @@
 // the fastest worker, unless a worker that suits its next task has a free
 // slot: while work waits, all workers are taken, and a late answer would make
 // another one late. During startupWait it is refused only once it can't meet its
-// deadline: after a loss of all VMs no other entry has workers either. Any other batch goes on until its next task
-// would probably miss the deadline.
+// deadline: after a loss of all VMs no other entry has workers either. Any other
+// batch goes on until its next task would probably miss the deadline.
 func (c *Core) failLateBatchesOf(now time.Duration, s *service) {
 	for _, j := range s.teamQueues.waitingJobs() {
 		switch {
--- a/member/servers.go
+++ b/member/servers.go
@@ -32,9 +32,9 @@
 	// attempt in between that fails without a hint does not reset it.
 	maxHops = 2
 	// connectTimeout bounds an attempt to connect. It doubles with each round of
-	// failures at all control nodes, up to maxConnectTimeout. TCP retransmits a lost SYN only after 1 s, so
-	// it is faster to try another node than to wait for one whose VM was off when the
-	// SYN was sent.
+	// failures at all control nodes, up to maxConnectTimeout. TCP retransmits a lost
+	// SYN only after 1 s, so it is faster to try another node than to wait for one
+	// whose VM was off when the SYN was sent.
 	connectTimeout    = 250 * time.Millisecond
 	maxConnectTimeout = 2 * time.Second
 )
