control, member, executor, dispatch, ctl, platform: drain a failure domain

An order follows the one in force when it arrives, so a copy that is held up doesn't undo a later one. Entries place nothing on agents of a drained domain, agents refuse and give back what waits; work returns step by step after the drain.

Found with it: an entry learnt of the end of an operators' drain from its view, but kept the mark until the next report of the agent, which may never come.

--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -18,7 +18,7 @@
 )
 
 // incarnation is the agent's state from one registration with the control group to
-// its end. Only its event loop accesses core, configVersion, peers and taskTimeout.
+// its end. Only its event loop accesses core, configVersion, drained, peers and taskTimeout.
 type incarnation struct {
 	opts           Options
 	id             ids.Incarnation
@@ -30,6 +30,7 @@
 	worker         Worker // nil for an upstream over HTTP
 
 	configVersion uint64 // version of the configuration that was read last
+	drained       bool   // by operators, as of the view that was applied last
 	peers         map[ids.Incarnation]*peer
 	taskTimeout   time.Duration // limit for one task, from the configuration
 
@@ -101,6 +102,10 @@
 func (inc *incarnation) applyView(now time.Duration) {
 	v := inc.session.View()
 	inc.core.SetEntries(now, v.Version, v.Members)
+	if self, _ := v.Member(inc.id); self.Draining != inc.drained {
+		inc.drained = self.Draining
+		klog.InfoS("agent: Drain seen in the view", "drained", inc.drained, "domains", v.DrainedDomains, "version", v.Version)
+	}
 	if v.ConfigVer == inc.configVersion {
 		return
 	}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -25,6 +25,7 @@
 	workerCPU    tally.Gauge // used fraction of the worker's cores
 	workerMemory tally.Gauge // used fraction of the worker's memory
 	workerUnfit  tally.Gauge // 1 while the worker fails its tasks or runs most of them far too long
+	draining     tally.Gauge // 1 while the agent refuses new tasks because it leaves or operators drain it
 }
 
 func newMetrics(s tally.Scope) *metrics {
@@ -41,6 +42,7 @@
 		workerCPU:    s.Gauge("worker_cpu_used_ratio"),
 		workerMemory: s.Gauge("worker_memory_used_ratio"),
 		workerUnfit:  s.Gauge("worker_unfit"),
+		draining:     s.Gauge("draining"),
 	}
 	for _, v := range []verdict.Verdict{verdict.Ran, verdict.NotRun, verdict.MayHaveRun} {
 		m.tasks[v] = s.Tagged(map[string]string{"verdict": v.String()}).Counter("tasks_total")
@@ -64,10 +66,8 @@
 		m.workerCPU.Update(ratio(stats.Used.CPU, stats.Capacity.CPU))
 		m.workerMemory.Update(ratio(stats.Used.Memory, stats.Capacity.Memory))
 	}
-	m.workerUnfit.Update(0)
-	if stats.Unfit {
-		m.workerUnfit.Update(1)
-	}
+	m.workerUnfit.Update(flag(stats.Unfit))
+	m.draining.Update(flag(stats.Draining))
 	for reason, n := range stats.Refused {
 		if m.refused[reason] == nil {
 			m.refused[reason] = m.scope.Tagged(map[string]string{"reason": string(reason)}).Gauge("refused")
@@ -78,10 +78,12 @@
 
 func ratio(used, capacity int) float64 { return float64(used) / float64(max(capacity, 1)) }
 
-func (m *metrics) setUpstreamDown(upstreamDown bool) {
-	v := 0.0
-	if upstreamDown {
-		v = 1
+func (m *metrics) setUpstreamDown(upstreamDown bool) { m.upstreamDown.Update(flag(upstreamDown)) }
+
+// flag returns the value of a gauge that is 1 while a condition holds.
+func flag(holds bool) float64 {
+	if holds {
+		return 1
 	}
-	m.upstreamDown.Update(v)
+	return 0
 }
--- a/control/core.go
+++ b/control/core.go
@@ -35,6 +35,7 @@
 	metricsUpdatedAt  time.Time
 	leading           bool
 	lastRunAt         time.Time
+	resumedAt         time.Time // end of the latest gap between two loop iterations above maxLoopGap
 	lastLeaderAt      time.Time // last time at which a leader was known
 	lastNoLeaderLogAt time.Time
 	lastAnnouncedAt   time.Time // last time at which this leader announced itself to the seeds
@@ -114,6 +115,7 @@
 func (c *core) advanceTicks(now time.Time) {
 	if now.Sub(c.lastRunAt) > maxLoopGap {
 		c.leases.extendAll(now)
+		c.resumedAt = now
 	}
 	c.lastRunAt = now
 	due := uint64(now.Sub(c.firstTickAt)/c.opt.Tick) + 1
@@ -254,6 +256,9 @@
 		klog.Infof("control: Incarnation %d has ended.", cmd.Expire.Incarnation)
 	case cmd.Drain != nil:
 		delete(c.pendingMembers, cmd.Drain.Incarnation)
+	case cmd.DrainDomain != nil && r.DrainDomain.Err == nil:
+		klog.InfoS("control: Order about a failure domain is in force", "domain", cmd.DrainDomain.Domain,
+			"drain", cmd.DrainDomain.Drain, "index", r.DrainDomain.InForce.Index)
 	}
 }
 
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabshore/baobabshore/control"
 	"github.com/baobabshore/baobabshore/controlstate"
+	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/runner"
@@ -128,6 +129,15 @@
 	return n.ReadConfiguration(ctx)
 }
 
+// DrainDomain drains a failure domain, or ends its drain; see control.Node.
+func (d *Daemon) DrainDomain(ctx context.Context, domain ids.Domain, drain bool) error {
+	n := d.node.Load()
+	if n == nil {
+		return errDiskFull()
+	}
+	return n.DrainDomain(ctx, domain, drain)
+}
+
 // Drain implements runner.Service. It has nothing to wait for: the other nodes elect
 // another leader.
 func (d *Daemon) Drain(context.Context) error {
--- a/control/metrics.go
+++ b/control/metrics.go
@@ -13,6 +13,7 @@
 	commitIndex   tally.Gauge // index up to which the log is committed
 	configVersion tally.Gauge // of the applied tables
 	liveMembers   tally.Gauge // entries and agents
+	drained       tally.Gauge // failure domains that operators drain
 	confirmedAge  tally.Gauge // seconds since a leader confirmed the tables as current
 	voters        tally.Gauge // of the membership in effect
 	learners      tally.Gauge
@@ -30,6 +31,7 @@
 		commitIndex:   s.Gauge("commit_index"),
 		configVersion: s.Gauge("config_version"),
 		liveMembers:   s.Gauge("members_live"),
+		drained:       s.Gauge("domains_drained"),
 		confirmedAge:  s.Gauge("confirmed_age_seconds"),
 		voters:        s.Gauge("voters"),
 		learners:      s.Gauge("learners"),
@@ -48,6 +50,7 @@
 	m.commitIndex.Update(float64(c.raft.Commit()))
 	m.configVersion.Update(float64(c.state.ConfigVer()))
 	m.liveMembers.Update(float64(c.state.LiveCount()))
+	m.drained.Update(float64(c.drainedDomains()))
 	m.updateGroup(c)
 	if !c.confirmedAt.IsZero() {
 		m.confirmedAge.Update(now.Sub(c.confirmedAt).Seconds())
--- a/control/serve.go
+++ b/control/serve.go
@@ -36,6 +36,7 @@
 	m.Concurrent(wire.MethodReplace, rpc.Handle(n.serveReplace))
 	m.Concurrent(wire.MethodJoin, rpc.Handle(n.serveJoin))
 	m.Concurrent(wire.MethodDrain, rpc.Handle(n.serveDrain))
+	m.Concurrent(wire.MethodDrainDomain, rpc.Handle(n.serveDrainDomain))
 	m.Ordered(wire.MethodStep, rpc.Handle(n.serveStep))
 	m.Ordered(methodPart, rpc.Handle(n.servePart))
 	m.Ordered(wire.MethodRenewals, rpc.Handle(n.serveRenewals))
--- a/control/status.go
+++ b/control/status.go
@@ -21,12 +21,14 @@
 		Commit:    ids.Version(c.raft.Commit()),
 		ConfigVer: c.state.ConfigVer(),
 		OpenJobs:  c.state.OpenJobs(),
+		Domains:   slices.Clone(c.state.Domains()),
 	}
 	if p, ok := c.raft.Group().Peer(c.raft.Leader()); ok {
 		r.Leader = ids.Node(p.Name)
 	}
 	r.Nodes = c.controlNodes()
 	for _, m := range c.state.Members() {
+		m.Draining = m.Draining || m.Kind == wire.KindAgent && c.state.DomainDrain(m.Domain).Drained
 		st := wire.MemberStatus{Member: m}
 		if l := c.leases.rows[m.Incarnation]; l != nil {
 			st.Have = l.haveVersion
--- a/controlstate/changes.go
+++ b/controlstate/changes.go
@@ -29,10 +29,11 @@
 	Job           ids.Job         `json:"j,omitempty"`
 	Epoch         ids.Epoch       `json:"e,omitempty"` // set if Owner lost the ownership of Job at this epoch
 	Owner         ids.Incarnation `json:"o,omitempty"`
+	Domain        ids.Domain      `json:"d,omitempty"` // failure domain whose drain has begun or ended
 }
 
 // changeLog holds the latest changes in increasing order of index. Its methods
-// config, member, forgotten, assigned and disowned append a change of this kind.
+// config, member, forgotten, assigned, disowned and domain append a change of this kind.
 type changeLog struct {
 	floor    uint64 // index of the last dropped record
 	records  []change
@@ -75,6 +76,8 @@
 	l.add(change{Index: index, Job: o.Job, Epoch: o.Epoch, Owner: from})
 }
 
+func (l *changeLog) domain(index uint64, d ids.Domain) { l.add(change{Index: index, Domain: d}) }
+
 // since returns the records after the given index. ok is false if some of them have
 // been dropped.
 func (l *changeLog) since(index uint64) (records []change, ok bool) {
@@ -121,6 +124,10 @@
 	return r.Kind == wire.KindEntry || !settings.IsQueueKey(key)
 }
 
+// seesDomain reports whether the view of a member includes the drain of a failure
+// domain.
+func (r *memberRow) seesDomain(d ids.Domain) bool { return r.Kind == wire.KindEntry || r.Domain == d }
+
 func (s *State) wholeView(row *memberRow) wire.Changes {
 	c := wire.Changes{ConfigVer: s.config.version}
 	for _, p := range s.config.pairs.rows {
@@ -139,6 +146,11 @@
 			c.Assigned = append(c.Assigned, assignment(r))
 		}
 	}
+	for _, d := range s.domains.rows {
+		if row.seesDomain(d.Domain) && d.Drained {
+			c.Domains = append(c.Domains, d)
+		}
+	}
 	return c
 }
 
@@ -152,12 +164,13 @@
 	members  map[ids.Incarnation]wire.Kind // kind of a dropped member, empty for others
 	jobs     map[ids.Job]bool
 	disowned map[ids.Job]wire.Ownership
+	domains  map[ids.Domain]bool
 }
 
 func collectChangedRows(records []change, member ids.Incarnation) changedRows {
 	t := changedRows{
 		members: map[ids.Incarnation]wire.Kind{},
-		jobs:    map[ids.Job]bool{}, disowned: map[ids.Job]wire.Ownership{},
+		jobs:    map[ids.Job]bool{}, disowned: map[ids.Job]wire.Ownership{}, domains: map[ids.Domain]bool{},
 	}
 	var keys [][]string
 	for _, c := range records {
@@ -165,6 +178,8 @@
 			keys = append(keys, c.Keys)
 		}
 		switch {
+		case c.Domain != "":
+			t.domains[c.Domain] = true
 		case c.Member != 0:
 			t.members[c.Member] = c.ForgottenKind
 		case c.Job != 0 && c.Owner != member:
@@ -222,5 +237,10 @@
 			c.Assigned = append(c.Assigned, assignment(r))
 		}
 	}
+	for _, d := range s.domains.rows {
+		if t.domains[d.Domain] && row.seesDomain(d.Domain) {
+			c.Domains = append(c.Domains, d)
+		}
+	}
 	return c
 }
--- a/controlstate/command.go
+++ b/controlstate/command.go
@@ -32,6 +32,7 @@
 	Apply          *wire.Apply        `json:"cfg,omitempty"`
 	Patch          *wire.Patch        `json:"patch,omitempty"`
 	ApplyRetention *ApplyRetention    `json:"tick,omitempty"`
+	DrainDomain    *wire.DrainDomain  `json:"domain,omitempty"`
 }
 
 // Expire ends an incarnation whose lease has expired or that leaves.
@@ -76,4 +77,5 @@
 	Admit       wire.AdmitResult // of Admit
 	Apply       wire.ApplyReply  // of Apply and Patch
 	Err         *verdict.Error   // of Register and Drain
+	DrainDomain wire.DrainDomainReply
 }
--- a/controlstate/snapshot.go
+++ b/controlstate/snapshot.go
@@ -31,6 +31,8 @@
 	Tombstones    []byte            `json:"tombs"` // tombstoneRowBytes for each: hash, then time in big endian
 	LogFloor      uint64            `json:"log_floor"`
 	Log           []change          `json:"log"`
+	// Domains is missing in snapshots of versions that can't drain failure domains.
+	Domains []wire.DomainDrain `json:"domains,omitempty"`
 }
 
 const tombstoneRowBytes = 24
@@ -48,6 +50,7 @@
 		Pairs: s.config.pairs.rows, Commands: slices.Clone(s.commands.order),
 		Revision: s.config.revision, Source: s.config.source,
 		KeyFloor: s.jobs.keyFloor, LogFloor: s.changes.floor, Log: slices.Clone(s.changes.records),
+		Domains: slices.Clone(s.domains.rows),
 	}
 	for _, inc := range s.members.order {
 		out.Members = append(out.Members, *s.members.rows[inc])
@@ -93,6 +96,7 @@
 	if err := s.restoreConfig(in); err != nil {
 		return nil, err
 	}
+	s.domains.rows = in.Domains
 	for _, r := range in.Commands {
 		s.commands.add(r.ID, r.At, r.Reply)
 	}
--- a/controlstate/state.go
+++ b/controlstate/state.go
@@ -18,6 +18,7 @@
 	members    memberTable
 	jobs       jobTable
 	tombstones tombstoneTable
+	domains    domainTable
 	changes    changeLog
 }
 
@@ -59,6 +60,8 @@
 		return Result{Apply: s.apply(*c.Apply)}
 	case c.Patch != nil:
 		return Result{Apply: s.applyPatch(*c.Patch)}
+	case c.DrainDomain != nil:
+		return Result{DrainDomain: s.drainDomain(*c.DrainDomain)}
 	case c.ApplyRetention != nil:
 		s.dropExpired()
 	}
--- a/ctl/app.go
+++ b/ctl/app.go
@@ -121,6 +121,7 @@
 		{"job", "show a job, or wait for its answer", jobHelp, &jobCommand{app: a}},
 		{"cancel", "cancel a job", cancelHelp, &cancelCommand{app: a}},
 		{"drain", "send no new work to an upstream or entry", drainHelp, &drainCommand{app: a}},
+		{"drain-domain", "start no new work in a failure domain", drainDomainHelp, &drainDomainCommand{app: a}},
 		{"replace", "replace a lost control node", replaceHelp, &replaceCommand{app: a}},
 		{"explain", "show the log lines of a request", explainHelp, &explainCommand{app: a}},
 		{"dev", "run the whole system in this process", devHelp, &devCommand{app: a}},
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -70,6 +70,7 @@
 		}
 	}
 	w.Flush()
+	printDrainedDomains(c.app, st.Domains)
 }
 
 func orNone(s string) string { return cmp.Or(s, "(none)") }
--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -42,13 +42,15 @@
 	if r.Held >= u.outstanding {
 		u.attemptsConfirmedAt = now
 	}
-	if r.Draining && !u.draining {
+	wasDraining := u.draining()
+	if r.Draining && !wasDraining {
 		c.markForSend(u) // an agent that drains waits for its acknowledgements
 	}
 	u.otherEntryTasks = max(r.Running+r.Queued-r.Held, 0)
 	c.setOtherEntryRate(u, r.Others)
 	u.queuedTasks = r.Queued
-	u.draining = r.Draining || u.member.Draining
+	u.agentDrains = r.Draining
+	u.rampUpAfterDrain(wasDraining)
 	u.reportedDown = r.UpstreamDown
 	c.reindex(u)
 }
@@ -59,7 +61,7 @@
 func (c *Core) applyAnswer(now time.Duration, u *upstream, ans *wire.Answer) {
 	c.messageCounts.Answers++
 	u.outbox.acks = append(u.outbox.acks, wire.Ack{Key: ans.Key, Try: ans.Try})
-	if u.draining {
+	if u.draining() {
 		c.markForSend(u)
 	} else {
 		c.scheduleFlush(now, u)
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -150,7 +150,7 @@
 func (u *upstream) dump() UpstreamDump {
 	return UpstreamDump{
 		Incarnation: u.incarnation, Node: u.member.Node, Service: u.svc.name, Health: u.health,
-		Connected: u.connected, Gone: u.lost, Draining: u.draining, Down: u.reportedDown,
+		Connected: u.connected, Gone: u.lost, Draining: u.draining(), Down: u.reportedDown,
 		Credit: u.credit, Held: u.outstanding, Others: u.otherEntryTasks, Slowness: u.slowness, FailRate: u.failureRate,
 	}
 }
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -25,8 +25,8 @@
 	member       wire.Member
 	svc          *service
 	connected    bool
-	lost         bool // its incarnation has ended
-	draining     bool
+	lost         bool          // its incarnation has ended
+	agentDrains  bool          // its agent reports that it takes no new work
 	reportedDown bool          // its agent can't reach the upstream
 	blockedUntil time.Duration // no new work until then, zero if not blocked
 	backoff      time.Duration // length of the last block, doubled by the next
@@ -304,7 +304,19 @@
 // serving reports whether u counts towards the capacity of its service. A block
 // after a refusal doesn't matter here: it is too short to refuse new work for.
 func (u *upstream) serving() bool {
-	return u.connected && !u.lost && !u.draining && !u.reportedDown && !u.silent
+	return u.connected && !u.lost && !u.draining() && !u.reportedDown && !u.silent
+}
+
+// draining reports whether u gets no new work because its agent or the registry says so.
+func (u *upstream) draining() bool { return u.agentDrains || u.member.Draining }
+
+// rampUpAfterDrain starts the ramp-up of an upstream whose drain has ended. It may be
+// slow at first, and entries that learn of the end at the same time would fill it at once.
+func (u *upstream) rampUpAfterDrain(wasDraining bool) {
+	if wasDraining && !u.draining() && u.health == Healthy {
+		u.health = Cold
+		u.rampUpLimit = coldWindow
+	}
 }
 
 // block stops new work for u for a moment after a refusal. Each refusal in a row
--- a/dispatch/membership.go
+++ b/dispatch/membership.go
@@ -45,14 +45,13 @@
 	if u == nil {
 		u = c.addUpstream(now, m)
 	}
+	wasDraining := u.draining()
 	u.member = m
 	if !m.Live() {
 		c.markLost(now, u)
 		return
 	}
-	if m.Draining {
-		u.draining = true
-	}
+	u.rampUpAfterDrain(wasDraining)
 	c.reindex(u)
 }
 
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -7,6 +7,7 @@
 	"github.com/baobabshore/baobabshore/dispatch"
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/lease"
+	"github.com/baobabshore/baobabshore/netconn"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -73,7 +74,7 @@
 	case inc.hasEnded():
 		return verdict.Refuse(verdict.Stale, "the entry is registering again").After(defaultRetryAfter)
 	}
-	if closedByPeer(conn) {
+	if netconn.ClosedByPeer(conn) {
 		// The entry may have stood still with the request unread. The caller has sent it
 		// to another entry since.
 		return verdict.Refuse(verdict.Canceled, "nobody waits for the batch any more")
@@ -144,7 +145,7 @@
 // prolong tasks that these callers are about to repeat.
 func (inc *incarnation) cancelForGoneCallers(now time.Duration) {
 	for key, r := range inc.requests {
-		if r.conn != nil && closedByPeer(r.conn) {
+		if r.conn != nil && netconn.ClosedByPeer(r.conn) {
 			inc.core.CancelRequest(now, key)
 		}
 	}
--- a/entry/batch_test.go
+++ b/entry/batch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabshore/baobabshore/dispatch"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/netconn"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -30,7 +31,7 @@
 	}
 	t.Cleanup(func() { conn.Close() })
 	caller.Close()
-	eventually(t, "the end of the connection", func() bool { return closedByPeer(conn) })
+	eventually(t, "the end of the connection", func() bool { return netconn.ClosedByPeer(conn) })
 	return conn
 }
 
--- a/entry/watch.go
+++ b/entry/watch.go
@@ -3,10 +3,11 @@
 import (
 	"cmp"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/baobabshore/baobabshore/netconn"
 )
 
 // callerPollInterval is the time between two checks whether a waiting caller has
@@ -65,30 +66,9 @@
 		case <-stop:
 			return waitStopped
 		case <-poll.C:
-			if closedByPeer(w.conn) {
+			if netconn.ClosedByPeer(w.conn) {
 				return waitCallerGone
 			}
 		}
 	}
 }
-
-// closedByPeer checks a connection without reading from it. A connection that gives
-// no access to its descriptor counts as open; one that this process has closed counts
-// as closed.
-func closedByPeer(c net.Conn) bool {
-	sc, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	closed := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || err == syscall.ECONNRESET
-	})
-	return closed || err != nil
-}
--- a/executor/core.go
+++ b/executor/core.go
@@ -19,7 +19,8 @@
 	// creditReportDelay is how long an entry may act on outdated credit before a report
 	// is sent for that alone.
 	creditReportDelay time.Duration
-	draining          bool
+	leaving           bool // Drain has been called
+	drainedByView     bool // the view marks this agent as draining
 	upstreamDown      bool
 
 	rows           map[ids.TaskKey]*row
@@ -139,14 +140,25 @@
 	}
 	c.viewVersion = at
 	clear(c.liveEntries)
+	drained := false
 	for _, m := range rows {
+		drained = drained || m.Incarnation == c.cfg.Self && m.Draining
 		if m.Kind == wire.KindEntry && m.Live() {
 			c.liveEntries[m.Incarnation] = true
 		}
 	}
 	c.pruneSessions()
+	c.drainedByView = drained
+	if drained {
+		c.refuseQueued(verdict.Draining)
+	}
 }
 
+// draining reports whether the agent refuses queued and new tasks: it is leaving, or
+// operators drain it or its failure domain. An entry whose view is older goes on sending
+// tasks for a while.
+func (c *Core) draining() bool { return c.leaving || c.drainedByView }
+
 // SetCurrent sets whether the view is confirmed as current.
 func (c *Core) SetCurrent(viewCurrent bool) { c.viewCurrent = viewCurrent }
 
@@ -161,7 +173,7 @@
 
 // Drain refuses queued and new tasks and lets running tasks finish.
 func (c *Core) Drain(now time.Duration) {
-	c.draining = true
+	c.leaving = true
 	c.refuseQueued(verdict.Draining)
 }
 
--- a/executor/credit.go
+++ b/executor/credit.go
@@ -14,7 +14,7 @@
 	for _, s := range c.sortedSessions {
 		s.credit = 0
 	}
-	if c.draining || c.upstreamDown || c.concurrencyLimit() == 0 {
+	if c.draining() || c.upstreamDown || c.concurrencyLimit() == 0 {
 		return
 	}
 	left := c.concurrencyLimit() + c.cfg.LookAhead
@@ -90,7 +90,7 @@
 	if s.reportDue || len(s.pendingAnswers)+len(s.fencedAnswers)+len(s.startedKeys) > 0 {
 		return true
 	}
-	if s.reportedDraining != c.draining || s.reportedDown != c.upstreamDown {
+	if s.reportedDraining != c.draining() || s.reportedDown != c.upstreamDown {
 		return true
 	}
 	accepts := c.acceptsFrom(s)
--- a/executor/dump.go
+++ b/executor/dump.go
@@ -39,6 +39,7 @@
 	Queued, Running int
 	Used, Capacity  wire.Resources // zero for an upstream with slots
 	Unfit           bool
+	Draining        bool
 	// Refused is the number of refused starts since New, by reason.
 	Refused map[verdict.Reason]uint64
 }
@@ -47,14 +48,14 @@
 func (c *Core) Stats() Stats {
 	return Stats{
 		Queued: c.queued, Running: c.running, Used: c.runningSize, Capacity: c.cfg.Capacity,
-		Unfit: c.fitness.unfit, Refused: maps.Clone(c.refusalCounts),
+		Unfit: c.fitness.unfit, Draining: c.draining(), Refused: maps.Clone(c.refusalCounts),
 	}
 }
 
 // Dump returns a summary of the current state.
 func (c *Core) Dump() Dump {
 	d := Dump{
-		View: c.viewVersion, Current: c.viewCurrent, Draining: c.draining, Down: c.upstreamDown,
+		View: c.viewVersion, Current: c.viewCurrent, Draining: c.draining(), Down: c.upstreamDown,
 		Queued: c.queued, Running: c.running, AbandonedCalls: c.abandonedCalls,
 		Jobs: len(c.jobs), Rows: map[wire.TaskState]int{}, AnswerBytes: c.answerBytes,
 	}
--- a/executor/executor_test.go
+++ b/executor/executor_test.go
@@ -29,6 +29,27 @@
 	return c
 }
 
+// setDrained replaces the view by one in which operators drain the agent, or don't.
+func setDrained(c *Core, at ids.Version, drained bool) {
+	self := wire.Member{Registration: wire.Registration{Kind: wire.KindAgent}, Incarnation: selfInc, Draining: drained}
+	c.SetEntries(0, at, []wire.Member{entryMember(entry1, 0), entryMember(entry2, 0), self})
+}
+
+// Guards against queued tasks that stay at an agent whose domain is drained, and against
+// running ones that the drain ends.
+func TestDrainInTheViewGivesBackQueuedTasks(t *testing.T) {
+	c := newTestCore(1)
+	sendStarts(c, entry1, start(0, 1, 1), start(1, 1, 1))
+	setDrained(c, 11, true)
+	out := c.Tick(0)
+	if got := refusalReasons(out, entry1)[ids.TaskOf(job7, 1)]; got != verdict.Draining || len(out.Abort) > 0 {
+		t.Fatalf("queued task refused with %q, aborted %v", got, out.Abort)
+	}
+	if got := answersTo(finishTask(c, 0, "done"), entry1); len(got) != 1 || got[0].Verdict != verdict.Ran {
+		t.Errorf("answer of the running task: %+v", got)
+	}
+}
+
 func start(index int, epoch ids.Epoch, try uint32) wire.Start {
 	return wire.Start{Key: ids.TaskOf(job7, index), Epoch: epoch, Try: try, BudgetMS: 10_000}
 }
@@ -89,6 +110,8 @@
 		{"task of a job while stale", func(c *Core) { c.SetCurrent(false) }, entry1, start(0, 1, 1), ""},
 		{"request of another entry", nil, entry1, foreign, verdict.Fenced},
 		{"draining", func(c *Core) { c.Drain(0) }, entry1, start(0, 1, 1), verdict.Draining},
+		{"drained in the view", func(c *Core) { setDrained(c, 11, true) }, entry1, start(0, 1, 1), verdict.Draining},
+		{"drain ended in the view", func(c *Core) { setDrained(c, 11, true); setDrained(c, 12, false) }, entry1, start(0, 1, 1), ""},
 		{"upstream down", func(c *Core) { c.SetDown(0, true) }, entry1, start(0, 1, 1), verdict.NoUpstream},
 		{"no budget", nil, entry1, late, verdict.DeadlinePassed},
 		{"canceled job", func(c *Core) {
--- a/executor/start.go
+++ b/executor/start.go
@@ -147,7 +147,7 @@
 	switch {
 	case st.Key.IsRequest() && !c.viewCurrent && !c.sized():
 		return verdict.Stale
-	case c.draining:
+	case c.draining():
 		return verdict.Draining
 	case c.upstreamDown:
 		return verdict.NoUpstream
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -105,7 +105,7 @@
 		Running:      c.running,
 		Queued:       c.queued,
 		Others:       c.tasksOfOthers(s),
-		Draining:     c.draining,
+		Draining:     c.draining(),
 		UpstreamDown: c.upstreamDown,
 	}
 	if c.sized() {
@@ -118,7 +118,7 @@
 		s.unackedAnswers = append(s.unackedAnswers, r)
 	}
 	s.pendingAnswers, s.fencedAnswers, s.startedKeys = nil, nil, nil
-	s.reportedDraining, s.reportedDown = c.draining, c.upstreamDown
+	s.reportedDraining, s.reportedDown = c.draining(), c.upstreamDown
 	s.reportedCredit, s.reportedOthers = s.credit, c.running+c.queued-s.heldCount
 	s.creditStaleSince = 0
 	s.lastReportAt, s.reportDue = now, false
--- a/member/client.go
+++ b/member/client.go
@@ -130,6 +130,30 @@
 	return c.serverPool.callLeader(ctx, wire.MethodDrain, wire.DrainNode{Node: node, Drain: drain}, nil)
 }
 
+// DrainDomain drains a failure domain, or ends its drain. held is the order that the
+// caller knows to be in force, with index 0 if it knows none. The order follows the one in
+// force at the time of the call: if the leader has another one than held, DrainDomain
+// gives the order again after that one. If still another one follows, it arrived after
+// this call, and the order counts as done if that one asks for the same.
+func (c *Client) DrainDomain(ctx context.Context, held wire.DomainDrain, drain bool) error {
+	order := wire.DrainDomain{Domain: held.Domain, Drain: drain, Expect: held.Index}
+	for first := true; ; first = false {
+		var r wire.DrainDomainReply
+		if err := c.serverPool.callLeader(ctx, wire.MethodDrainDomain, order, &r); err != nil {
+			return err
+		}
+		switch {
+		case r.Err == nil:
+			return nil
+		case r.Err.Reason != verdict.VersionConflict:
+			return r.Err
+		case !first && r.InForce.Drained == drain:
+			return nil
+		}
+		order.Expect = r.InForce.Index
+	}
+}
+
 // Job returns the record of a job from any control node that holds it.
 func (c *Client) Job(ctx context.Context, job ids.Job) (wire.JobRecord, error) {
 	var rec wire.JobRecord
--- a/member/view.go
+++ b/member/view.go
@@ -14,11 +14,17 @@
 	// Version is the log index up to which the view is complete.
 	Version   ids.Version
 	ConfigVer uint64
-	Config    []wire.Pair   // sorted by key
-	Members   []wire.Member // sorted by incarnation; includes expired rows until their retention ends
+	Config    []wire.Pair // sorted by key
+	// Members is the registry, sorted by incarnation. It includes expired rows until their
+	// retention ends. Agents of a drained failure domain are marked as draining.
+	Members []wire.Member
+	// DrainedDomains lists the failure domains that operators drain, sorted.
+	DrainedDomains []ids.Domain
 	// Assigned lists the open jobs that this entry took over, sorted by job. A job is
 	// removed from the list when it ends.
 	Assigned []wire.Assigned
+
+	registry []wire.Member // Members without the marks of drained domains
 }
 
 // Member returns the registry row of an incarnation.
@@ -51,7 +57,9 @@
 		updated.ConfigVer = changes.ConfigVer
 		updated.Config = mergePairs(updated.Config, changes.Config, changes.RemovedKeys)
 	}
-	updated.Members = mergeMembers(updated.Members, changes.Members, changes.RemovedMembers)
+	updated.registry = mergeMembers(updated.registry, changes.Members, changes.RemovedMembers)
+	updated.DrainedDomains = mergeDrainedDomains(updated.DrainedDomains, changes.Domains)
+	updated.Members = markDrainedDomains(updated.registry, updated.DrainedDomains)
 	updated.Assigned = mergeAssigned(updated.Assigned, changes.Assigned, changes.LostJobs)
 	return &updated
 }
@@ -91,6 +99,40 @@
 	})
 }
 
+// mergeDrainedDomains returns old, sorted, with the domains whose drain has begun and
+// without those whose drain has ended.
+func mergeDrainedDomains(old []ids.Domain, changes []wire.DomainDrain) []ids.Domain {
+	if len(changes) == 0 {
+		return old
+	}
+	out := slices.Clone(old)
+	for _, d := range changes {
+		i, listed := slices.BinarySearch(out, d.Domain)
+		switch {
+		case d.Drained && !listed:
+			out = slices.Insert(out, i, d.Domain)
+		case !d.Drained && listed:
+			out = slices.Delete(out, i, i+1)
+		}
+	}
+	return out
+}
+
+// markDrainedDomains returns the registry with the agents of drained domains marked as
+// draining. Entries of these domains go on serving callers.
+func markDrainedDomains(registry []wire.Member, drained []ids.Domain) []wire.Member {
+	if len(drained) == 0 {
+		return registry
+	}
+	out := slices.Clone(registry)
+	for i := range out {
+		if _, ok := slices.BinarySearch(drained, out[i].Domain); ok && out[i].Kind == wire.KindAgent {
+			out[i].Draining = true
+		}
+	}
+	return out
+}
+
 // mergeAssigned returns old, sorted by job, with the updated jobs and without those whose
 // ownership ended at their epoch or a later one.
 func mergeAssigned(old, updated []wire.Assigned, disowned []wire.Ownership) []wire.Assigned {
--- a/wire/control.go
+++ b/wire/control.go
@@ -241,6 +241,8 @@
 	Holding   int            `json:"holding"` // number of live members that hold Status.Index
 	Live      int            `json:"live"`
 	OpenJobs  int            `json:"open_jobs"`
+	// Domains lists the failure domains that operators have drained at some time.
+	Domains []DomainDrain `json:"domains,omitempty"`
 }
 
 // ControlNode is a node of the control group.
@@ -286,6 +288,23 @@
 	Drain bool     `json:"drain"`
 }
 
+// DrainDomain asks the leader of the control group to drain a failure domain, or to end
+// its drain. No agent of a drained domain starts a task.
+type DrainDomain struct {
+	Domain ids.Domain `json:"domain"`
+	Drain  bool       `json:"drain"`
+	// Expect is the DomainDrain.Index that the order follows, zero if none is known. The
+	// order is refused with reason version-conflict if another one is in force, so that a
+	// copy that arrives late doesn't undo a later order.
+	Expect ids.Version `json:"expect"`
+}
+
+// DrainDomainReply is the reply to DrainDomain.
+type DrainDomainReply struct {
+	InForce DomainDrain    `json:"in_force"`
+	Err     *verdict.Error `json:"err,omitempty"` // nil if the order is in force
+}
+
 // LeaderHint names the leader in a refusal with reason not-leader.
 type LeaderHint struct {
 	Node ids.Node `json:"node"`
--- a/wire/member.go
+++ b/wire/member.go
@@ -130,12 +130,23 @@
 	RemovedMembers []uint64    `json:"fmem,omitempty"` // incarnations that are removed from the registry
 	Assigned       []Assigned  `json:"job,omitempty"`  // jobs whose ownership moved to this member
 	LostJobs       []Ownership `json:"own,omitempty"`  // jobs that this member no longer owns
+	// Domains lists the failure domains whose drain has begun or ended. An agent gets
+	// that of its own domain only.
+	Domains []DomainDrain `json:"dom,omitempty"`
 }
 
 // IsZero reports whether there is no change.
 func (c Changes) IsZero() bool {
 	return c.ConfigVer == 0 && len(c.Members) == 0 && len(c.RemovedMembers) == 0 &&
-		len(c.Assigned) == 0 && len(c.LostJobs) == 0
+		len(c.Assigned) == 0 && len(c.LostJobs) == 0 && len(c.Domains) == 0
+}
+
+// DomainDrain is the operators' latest order about a failure domain.
+type DomainDrain struct {
+	Domain  ids.Domain  `json:"domain"`
+	Drained bool        `json:"drained"`
+	Index   ids.Version `json:"index"` // log index of the order
+	At      int64       `json:"at"`    // time of the order in Unix milliseconds
 }
 
 // Pair is one setting with its full path as the key, for example teams.acme.quota = "8".
--- a/wire/task.go
+++ b/wire/task.go
@@ -23,8 +23,10 @@
 	MethodReplace  = "control.replace"
 	MethodJoin     = "control.join"
 	MethodDrain    = "control.drain"
-	MethodStep     = "peer.step"
-	MethodRenewals = "peer.renewals"
+	// MethodDrainDomain is the method of DrainDomain.
+	MethodDrainDomain = "control.drain-domain"
+	MethodStep        = "peer.step"
+	MethodRenewals    = "peer.renewals"
 
 	MethodHello    = "agent.hello"
 	MethodExchange = "agent.exchange"
