dispatch: learn that a share of batches is far longer than its queue's others

Change: a batch is either a usual one of its queue or an unusual one, whose declared run time is taken as it is. The share of unusual ones is learnt for the service, the usual sizes for each queue from the batches that arrive. Tasks that are aborted after the expected time are learnt as ones that run for longer; only those that ended in time were.

--- a/dispatch/answers.go
+++ b/dispatch/answers.go
@@ -102,6 +102,7 @@
 		c.attributeFailure(now, u, a.job, ans)
 	case ans.Reason == verdict.Canceled && ans.RunUS > 0:
 		u.svc.learnAbortedRunTime(u, float64(ans.RunUS)/1e6)
+		learnAbortedTask(u, a, ans)
 	}
 }
 
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -15,6 +15,7 @@
 		return verdict.Refuse(verdict.UnknownService, "service %q is not configured", b.Service)
 	}
 	s := c.service(b.Service)
+	s.learnDeclaredSize(b)
 	tasks := 0
 	for _, st := range b.Steps {
 		tasks += st.Tasks
@@ -81,7 +82,7 @@
 	// room tasks start at once. The last task starts after tasks-room more have
 	// ended: tasks of other batches, or of this batch if its own are shorter on
 	// average.
-	ownWork := float64(tasks-room) * min(b.meanDeclaredRunTime()*s.runTimeFactorOf(b).median, s.averageRunTime())
+	ownWork := float64(tasks-room) * min(b.meanDeclaredRunTime()*s.runTimeFactorOf(b).typical().median, s.averageRunTime())
 	wait := seconds((waitingBefore + ownWork) / capacity)
 	if now+wait <= onTimeStartBy || s.mayWaitForFastWorker(now, b, wait) {
 		return nil
@@ -153,7 +154,7 @@
 	for _, t := range s.teamQueues.heap {
 		for _, j := range t.jobs {
 			if j.batch != nil && j.batch.before(b) {
-				sum += float64(j.waitingTasks) * j.declaredRunTime * j.runTimeFactor().median
+				sum += float64(j.waitingTasks) * j.declaredRunTime * j.runTimeFactor().typical().median
 			}
 		}
 	}
--- a/dispatch/batchcallers_test.go
+++ b/dispatch/batchcallers_test.go
@@ -84,7 +84,10 @@
 		}
 		b.resultCounts[result]++
 		if b.ended != nil {
-			b.ended(classRunTime.String(), b.runTimes[name].actual, err == nil)
+			b.ended(batchEnd{
+				class: classRunTime.String(), times: b.runTimes[name], answered: err == nil,
+				refused: err != nil && err.Verdict == verdict.NotRun, waited: b.now - submittedAt,
+			})
 		}
 		b.resultsByTaskCount[fmt.Sprint(tasks, " ", result)]++
 		if err != nil && err.Verdict == verdict.NotRun {
--- a/dispatch/batchfaults_test.go
+++ b/dispatch/batchfaults_test.go
@@ -99,14 +99,14 @@
 	for seed := range uint64(6) {
 		b := newBatchSimulation(seed, 7, 11)
 		b.varyRunTimes = true
-		b.ended = func(class string, runTime time.Duration, ok bool) {
-			group := class
-			if runTime > largestTenthThreshold(class) {
+		b.ended = func(e batchEnd) {
+			group := e.class
+			if e.times.actual > largestTenthThreshold(e.class) {
 				group += " largest"
 			}
-			for _, p := range []string{class, group} {
+			for _, p := range []string{e.class, group} {
 				all[p]++
-				if ok {
+				if e.answered {
 					answered[p]++
 				}
 			}
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -160,15 +160,17 @@
 	return s.missRiskAccepted(j.runTimeFactor(), now, j.deadline, j.stepOfTask(j.nextTask()).runTime, slowness)
 }
 
+// isFast reports whether u is among the fast workers of a service that has others.
+func (s *service) isFast(u *upstream) bool {
+	return u.slowness <= s.minSlowness*fastSlownessRange && s.fastWorkerCount < len(s.upstreams)
+}
+
 // isReserved reports whether the free slots of u are reserved for tasks that
 // need a fast worker. A small reserve is enough for these to find room nearly
 // always.
 func (s *service) isReserved(u *upstream) bool {
-	if s.needsFastWidth == 0 || u.slowness > s.minSlowness*fastSlownessRange {
-		return false
-	}
-	if s.fastWorkerCount == len(s.upstreams) {
-		return false // all workers are fast, so a reserve would leave others no room
+	if s.needsFastWidth == 0 || !s.isFast(u) {
+		return false // if all workers are fast, a reserve would leave others no room
 	}
 	reserve := reservedBatches * s.needsFastWidth / float64(max(s.fastWorkerCount, 1))
 	reserve = min(reserve, maxReservedShare*float64(u.slots()))
--- a/dispatch/batchworld_test.go
+++ b/dispatch/batchworld_test.go
@@ -41,13 +41,25 @@
 	// varyRunTimes makes run times differ between the batches of a class, and declared
 	// run times deviate from the actual ones.
 	varyRunTimes bool
-	runTimes     map[string]batchRunTimes              // by batch name, set if varyRunTimes
-	resultCounts map[string]int                        // batches by result
-	route        func(e *entryProc, b *dispatch.Batch) // sets the service and the deadline of a batch, may be nil
+	// longShare of the batches run longFactor times as long as the others, if varyRunTimes.
+	longShare, longFactor float64
+	runTimeScale          float64                               // on the run times of all classes, if varyRunTimes; zero for none
+	runTimes              map[string]batchRunTimes              // by batch name, set if varyRunTimes
+	resultCounts          map[string]int                        // batches by result
+	route                 func(e *entryProc, b *dispatch.Batch) // sets the service and the deadline of a batch, may be nil
 	// repeatRefused makes callers repeat a batch soon after the answer that it has not run.
 	repeatRefused bool
-	lateRefusals  int                                                      // batches refused after their declared objective
-	ended         func(class string, runTime time.Duration, answered bool) // called at the end of each batch, may be nil
+	lateRefusals  int            // batches refused after their declared objective
+	ended         func(batchEnd) // called at the end of each batch, may be nil
+}
+
+// batchEnd is the end of a batch.
+type batchEnd struct {
+	class    string // named by its median run time
+	times    batchRunTimes
+	answered bool
+	refused  bool          // it has not run
+	waited   time.Duration // since its submission
 }
 
 var workerCapacity = wire.Resources{CPU: 16000, Memory: 32768}
@@ -65,10 +77,16 @@
 }
 
 func newBatchSimulation(seed uint64, entries, workers int) *batchSimulation {
+	return newUnevenSimulation(seed, entries, workers, []float64{1.6, 1, 0.6})
+}
+
+// newUnevenSimulation returns a simulation in which the workers have the given slownesses
+// in turn.
+func newUnevenSimulation(seed uint64, entries, workers int, slownesses []float64) *batchSimulation {
 	b := newEmptyBatchSimulation(seed, entries)
 	b.cfg.QuarantineShare = 0.3
 	for n := range workers {
-		b.addWorker(n, []float64{1.6, 1, 0.6}[n%3])
+		b.addWorker(n, slownesses[n%len(slownesses)])
 	}
 	b.propagateMembers(0)
 	b.runUntil(time.Second)
@@ -230,6 +248,12 @@
 	s, ok := b.runTimes[name]
 	if !ok {
 		s.actual = time.Duration(float64(median) * math.Exp(0.4*b.rng.NormFloat64()))
+		if b.runTimeScale > 0 {
+			s.actual = time.Duration(float64(s.actual) * b.runTimeScale)
+		}
+		if b.longShare > 0 && b.rng.Float64() < b.longShare {
+			s.actual = time.Duration(float64(s.actual) * b.longFactor)
+		}
 		s.declared = time.Duration(float64(s.actual) * math.Exp(0.4*b.rng.NormFloat64()))
 		b.runTimes[name] = s
 	}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -68,6 +68,7 @@
 	needsFastShare       float64                       // share of the batches that need fast workers
 	unplacedTasks        int                           // tasks of batches that arrived since the last placement
 	runTimesByQueue      map[string]*runTimeRegression // true run times as a function of the declared ones
+	unusualShare         unusualShare
 
 	logRunTimeVariance float64  // variance of the logarithm of run times on one upstream
 	taskWork           estimate // run time of a task on an upstream of slowness 1, in seconds
@@ -220,7 +221,7 @@
 	if s != nil {
 		return s
 	}
-	s = &service{name: name, cfg: c.cfg.Services[name], logRunTimeVariance: 1, minSlowness: 1, runTimesByQueue: map[string]*runTimeRegression{}}
+	s = &service{name: name, cfg: c.cfg.Services[name], logRunTimeVariance: 1, minSlowness: 1, runTimesByQueue: map[string]*runTimeRegression{}, unusualShare: unusualShare{share: initialUnusualShare}}
 	s.teamQueues.init()
 	c.services[name] = s
 	at, _ := slices.BinarySearchFunc(c.sortedServices, name, func(o *service, n ids.Service) int {
--- a/dispatch/lateness.go
+++ b/dispatch/lateness.go
@@ -18,12 +18,82 @@
 }
 
 // runTimeFactor is the distribution of the factor by which the run times of a
-// batch on an average worker exceed the declared ones. It is log-normal.
+// batch on an average worker exceed the declared ones. It is a mixture of two
+// log-normal distributions: that of the usual batches of a queue, and that of the
+// few whose size the queue's usual sizes say nothing about.
 type runTimeFactor struct {
+	logNormal
+	unusual      logNormal
+	unusualShare float64 // probability that the batch is an unusual one
+}
+
+// logNormal is a log-normal distribution.
+type logNormal struct {
 	median float64
 	sigma  float64 // standard deviation of the logarithm
 }
 
+// above returns the probability that the factor exceeds x.
+func (l logNormal) above(x float64) float64 { return normalAbove(math.Log(x/l.median) / l.sigma) }
+
+// scaled returns the distribution of the factor times scale.
+func (l logNormal) scaled(scale float64) logNormal { return logNormal{l.median * scale, l.sigma} }
+
+// given returns the distribution of the factor of the tasks that have not ended,
+// given the mean of the logarithms of the factors of n tasks that have. The tasks
+// of a batch vary by taskSigma around a factor that they share.
+func (l logNormal) given(meanLog float64, n int) logNormal {
+	prior, seen := 1/(l.sigma*l.sigma), float64(n)/(taskSigma*taskSigma)
+	mean := (prior*math.Log(l.median) + seen*meanLog) / (prior + seen)
+	return logNormal{median: math.Exp(mean), sigma: math.Sqrt(1/(prior+seen) + taskSigma*taskSigma)}
+}
+
+// density returns the probability density of the mean of the logarithms of the
+// factors of n tasks.
+func (l logNormal) density(meanLog float64, n int) float64 {
+	variance := l.sigma*l.sigma + taskSigma*taskSigma/float64(n)
+	deviation := meanLog - math.Log(l.median)
+	return math.Exp(-deviation*deviation/(2*variance)) / math.Sqrt(2*math.Pi*variance)
+}
+
+// typical returns the more probable of the two distributions.
+func (f runTimeFactor) typical() logNormal {
+	if f.unusualShare > 0.5 {
+		return f.unusual
+	}
+	return f.logNormal
+}
+
+// scaled returns the distribution of the factor times scale.
+func (f runTimeFactor) scaled(scale float64) runTimeFactor {
+	f.logNormal, f.unusual = f.logNormal.scaled(scale), f.unusual.scaled(scale)
+	return f
+}
+
+// given returns the distribution for the tasks that have not ended, given the mean
+// of the logarithms of the factors of n tasks of the batch that have.
+func (f runTimeFactor) given(meanLog float64, n int) runTimeFactor {
+	out := runTimeFactor{logNormal: f.logNormal.given(meanLog, n)}
+	if f.unusualShare == 0 {
+		return out
+	}
+	usual := (1 - f.unusualShare) * f.logNormal.density(meanLog, n)
+	unusual := f.unusualShare * f.unusual.density(meanLog, n)
+	out.unusual = f.unusual.given(meanLog, n)
+	if usual+unusual > 0 {
+		out.unusualShare = unusual / (usual + unusual)
+	}
+	return out
+}
+
+// mix returns the mean of a probability over the two distributions.
+func (f runTimeFactor) mix(probability func(logNormal) float64) float64 {
+	if f.unusualShare == 0 {
+		return probability(f.logNormal)
+	}
+	return (1-f.unusualShare)*probability(f.logNormal) + f.unusualShare*probability(f.unusual)
+}
+
 const (
 	// taskSigma is the standard deviation of the logarithm of the run times of a
 	// batch's tasks around their mean. The speed of a worker is not known more
@@ -53,23 +123,17 @@
 // measured ones narrow the distribution for the others.
 func (j *job) runTimeFactor() runTimeFactor {
 	b := j.batch
-	scale := math.Exp(j.svc.meanLogDeclaredRatio)
-	if b.measuredTasks == 0 {
-		return runTimeFactor{median: scale * b.prior.median, sigma: b.prior.sigma}
-	}
-	prior, seen := 1/(b.prior.sigma*b.prior.sigma), float64(b.measuredTasks)/(taskSigma*taskSigma)
-	mean := (prior*math.Log(b.prior.median) + seen*b.logExpectedRatioSum/float64(b.measuredTasks)) / (prior + seen)
-	return runTimeFactor{
-		median: scale * math.Exp(mean),
-		sigma:  math.Sqrt(1/(prior+seen) + taskSigma*taskSigma),
+	factor := b.prior
+	if b.measuredTasks > 0 {
+		factor = factor.given(b.logExpectedRatioSum/float64(b.measuredTasks), b.measuredTasks)
 	}
+	return factor.scaled(math.Exp(j.svc.meanLogDeclaredRatio))
 }
 
 // runTimeFactorOf returns the distribution for a batch before it is taken in.
 func (s *service) runTimeFactorOf(b Batch) runTimeFactor {
 	factor := s.runTimeRegression(b.Queue).predictFactor(LongestChain(b.Steps).Seconds())
-	factor.median *= math.Exp(s.meanLogDeclaredRatio)
-	return factor
+	return factor.scaled(math.Exp(s.meanLogDeclaredRatio))
 }
 
 // missProbability returns the probability that a task of the given declared run
@@ -83,14 +147,14 @@
 	if slack <= 0 {
 		return 1
 	}
-	return normalAbove(math.Log(slack/(runTime*f.median*slowness)) / f.sigma)
+	return f.mix(func(l logNormal) float64 { return l.above(slack / (runTime * slowness)) })
 }
 
 // mayMeetDeadline reports whether a task of the given declared run time, in
 // seconds, ends in time with a probability of at least one half on a worker of
 // the given slowness.
 func (f runTimeFactor) mayMeetDeadline(now, deadline time.Duration, runTime, slowness float64) bool {
-	return now+seconds(runTime*f.median*slowness) < deadline
+	return f.missProbability(now, deadline, runTime, slowness) < 0.5
 }
 
 // needsFastWorker reports whether a task would often miss its deadline on an
@@ -109,24 +173,26 @@
 // worker slower than the objective's stretch, however wrong the declared time
 // is.
 func (f runTimeFactor) lateProbability(waited time.Duration, goal Objective, chain, runTime, rest, slowness float64) float64 {
-	slack, deviation := f.slack(goal, chain, runTime*slowness, rest)
 	overdue := (waited - goal.Fixed).Seconds()
-	return normalAbove((slack - overdue) / deviation)
+	return f.mix(func(l logNormal) float64 {
+		slack, deviation := l.slack(goal, chain, runTime*slowness, rest)
+		return normalAbove((slack - overdue) / deviation)
+	})
 }
 
 // latestWait returns the longest wait after which the tasks of a batch can start
 // on a worker of the given slowness and the batch still be on time, with a
 // margin given as a number of standard deviations of the slack.
 func (f runTimeFactor) latestWait(goal Objective, chain, slowness, errors float64) time.Duration {
-	slack, deviation := f.slack(goal, chain, chain*slowness, 0)
+	slack, deviation := f.typical().slack(goal, chain, chain*slowness, 0)
 	return goal.Fixed + seconds(slack-errors*deviation)
 }
 
 // slack returns the mean and the standard deviation of the time, in seconds, by
 // which the objective without its fixed part exceeds the rest of a batch.
-func (f runTimeFactor) slack(goal Objective, chain, run, rest float64) (mean, deviation float64) {
-	mean = f.median * (goal.Stretch*chain - run - rest)
-	deviation = math.Hypot(mean*f.sigma, f.median*run*taskSigma)
+func (l logNormal) slack(goal Objective, chain, run, rest float64) (mean, deviation float64) {
+	mean = l.median * (goal.Stretch*chain - run - rest)
+	deviation = math.Hypot(mean*l.sigma, l.median*run*taskSigma)
 	return mean, max(deviation, minLateDeviation)
 }
 
--- a/dispatch/lateness_test.go
+++ b/dispatch/lateness_test.go
@@ -13,7 +13,7 @@
 // Guards against batches that are expected to be late only because their declared run time
 // may be too short: the objective grows with the true run time.
 func TestLatenessGrowsWithTheWait(t *testing.T) {
-	factor := runTimeFactor{median: 1, sigma: 0.4}
+	factor := runTimeFactor{logNormal: logNormal{median: 1, sigma: 0.4}}
 	objective := Objective{Fixed: 60 * time.Millisecond, Stretch: 1.6}
 	const runTime = 0.2
 	for _, tc := range []struct {
--- a/dispatch/pace.go
+++ b/dispatch/pace.go
@@ -91,6 +91,19 @@
 	u.svc.runTimeRegression(j.batch.queueName).learn(st.runTime, logRatio)
 }
 
+// learnAbortedTask updates the same relation with a task that was aborted while it ran.
+func learnAbortedTask(u *upstream, a *attempt, ans *wire.Answer) {
+	if a.job.batch == nil || u.unfit {
+		return
+	}
+	st := a.job.stepOfTask(a.taskIndex)
+	if st.runTime <= 0 {
+		return
+	}
+	excess := math.Log(float64(ans.RunUS)/1e6/st.runTime/st.placement.remoteFactor(u)) - u.logDeclaredRatio
+	u.svc.runTimeRegression(a.job.batch.queueName).learnAborted(st.runTime, excess)
+}
+
 // expectedRunTime returns the expected run time of a task of a step on u.
 func (u *upstream) expectedRunTime(st *step) time.Duration {
 	return seconds(st.runTime * st.placement.remoteFactor(u) * math.Exp(u.logDeclaredRatio))
