intake, entry, platform: bound what clients can make a process hold

Cause: the HTTP library reads a body whole before any handler sees it, for any number of connections.

A panic of a handler ends its connection only.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -93,7 +93,8 @@
 	// Requests are accepted before the registration, so that each is answered in
 	// time. Otherwise they would wait in the listener's backlog, and be read after
 	// their callers have given up.
-	e.http = e.httpServer()
+	g := e.opts.gate()
+	e.http, e.callers = e.httpServer(g), g.Listener(e.callers)
 	e.wg.Go(e.serveCallers)
 	if err := e.register(ctx, member.NewNonce()); err != nil {
 		e.cancel()
--- a/entry/http.go
+++ b/entry/http.go
@@ -13,6 +13,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -24,21 +25,34 @@
 	maxWait = 10 * time.Minute
 )
 
-func (e *Entry) httpServer() *fasthttp.Server {
-	return &fasthttp.Server{
-		Handler:                       e.requestHandler(),
-		ErrorHandler:                  refuseMalformed,
-		Concurrency:                   e.opts.Connections,
-		ReadBufferSize:                e.opts.HeaderBytes,
-		MaxRequestBodySize:            e.opts.BodyBytes,
-		ReadTimeout:                   e.opts.ReadTimeout,
-		WriteTimeout:                  e.opts.WriteTimeout,
-		IdleTimeout:                   e.opts.IdleTimeout,
-		DisableHeaderNamesNormalizing: false,
-		DisablePreParseMultipartForm:  true,
-		NoDefaultServerHeader:         true,
-		CloseOnShutdown:               true,
-		Logger:                        discardLogger{},
+// gate returns the gate of the callers' listener.
+func (o *Options) gate() *intake.Gate {
+	return intake.NewGate(intake.Limits{
+		Connections: o.Connections, Bytes: o.RequestBytes, BodyBytes: o.BodyBytes, ReadTimeout: o.ReadTimeout,
+	}, o.Scope)
+}
+
+func (e *Entry) httpServer(g *intake.Gate) *fasthttp.Server {
+	s := g.Server(e.requestHandler(), refuseBody)
+	s.ErrorHandler = refuseMalformed
+	s.ReadBufferSize = e.opts.HeaderBytes
+	s.WriteTimeout = e.opts.WriteTimeout
+	s.IdleTimeout = e.opts.IdleTimeout
+	s.NoDefaultServerHeader = true
+	s.CloseOnShutdown = true
+	s.Logger = discardLogger{}
+	return s
+}
+
+// refuseBody answers a request whose body the gate has not taken in.
+func refuseBody(ctx *fasthttp.RequestCtx, err error) {
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
+		writeError(ctx, verdict.Refuse(reasonTooLarge, "the body is too large"))
+	case errors.Is(err, intake.ErrNoRoom):
+		writeError(ctx, verdict.Refuse(verdict.Overloaded, "%v", err).After(defaultRetryAfter))
+	default:
+		writeError(ctx, verdict.Refuse(verdict.BadRequest, "%v", err))
 	}
 }
 
@@ -53,8 +67,6 @@
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		writeError(ctx, verdict.Refuse(reasonTooLarge, "the body is too large"))
 	case errors.As(err, &small):
 		writeError(ctx, verdict.Refuse(reasonTooLarge, "the header is too large"))
 	case errors.As(err, &timeout) && timeout.Timeout():
@@ -62,6 +74,7 @@
 	default:
 		writeError(ctx, verdict.Refuse(verdict.BadRequest, "malformed HTTP request"))
 	}
+	intake.LingerOnClose(ctx)
 }
 
 // requestHandler returns the handler of the callers' listener.
--- a/entry/options.go
+++ b/entry/options.go
@@ -49,6 +49,9 @@
 	Connections int
 	// BodyBytes bounds the body of one request of a caller.
 	BodyBytes int
+	// RequestBytes bounds the bodies of all requests of callers that are being read or
+	// answered. It must not be less than BodyBytes.
+	RequestBytes int64
 	// HeaderBytes bounds the header of one request of a caller.
 	HeaderBytes int
 	// ReadTimeout bounds reading one request, WriteTimeout writing one answer, and
@@ -94,6 +97,9 @@
 	defaultInt(&o.Connections, 4096)
 	defaultInt(&o.BodyBytes, 2*wire.MaxBodyBytes)
 	defaultInt(&o.HeaderBytes, 16<<10)
+	if o.RequestBytes == 0 {
+		o.RequestBytes = 256 << 20
+	}
 	if o.AnswerBytes == 0 {
 		o.AnswerBytes = 256 << 20
 	}
--- a/entry/run.go
+++ b/entry/run.go
@@ -41,7 +41,7 @@
 		Session:     NewSessionOpener(member.NewDirectory(s.Control...), sec, counters),
 		Seed:        rand.Uint64(),
 		Connections: s.Limits.Connections,
-		BodyBytes:   s.Limits.BodyBytes,
+		BodyBytes:   s.Limits.BodyBytes, RequestBytes: int64(s.Limits.RequestBytes),
 		ReadTimeout: time.Duration(s.Limits.ReadTimeout),
 		IdleTimeout: time.Duration(s.Limits.IdleTimeout),
 		AnswerBytes: int64(s.Limits.AnswerBytes),
--- /dev/null
+++ b/intake/handler.go
@@ -0,0 +1,143 @@
+package intake
+
+import (
+	"io"
+	"runtime/debug"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"k8s.io/klog/v2"
+)
+
+// Errors with which a request is refused before any handler sees it.
+var (
+	ErrTooLarge = errors.New("the body is too large")
+	ErrNoRoom   = errors.New("there is no room for the body now")
+	ErrBroken   = errors.New("the body did not arrive")
+)
+
+// chunkBytes is the growth of the buffer for a body whose length isn't announced.
+const chunkBytes = 64 << 10
+
+// Serve returns the handler of an HTTP server with StreamRequestBody. It reads the body
+// within the gate's limits and passes the request to next, or calls refuse with one of the
+// errors above and closes the connection once that answer is sent. A panic of next is
+// answered with status 500 and ends the connection.
+func (g *Gate) Serve(next fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		c, ok := ctx.Conn().(*conn)
+		if !ok {
+			c = &conn{Conn: ctx.Conn(), gate: g, outside: true}
+		}
+		defer g.endRequest(c)
+		body, err := g.readBody(ctx, c)
+		if err != nil {
+			g.countRefusal(err)
+			refuse(ctx, err)
+			LingerOnClose(ctx)
+			ctx.SetConnectionClose()
+			return
+		}
+		g.beginAnswer(c)
+		defer g.recoverHandler(ctx)
+		if body != nil {
+			ctx.Request.SetBodyRaw(body)
+		}
+		next(ctx)
+	}
+}
+
+// LingerOnClose makes the close of a request's connection wait for its peer, which may
+// still be sending when it is refused.
+func LingerOnClose(ctx *fasthttp.RequestCtx) {
+	if c, ok := ctx.Conn().(*conn); ok {
+		c.linger.Store(true)
+	}
+}
+
+func (g *Gate) countRefusal(err error) {
+	switch {
+	case errors.Is(err, ErrTooLarge):
+		g.metrics.tooLarge.Inc(1)
+	case errors.Is(err, ErrNoRoom):
+		g.metrics.noRoom.Inc(1)
+	}
+}
+
+// recoverHandler answers a request whose handler panicked.
+func (g *Gate) recoverHandler(ctx *fasthttp.RequestCtx) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	g.metrics.panics.Inc(1)
+	klog.Errorf("intake: Request handler panicked: %v\n%s", p, debug.Stack())
+	ctx.Error("the handler of this request failed", fasthttp.StatusInternalServerError)
+	ctx.SetConnectionClose()
+}
+
+// readBody reads the body of a request. It returns nil if there is none.
+func (g *Gate) readBody(ctx *fasthttp.RequestCtx, c *conn) ([]byte, error) {
+	stream := ctx.RequestBodyStream()
+	if stream == nil {
+		return nil, nil
+	}
+	if err := c.SetReadDeadline(ctx.Time().Add(g.limits.ReadTimeout)); err != nil {
+		return nil, ErrBroken
+	}
+	length := ctx.Request.Header.ContentLength()
+	switch {
+	case length > g.limits.BodyBytes:
+		return nil, ErrTooLarge
+	case length < 0:
+		return g.readChunks(stream, c)
+	case !g.reserve(c, int64(length)):
+		return nil, ErrNoRoom
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(stream, body); err != nil {
+		return nil, ErrBroken
+	}
+	return body, nil
+}
+
+// readChunks reads a body whose length isn't announced.
+func (g *Gate) readChunks(stream io.Reader, c *conn) ([]byte, error) {
+	var body []byte
+	for {
+		if len(body) == cap(body) {
+			if len(body) >= g.limits.BodyBytes {
+				return nil, ErrTooLarge
+			}
+			if !g.reserve(c, chunkBytes) {
+				return nil, ErrNoRoom
+			}
+			body = append(make([]byte, 0, cap(body)+chunkBytes), body...)
+		}
+		n, err := stream.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case err == io.EOF && len(body) > g.limits.BodyBytes:
+			return nil, ErrTooLarge
+		case err == io.EOF:
+			return body, nil
+		case err != nil:
+			return nil, ErrBroken
+		}
+	}
+}
+
+// Server returns an HTTP server for the handler of a gate. The caller sets the time-outs
+// and the size of headers.
+func (g *Gate) Server(next fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) *fasthttp.Server {
+	return &fasthttp.Server{
+		Handler:           g.Serve(next, refuse),
+		StreamRequestBody: true,
+		// The gate refuses larger bodies itself.
+		MaxRequestBodySize:           g.limits.BodyBytes,
+		DisablePreParseMultipartForm: true,
+		ReadTimeout:                  g.limits.ReadTimeout,
+		// Connections that the gate has closed end a moment later.
+		Concurrency: 2*g.limits.Connections + 1,
+	}
+}
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -65,10 +65,12 @@
 
 // Limits bounds the resources that callers can use at one entry.
 type Limits struct {
-	Connections int      `yaml:"connections" range:"1..1000000" unit:"connections of callers at once"`
-	BodyBytes   int      `yaml:"body_bytes" range:"1024..67108864" unit:"bytes of one request of a caller"`
-	ReadTimeout Duration `yaml:"read_timeout" range:"100ms..10m" unit:"time for reading one request"`
-	IdleTimeout Duration `yaml:"idle_timeout" range:"1s..1h" unit:"time an idle connection is kept"`
+	Connections int `yaml:"connections" range:"1..1000000" unit:"connections of callers at once"`
+	BodyBytes   int `yaml:"body_bytes" range:"1024..67108864" unit:"bytes of one request of a caller"`
+	// RequestBytes bounds the bodies of all requests that are being read or answered.
+	RequestBytes int      `yaml:"request_bytes" range:"1048576..17179869184" unit:"bytes of requests that are read or answered at once, at least body_bytes"`
+	ReadTimeout  Duration `yaml:"read_timeout" range:"100ms..10m" unit:"time for reading one request"`
+	IdleTimeout  Duration `yaml:"idle_timeout" range:"1s..1h" unit:"time an idle connection is kept"`
 	// AnswerBytes bounds the memory for answers that are kept for callers.
 	AnswerBytes int `yaml:"answer_bytes" range:"1048576..17179869184" unit:"bytes of answers kept for callers"`
 }
@@ -101,11 +103,12 @@
 		Callers: "127.0.0.1:8080",
 		Weight:  1,
 		Limits: Limits{
-			Connections: 4096,
-			BodyBytes:   2 * wire.MaxBodyBytes,
-			ReadTimeout: Duration(10 * time.Second),
-			IdleTimeout: Duration(time.Minute),
-			AnswerBytes: 256 << 20,
+			Connections:  4096,
+			BodyBytes:    2 * wire.MaxBodyBytes,
+			RequestBytes: 256 << 20,
+			ReadTimeout:  Duration(10 * time.Second),
+			IdleTimeout:  Duration(time.Minute),
+			AnswerBytes:  256 << 20,
 		},
 	}
 }
