platform, entry, dispatch: let a job run as long as its caller waits; keep room for urgent work

Cause 1: a batch ended at the timeout of its queue, 1.5 s, while the callers of long jobs wait for up to 10.7 s and say so by their deadline header. Change: the caller's deadline bounds a batch, the queue's timeout the wait until it starts.

Cause 2: long tasks fill all workers, so urgent batches, short and wide, are late more often than others. Change: a share of the slots, at most 0.02, is kept for the most urgent queue.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -99,6 +99,9 @@
 	Objective Objective
 	// Deadline is the time after which nobody waits for the answer.
 	Deadline time.Duration
+	// StartBy is the time by which a task has to start, zero for no bound. A batch that
+	// only waits until then is refused.
+	StartBy time.Duration
 }
 
 // Envelope is a message to the agent with the given incarnation.
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -22,6 +22,7 @@
 	prior        runTimeFactor // run times by the declared ones alone, on a worker of logDeclaredRatio 0
 	objective    Objective
 	arrivedAt    time.Duration // when the batch arrived
+	startBy      time.Duration // when a task has to have started, zero for no bound
 	chainRunTime float64       // declared run time of the longest chain of steps, in seconds
 	// onTimeStartBy is the time by which the last task should start for the
 	// answer to be on time.
@@ -96,7 +97,7 @@
 func newBatchJob(s *service, b Batch) *job {
 	j := &job{
 		key: b.Key, team: b.Team, svc: s, deadline: b.Deadline, unrecorded: true, idempotent: true,
-		batch: &batch{maxFailures: max(b.Attempts, 1), priority: b.Priority, queueName: b.Queue, objective: b.Objective, arrivedAt: b.Arrived, chainRunTime: LongestChain(b.Steps).Seconds()},
+		batch: &batch{maxFailures: max(b.Attempts, 1), priority: b.Priority, queueName: b.Queue, objective: b.Objective, arrivedAt: b.Arrived, startBy: b.StartBy, chainRunTime: LongestChain(b.Steps).Seconds()},
 	}
 	work, tasks := 0.0, 0
 	for i, st := range b.Steps {
--- a/dispatch/batchadmit.go
+++ b/dispatch/batchadmit.go
@@ -16,10 +16,8 @@
 	}
 	s := c.service(b.Service)
 	s.learnDeclaredSize(b)
-	tasks := 0
-	for _, st := range b.Steps {
-		tasks += st.Tasks
-	}
+	s.urgent.learn(b.Priority, b.tasks())
+	tasks := b.tasks()
 	switch {
 	case tasks > maxTasks:
 		return verdict.Refuse(verdict.Infeasible, "%d tasks exceed the maximum of %d", tasks, maxTasks)
@@ -141,7 +139,11 @@
 		}
 		capacity += u.contribution.usable
 		if needsFast || !s.isReserved(u) {
-			room += min(max(min(u.credit-u.outstanding, u.slots()-u.otherEntryTasks-u.outstanding), 0), most)
+			kept := 0
+			if b.Priority > s.urgent.priority {
+				kept = u.urgentSlots()
+			}
+			room += min(max(min(u.credit-u.outstanding, u.slots()-kept-u.otherEntryTasks-u.outstanding), 0), most)
 		}
 	}
 	return room, capacity
@@ -161,6 +163,15 @@
 	return sum
 }
 
+// tasks returns the number of tasks of all steps.
+func (b Batch) tasks() int {
+	n := 0
+	for _, st := range b.Steps {
+		n += st.Tasks
+	}
+	return n
+}
+
 // meanDeclaredRunTime returns the mean over the tasks, in seconds.
 func (b Batch) meanDeclaredRunTime() float64 {
 	sum, tasks := 0.0, 0
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -73,6 +73,9 @@
 	var best *upstream
 	least := math.Inf(1)
 	j.forEachCandidate(&s.lookAhead, j.nextTask(), c.random(), func(u *upstream) {
+		if u.isKeptForUrgent(j.batch.priority) && u.urgentSlots() > 0 {
+			return // it would start in the next slot that becomes free
+		}
 		start, slowness := now+s.lookAheadWait(u), j.slownessAt(j.nextTask(), u)
 		if !s.nextTaskRiskAccepted(start, j, slowness) || s.nextTaskLateProbability(start, j, slowness) > maxLateProbability {
 			return
@@ -113,7 +116,7 @@
 			if !j.runTimeFactor().mayMeetDeadline(now, j.deadline, j.batch.chainRunTime, s.minSlowness) {
 				c.failJob(now, j, wire.JobFailed, verdict.Refuse(verdict.NoUpstream, "no worker has connected in time").After(noUpstreamRetry))
 			}
-		case !j.mayHaveStarted() && s.nextTaskLateProbability(now, j, s.minSlowness) >= refusalLateProbability && c.bestFreeWorker(now, s, j) == nil:
+		case !j.mayHaveStarted() && s.waitsTooLong(now, j) && c.bestFreeWorker(now, s, j) == nil:
 			wait := seconds(s.waitingWorkBefore(j.batch) / max(s.capacity(), 1))
 			c.failJob(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetryAfter(wait)))
 		case !j.runTimeFactor().mayMeetDeadline(now, j.deadline, j.stepOfTask(j.nextTask()).runTime, s.minSlowness):
@@ -122,6 +125,13 @@
 	}
 }
 
+// waitsTooLong reports whether a batch that has not started would probably be late even on
+// the fastest worker, or has to have started by now.
+func (s *service) waitsTooLong(now time.Duration, j *job) bool {
+	return s.nextTaskLateProbability(now, j, s.minSlowness) >= refusalLateProbability ||
+		j.batch.startBy > 0 && now >= j.batch.startBy
+}
+
 // mayHaveStarted reports whether a task of j has started or may have.
 func (j *job) mayHaveStarted() bool { return j.outstanding > 0 || j.done > 0 || j.mayHaveRun }
 
@@ -135,7 +145,7 @@
 	needsFast := j.runTimeFactor().needsFastWorker(now, j.deadline, j.stepOfTask(j.nextTask()).runTime)
 	j.forEachCandidate(&s.free, j.nextTask(), c.random(), func(u *upstream) {
 		slowness := j.slownessAt(j.nextTask(), u)
-		if !s.nextTaskRiskAccepted(now, j, slowness) || !needsFast && s.isReserved(u) {
+		if !s.nextTaskRiskAccepted(now, j, slowness) || !needsFast && s.isReserved(u) || u.isKeptForUrgent(j.batch.priority) {
 			return
 		}
 		if onTime && s.nextTaskLateProbability(now, j, slowness) > maxLateProbability {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -69,6 +69,7 @@
 	unplacedTasks        int                           // tasks of batches that arrived since the last placement
 	runTimesByQueue      map[string]*runTimeRegression // true run times as a function of the declared ones
 	unusualShare         unusualShare
+	urgent               urgentRoom
 
 	logRunTimeVariance float64  // variance of the logarithm of run times on one upstream
 	taskWork           estimate // run time of a task on an upstream of slowness 1, in seconds
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -31,6 +31,9 @@
 	Objective dispatch.Objective
 	// Deadline is the time from the arrival after which the caller no longer waits.
 	Deadline time.Duration
+	// StartBy is the time from the arrival within which a task has to start, zero for no
+	// bound. A batch that only waits until then is refused.
+	StartBy time.Duration
 }
 
 // Target returns the time from the arrival by which the answer is due if the tasks
@@ -130,8 +133,13 @@
 		return verdict.Refuse(verdict.Deleted, "the caller has deleted the batch")
 	}
 	arrived := now - time.Since(b.Arrived)
+	startBy := time.Duration(0)
+	if b.StartBy > 0 {
+		startBy = arrived + b.StartBy
+	}
 	refused := inc.core.Batch(now, dispatch.Batch{
-		Key: r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
+		StartBy: startBy,
+		Key:     r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
 		Queue: b.Queue, Priority: b.Priority, Arrived: arrived, Objective: b.Objective, Deadline: arrived + b.Deadline,
 	})
 	if refused == nil {
--- a/settings/cluster.go
+++ b/settings/cluster.go
@@ -48,8 +48,9 @@
 	Service ids.Service `yaml:"service" form:"name" need:"true" unit:"service whose workers run the tasks"`
 	// Priority orders the queues of a service. Queues with 0 are served first.
 	Priority int `yaml:"priority" range:"0..2147483647" unit:"rank among the queues of a service, 0 first"`
-	// Timeout bounds the duration of one request of a caller.
-	Timeout Duration `yaml:"timeout" range:"1ms..24h" unit:"time for one request"`
+	// Timeout bounds the duration of one request of a caller. A batch whose caller says
+	// how long it waits has to start within it.
+	Timeout Duration `yaml:"timeout" range:"1ms..24h" unit:"time for one request, or until a batch starts"`
 	// Target and Stretch define the target latency of an answer: Stretch times the
 	// run time of the longest chain of dependent tasks, plus Target.
 	Target  Duration `yaml:"target" range:"0s..24h" unit:"time beyond the tasks' own, for an answer in time"`
