--- a/settings/check.go
+++ b/settings/check.go
@@ -159,6 +159,9 @@
 	checkValue(reflect.ValueOf(e), field{}, "", r)
 	checkProcess(e.Process, r)
 	checkDistinctAddresses(r, listener{"listen", e.Listen}, listener{"ops", e.Ops}, listener{"callers", e.Callers})
+	if e.Limits.RequestBytes < e.Limits.BodyBytes {
+		r.add("limits.request_bytes", fmt.Sprintf("%d bytes for all requests are less than body_bytes, %d for one", e.Limits.RequestBytes, e.Limits.BodyBytes), "set at least body_bytes")
+	}
 }
 
 func checkAgent(a Agent, r *report) {
