logsink: bound the bytes of a line and of the queue

Callers and workers choose texts that are logged (Request-Id, host, path, the fields of a heartbeat of up to 4 MiB), and 4,096 lines of any length waited for a slow reader of the log.

A line is cut at 4 KiB and 2 MiB of lines wait; the rest is dropped and counted as before.

--- a/logsink/logsink.go
+++ b/logsink/logsink.go
@@ -14,6 +14,13 @@
 // maxQueuedLines bounds the lines that wait for a slow reader.
 const maxQueuedLines = 4096
 
+const (
+	// maxLineBytes bounds a line. Lines contain texts that peers send.
+	maxLineBytes = 4 << 10
+	// maxQueuedBytes bounds the memory of the lines that wait.
+	maxQueuedBytes = 2 << 20
+)
+
 // dropReportInterval is the minimum time between two reports of dropped lines.
 const dropReportInterval = time.Second
 
@@ -21,6 +28,7 @@
 type Sink struct {
 	out     io.Writer
 	lines   chan []byte
+	queued  atomic.Int64 // bytes of lines
 	dropped atomic.Uint64
 	stop    chan struct{}
 	done    chan struct{}
@@ -33,16 +41,37 @@
 	return s
 }
 
-// Write queues a copy of a line. It drops and counts the line if the queue is full.
+// Write queues a copy of a line, without what exceeds maxLineBytes. It drops and counts the
+// line if the queue is full.
 func (s *Sink) Write(line []byte) (int, error) {
+	queued := shorten(line)
+	size := int64(len(queued))
+	if s.queued.Add(size) > maxQueuedBytes {
+		s.drop(size)
+		return len(line), nil
+	}
 	select {
-	case s.lines <- append([]byte(nil), line...):
+	case s.lines <- queued:
 	default:
-		s.dropped.Add(1)
+		s.drop(size)
 	}
 	return len(line), nil
 }
 
+func (s *Sink) drop(size int64) {
+	s.queued.Add(-size)
+	s.dropped.Add(1)
+}
+
+// shorten returns a copy of a line of at most maxLineBytes.
+func shorten(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return append([]byte(nil), line...)
+	}
+	const end = "...\n"
+	return append(append(make([]byte, 0, maxLineBytes), line[:maxLineBytes-len(end)]...), end...)
+}
+
 // Dropped returns the number of lines dropped so far.
 func (s *Sink) Dropped() uint64 { return s.dropped.Load() }
 
@@ -87,6 +116,7 @@
 }
 
 func (w *lineWriter) write(s *Sink, line []byte) {
+	s.queued.Add(-int64(len(line)))
 	_, _ = s.out.Write(line) // there is no other place to report that the log can't be written
 	n := s.dropped.Load()
 	if n == w.reportedDrops || time.Since(w.lastReport) < dropReportInterval {
--- a/logsink/logsink_test.go
+++ b/logsink/logsink_test.go
@@ -54,3 +54,31 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a queue of lines that holds whatever texts peers send while its reader is
+// slow.
+func TestLongLinesAreBounded(t *testing.T) {
+	r, w := io.Pipe() // nobody reads until the lines have been written
+	s := New(w)
+	line := []byte(strings.Repeat("x", 1<<20) + "\n")
+	for range maxQueuedLines {
+		if n, err := s.Write(line); n != len(line) || err != nil {
+			t.Fatal(n, err)
+		}
+	}
+	if n := s.queued.Load(); n > maxQueuedBytes {
+		t.Errorf("%d bytes wait, at most %d are allowed", n, maxQueuedBytes)
+	}
+	first := make(chan int)
+	go func() {
+		n, _ := r.Read(make([]byte, len(line))) // one write of the sink
+		first <- n
+		_, _ = io.Copy(io.Discard, r)
+	}()
+	if n := <-first; n != maxLineBytes {
+		t.Errorf("a line of %d bytes was written as %d, want %d", len(line), n, maxLineBytes)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+}
