agent: refuse a second greeting on a connection

An entry greets once on each connection. The agent kept a peer with two goroutines and a queue of reports for each greeting until the connection ended, so one connection could make it hold any number.

The second greeting is refused.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -241,6 +241,10 @@
 }
 
 func (a *Agent) hello(_ context.Context, c *rpc.Conn, h wire.Hello) (wire.HelloReply, error) {
+	if p, ok := c.Peer.Load().(*peer); ok {
+		// Each peer has goroutines until its connection ends.
+		return wire.HelloReply{}, verdict.Refuse(verdict.BadRequest, "the connection belongs to entry %d", p.entry)
+	}
 	inc := a.incarnation.Load()
 	if ids.Version(h.Entry) > inc.session.View().Version {
 		inc.session.RenewNow() // tasks of the entry are refused until the view contains it
