intake, rpc: one budget for all listeners of a process

Seen: 400 connections to the port for processes of an entry, a control node or an agent of 64 MB made it hold up to 4,479 MB and 426 descriptors, with unfinished messages, whole ones, calls whose replies nobody reads, or nothing.

Cause: memory, descriptors and goroutines followed what a peer sends. The codec read a message whole before anything was counted; the only bounds were 8,192 connections and 16 MB a message. Each HTTP listener had limits of its own that nothing added up, bytes of a closed connection counted as free while its handler still held them, and those of an answer once its handler had returned.

Change: a process has one Budget, half of its memory; each listener takes from it through the account of its Gate, HTTP or not, with a part that no other listener takes. Messages are counted as they arrive and before they are decoded, calls in progress and replies as well, until the handler, or the event loop that it has passed the message to, is done. Connections count 64 KB and their receive buffers are bounded. A connection whose peer reads no reply for 1 s can be closed to make room. An accept that fails for lack of descriptors closes the connection that has waited longest and is repeated; the HTTP library used to give the listener up. A panic of a handler of messages ends its connection, where it ended the process.

Why it works: what a peer can make the process hold at these places is taken from the budget before memory is, so the sum over all listeners is at most half of the memory, and the sockets of all listeners at most 13/16 of what the VM allows.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +11,7 @@
 
 	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -54,7 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := net.Listen("tcp", o.Listen)
+	l, err := intake.Listen(o.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for connections from entries")
 	}
@@ -67,7 +67,7 @@
 		l.Close()
 		return nil, err
 	}
-	a.server = rpc.NewServer(l, o.Security, a.mux(), o.Counters)
+	a.server = rpc.NewBoundedServer(l, o.Gate, o.Security, a.mux(), o.Counters)
 	a.background.Go(a.supervise)
 	a.background.Go(a.reportStats)
 	klog.Infof("agent: Serving %s at %s for upstream %s.", o.Service, a.opts.Advertise, o.Upstream)
@@ -261,7 +261,14 @@
 		c.Close() // the sender sent no hello, or the message names another entry
 		return wire.Empty{}, nil
 	}
-	p.incarnation.loop.Post(func(now time.Duration) { p.incarnation.receive(now, p, m) })
+	release := c.Retain()
+	posted := p.incarnation.loop.Post(func(now time.Duration) {
+		defer release()
+		p.incarnation.receive(now, p, m)
+	})
+	if !posted {
+		release()
+	}
 	return wire.Empty{}, nil
 }
 
--- a/agent/options.go
+++ b/agent/options.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/lease"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/wire"
@@ -36,6 +37,9 @@
 // ended receives each answer once.
 type OpenWorker func(ctx context.Context, self ids.Incarnation, c *clock.Stopwatch, ended func(wire.Answer)) (Worker, error)
 
+// PeersShare is what entries can take of the limits of an agent's process.
+var PeersShare = intake.Share{Sockets: 0.5, Kept: 0.5, Limit: 0.75}
+
 // Options configures an agent. Zero values of limits and durations are replaced by
 // the defaults in withDefaults.
 type Options struct {
@@ -62,6 +66,9 @@
 	// Worker opens the worker beside the agent. It is nil for an upstream over HTTP.
 	Worker   OpenWorker
 	Security rpc.Security
+	// Gate bounds what entries can make the agent hold. Nil bounds the number of their
+	// connections only.
+	Gate *intake.Gate
 	// Counters counts the messages exchanged with entries. It may be nil.
 	Counters *rpc.Counters
 	// Session opens the session with the control group.
--- a/control/daemon/diskfull.go
+++ b/control/daemon/diskfull.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"net"
 	"syscall"
 	"time"
 
@@ -9,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/baobabshore/baobabshore/control"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wal"
 )
@@ -81,7 +81,7 @@
 
 // start starts the node on a new listener, since a node closes its own.
 func (d *Daemon) start() (*control.Node, error) {
-	l, err := net.Listen("tcp", d.addr)
+	l, err := intake.Listen(d.addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "control: listen")
 	}
--- a/control/node.go
+++ b/control/node.go
@@ -104,7 +104,7 @@
 	c.links = newLinks(dial, c.instance.ID, o.Advertise)
 	n := &Node{core: c, opt: o, addr: o.Advertise, instance: c.instance.ID, client: client, calls: make(chan func(*core), maxQueuedCalls)}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	n.server = rpc.NewServer(l, o.Security, n.mux(), o.Counters)
+	n.server = rpc.NewBoundedServer(l, o.Gate, o.Security, n.mux(), o.Counters)
 	c.runInBackground = n.runInBackground
 	n.wg.Go(n.loop)
 	if c.formation != nil {
--- a/control/options.go
+++ b/control/options.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/wal"
@@ -74,10 +75,16 @@
 	Dial member.Dialer
 	// Scope receives the metrics; nil disables them.
 	Scope tally.Scope
+	// Gate bounds what other processes can make the node hold. Nil bounds the number of
+	// their connections only.
+	Gate *intake.Gate
 	// Counters counts the messages of the node. Default: a new set of counters.
 	Counters *rpc.Counters
 }
 
+// PeersShare is what other processes can take of the limits of a control node's process.
+var PeersShare = intake.Share{Sockets: 0.625, Kept: 0.5, Limit: 0.75}
+
 // Tolerance is what may be lost at the same time, disks included, without the loss of
 // anything acknowledged.
 type Tolerance struct {
@@ -174,7 +181,7 @@
 	if !loopback && o.Security.Token == "" && o.Security.TLS == nil {
 		return nil, errors.Errorf("control: listening on %s needs a token or certificates", o.Listen)
 	}
-	l, err := net.Listen("tcp", o.Listen)
+	l, err := intake.Listen(o.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "control: open listener")
 	}
--- a/control/serve.go
+++ b/control/serve.go
@@ -327,8 +327,10 @@
 	return runInLoop(ctx, n, func(c *core) wire.StatusReply { return c.status(p, time.Now()) })
 }
 
-func (n *Node) serveStep(ctx context.Context, _ *rpc.Conn, p stepBatch) (wire.Empty, error) {
+func (n *Node) serveStep(ctx context.Context, conn *rpc.Conn, p stepBatch) (wire.Empty, error) {
+	release := conn.Retain()
 	err := n.post(ctx, func(c *core) {
+		defer release()
 		c.rememberSender(p)
 		c.links.recordMessageFrom(p.Addr)
 		for _, m := range p.Messages {
@@ -337,6 +339,9 @@
 			}
 		}
 	})
+	if err != nil {
+		release()
+	}
 	return wire.Empty{}, err
 }
 
@@ -349,9 +354,15 @@
 		conn.Peer.Store(a)
 	}
 	data, err := a.add(p)
-	if err != nil || data == nil {
+	switch {
+	case err != nil:
+		conn.ReleaseKept()
 		return wire.Empty{}, err
+	case data == nil:
+		conn.Keep()
+		return wire.Empty{}, nil
 	}
+	defer conn.ReleaseKept()
 	var s stepBatch
 	if err := json.Unmarshal(data, &s); err != nil {
 		return wire.Empty{}, verdict.Refuse(verdict.BadRequest, "parts: %v", err)
@@ -359,18 +370,23 @@
 	return n.serveStep(ctx, conn, s)
 }
 
-func (n *Node) serveRenewals(ctx context.Context, _ *rpc.Conn, p wire.Renewals) (wire.Empty, error) {
+func (n *Node) serveRenewals(ctx context.Context, conn *rpc.Conn, p wire.Renewals) (wire.Empty, error) {
 	arrived := time.Now()
 	items, err := p.Unpack()
 	if err != nil {
 		return wire.Empty{}, err
 	}
+	release := conn.Retain()
 	err = n.post(ctx, func(c *core) {
+		defer release()
 		for _, r := range items {
 			seen := arrived.Add(-time.Duration(max(r.AgeMS, 0)) * time.Millisecond)
 			c.leases.renew(wire.Renew{Incarnation: r.Incarnation, Have: r.Have, Draining: r.Draining}, seen)
 		}
 	})
+	if err != nil {
+		release()
+	}
 	return wire.Empty{}, err
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabshore/baobabshore/clock"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -79,11 +80,11 @@
 	startedAt := time.Now()
 	e.formerEndedAt.Store(&startedAt)
 	e.peers = newPeers(o.Security, o.Counters)
-	l, err := net.Listen("tcp", o.Listen)
+	l, err := intake.Listen(o.Listen)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for entries")
 	}
-	if e.callers, err = net.Listen("tcp", o.Callers); err != nil {
+	if e.callers, err = intake.Listen(o.Callers); err != nil {
 		l.Close()
 		return nil, errors.Wrap(err, "listen for callers")
 	}
@@ -93,7 +94,7 @@
 	// Requests are accepted before the registration, so that each is answered in
 	// time. Otherwise they would wait in the listener's backlog, and be read after
 	// their callers have given up.
-	g := e.opts.gate()
+	g := e.opts.callersGate()
 	e.http, e.callers = e.httpServer(g), g.Listener(e.callers)
 	e.wg.Go(e.serveCallers)
 	if err := e.register(ctx, member.NewNonce()); err != nil {
@@ -104,7 +105,7 @@
 		return nil, err
 	}
 	close(e.registered)
-	e.rpc = rpc.NewServer(l, o.Security, e.mux(), o.Counters)
+	e.rpc = rpc.NewBoundedServer(l, o.Gate, o.Security, e.mux(), o.Counters)
 	e.wg.Go(e.supervise)
 	e.wg.Go(e.expire)
 	klog.Infof("entry: Serving callers at %s.", e.Callers())
--- a/entry/http.go
+++ b/entry/http.go
@@ -25,11 +25,20 @@
 	maxWait = 10 * time.Minute
 )
 
-// gate returns the gate of the callers' listener.
-func (o *Options) gate() *intake.Gate {
-	return intake.NewGate(intake.Limits{
-		Connections: o.Connections, Bytes: o.RequestBytes, BodyBytes: o.BodyBytes, ReadTimeout: o.ReadTimeout,
-	}, o.Scope)
+// callersGate returns the gate of the callers' listener.
+func (o *Options) callersGate() *intake.Gate {
+	if o.CallersGate != nil {
+		return o.CallersGate
+	}
+	return o.newCallersGate(intake.UnlimitedProcess())
+}
+
+// newCallersGate returns a gate with the limits of the options and those of a process.
+func (o *Options) newCallersGate(p intake.Process) *intake.Gate {
+	s := CallersShare
+	s.Connections, s.BodyBytes, s.ReadTimeout = o.Connections, o.BodyBytes, o.ReadTimeout
+	s.Bytes = o.RequestBytes + int64(o.Connections)*intake.ConnBytes
+	return p.Gate(s, o.Scope)
 }
 
 func (e *Entry) httpServer(g *intake.Gate) *fasthttp.Server {
@@ -338,6 +347,7 @@
 	h.Set(headerReason, string(reason))
 	ctx.SetStatusCode(a.Status)
 	ctx.SetBody(a.Body)
+	intake.TakeAnswer(ctx, 2*len(a.Body)) // the HTTP library copies it
 }
 
 // requestContext returns the context of requests. It ends when the entry is closed.
--- a/entry/options.go
+++ b/entry/options.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/lease"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/wire"
@@ -20,6 +21,12 @@
 // tasks for longer than this.
 const maxDeadline = time.Hour
 
+// What callers and other entries can take of the limits of an entry's process.
+var (
+	CallersShare = intake.Share{Sockets: 0.5, Kept: 0.25, Limit: 0.875}
+	PeersShare   = intake.Share{Sockets: 0.125, Kept: 0.125, Limit: 0.75}
+)
+
 // Options configures an entry. Zero bounds and times are replaced by the defaults of
 // withDefaults.
 type Options struct {
@@ -45,6 +52,12 @@
 	// Seed seeds the random choices of the dispatch core.
 	Seed uint64
 
+	// CallersGate bounds what callers can make the entry hold. Nil applies Connections,
+	// BodyBytes, RequestBytes and ReadTimeout.
+	CallersGate *intake.Gate
+	// Gate bounds what other entries can make the entry hold. Nil bounds the number of their
+	// connections only.
+	Gate *intake.Gate
 	// Connections bounds the callers' connections.
 	Connections int
 	// BodyBytes bounds the body of one request of a caller.
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -1,17 +1,18 @@
-// Package intake bounds what the clients of an HTTP listener can make a process hold: open
-// connections, and the bytes of requests that are being read or answered. Clients that
-// nobody controls may open any number of connections, announce or send bodies of any size,
-// and stop at any point.
+// Package intake bounds what the peers of a process can make it hold: open connections,
+// and the memory of requests that are being read or answered. Clients that nobody controls
+// may open any number of connections, announce or send messages of any size, and stop at
+// any point.
 //
-// A Gate counts a body before memory is taken for it. When its limits are reached, it
-// closes the connections that have waited longest for the rest of a request, so that a
-// caller that sends normally is served beside any number of slow ones. What can't be taken
-// in is refused before any handler sees it.
+// All listeners of a process take from one Budget, each through the Account of its Gate. A
+// Gate takes room for a message before memory is allocated for it, and gives the room back
+// when the memory is no longer referenced. When there is no room, it closes the connections
+// that have waited longest for the rest of a request, so that a caller that sends normally
+// is served beside any number of slow ones. What can't be taken in is refused before any
+// handler sees it.
 package intake
 
 import (
 	"container/list"
-	"net"
 	"sync"
 	"time"
 
@@ -21,10 +22,13 @@
 	"github.com/baobabshore/baobabshore/logsink"
 )
 
+// ConnBytes is the memory of one connection: buffers and goroutines of the process, and
+// what its peer can send before the process reads it (see receiveBufferBytes).
+const ConnBytes = 32<<10 + receiveBufferBytes
+
 // Limits bounds the clients of a listener.
 type Limits struct {
 	Connections int           // open at once
-	Bytes       int64         // of the bodies of all requests that are being read or answered
 	BodyBytes   int           // of the body of one request
 	ReadTimeout time.Duration // from the header of a request to the end of its body
 }
@@ -32,21 +36,26 @@
 // Gate applies Limits to the connections of a listener. It is safe for concurrent use.
 type Gate struct {
 	limits  Limits
+	account *Account
 	metrics gateMetrics
 	lines   *logsink.Budget
 
 	mu      sync.Mutex
 	open    int       // number of connections
-	held    int64     // bytes of bodies that are being read or answered
+	closing int64     // bytes of connections that were closed to make room and still hold them
 	waiting list.List // of *conn whose next request isn't complete, longest wait first
 }
 
-// maxLinesPerSecond limits the log lines about closed and refused clients.
+// roomTimeout bounds the wait for the bytes of connections that were closed to make room.
+const roomTimeout = time.Second
+
+// maxLinesPerSecond limits the log lines about closed and refused clients, and about
+// panics.
 const maxLinesPerSecond = 1
 
 type gateMetrics struct {
 	connections tally.Gauge // open
-	bodyBytes   tally.Gauge // of requests that are being read or answered
+	bytes       tally.Gauge // held by connections and requests
 	closed      tally.Counter
 	tooLarge    tally.Counter
 	noRoom      tally.Counter
@@ -54,139 +63,130 @@
 }
 
 // NewGate returns a gate without connections. A nil scope discards the metrics.
-func NewGate(l Limits, scope tally.Scope) *Gate {
+func NewGate(l Limits, a *Account, scope tally.Scope) *Gate {
 	if scope == nil {
 		scope = tally.NoopScope
 	}
 	refused := func(reason string) tally.Counter {
 		return scope.Tagged(map[string]string{"reason": reason}).Counter("intake_refused_total")
 	}
-	return &Gate{limits: l, lines: logsink.NewBudget(maxLinesPerSecond), metrics: gateMetrics{
-		connections: scope.Gauge("intake_connections"), bodyBytes: scope.Gauge("intake_body_bytes"),
+	return &Gate{limits: l, account: a, lines: logsink.NewBudget(maxLinesPerSecond), metrics: gateMetrics{
+		connections: scope.Gauge("intake_connections"), bytes: scope.Gauge("intake_bytes"),
 		closed: refused("slow"), tooLarge: refused("too-large"), noRoom: refused("no-room"),
 		panics: scope.Counter("handler_panics_total"),
 	}}
 }
 
-// Listener returns l with the gate's limit on connections.
-func (g *Gate) Listener(l net.Listener) net.Listener { return &listener{Listener: l, gate: g} }
+// add registers a connection. It returns false if there is no room.
+func (g *Gate) add(c *conn) bool {
+	return g.makeRoom(nil, ConnBytes, func() bool {
+		if g.open >= g.limits.Connections || !g.account.take(ConnBytes) {
+			return false
+		}
+		g.open++
+		c.place = g.waiting.PushBack(c)
+		return true
+	})
+}
 
-type listener struct {
-	net.Listener
-	gate *Gate
+// reserve takes n more bytes for the request of a connection. It returns false if there is
+// no room, or if the connection itself has been closed to make room.
+func (g *Gate) reserve(c *conn, n int64) bool {
+	return g.makeRoom(c, n, func() bool {
+		if c.isClosed() || !g.account.take(n) {
+			return false
+		}
+		g.hold(c, n)
+		return true
+	})
 }
 
-// Accept returns the next connection for which there is room. A connection that has
-// waited longest for a request makes room for it.
-func (l *listener) Accept() (net.Conn, error) {
+// makeRoom calls take, with the lock held, until it succeeds. In between it closes the
+// connections other than c that have waited longest, and waits until they have given n
+// bytes back. It returns false at once if there is nothing left to close.
+func (g *Gate) makeRoom(c *conn, n int64, take func() bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if take() {
+		g.updateGauges()
+		return true
+	}
+	timeout := time.NewTimer(roomTimeout)
+	defer timeout.Stop()
 	for {
-		raw, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
+		released := g.account.nextRelease()
+		if take() {
+			g.updateGauges()
+			return true
+		}
+		if c != nil && c.isClosed() || !g.closeWaiting(c, n) {
+			return false
 		}
-		c := &conn{Conn: raw, gate: l.gate}
-		if l.gate.add(c) {
-			return c, nil
+		g.mu.Unlock()
+		select {
+		case <-released:
+		case <-timeout.C:
+			g.mu.Lock()
+			return false
 		}
-		raw.Close() // all connections have requests that are being answered
+		g.mu.Lock()
 	}
 }
 
-// add registers a connection. It returns false if there is no room.
-func (g *Gate) add(c *conn) bool {
-	g.mu.Lock()
-	var victim *conn
-	if g.open >= g.limits.Connections {
-		if victim = g.longestWaiting(nil, 0); victim == nil {
-			g.mu.Unlock()
-			g.metrics.noRoom.Inc(1)
-			return false
-		}
-		g.drop(victim)
+// closeWaiting closes connections other than c, those that have waited longest first, until
+// closed ones are about to give n bytes back. After these it closes connections whose
+// messages are being handled and whose peers don't read the replies. It returns false if
+// nothing is about to be given back.
+func (g *Gate) closeWaiting(c *conn, n int64) bool {
+	g.closeWhile(n, func(v *conn) bool { return v != c && v.calls == 0 })
+	if g.closing < n {
+		now := time.Now()
+		g.closeWhile(n, func(v *conn) bool { return v != c && v.isStalled(now) })
 	}
-	g.open++
-	c.place = g.waiting.PushBack(c)
-	g.updateGauges()
-	g.mu.Unlock()
-	g.closeSlow(victim)
-	return true
+	return g.closing > 0
 }
 
-// longestWaiting returns the connection other than c that has waited longest and holds at
-// least the given bytes, nil if there is none.
-func (g *Gate) longestWaiting(c *conn, minBytes int64) *conn {
-	for e := g.waiting.Front(); e != nil; e = e.Next() {
-		if w := e.Value.(*conn); w != c && w.held >= minBytes {
-			return w
+func (g *Gate) closeWhile(n int64, closable func(*conn) bool) {
+	for e := g.waiting.Front(); e != nil && g.closing < n; {
+		v := e.Value.(*conn)
+		e = e.Next()
+		if closable(v) {
+			g.drop(v)
 		}
 	}
-	return nil
 }
 
-// drop removes a connection from the tables. It is safe to call more than once.
+// drop closes a connection to make room. Its bytes stay taken until its owner has ended the
+// request and closed it.
 func (g *Gate) drop(c *conn) {
-	if c.dropped {
-		return
-	}
 	c.dropped = true
-	g.open--
-	g.release(c)
-	if c.place != nil {
-		g.waiting.Remove(c.place)
-		c.place = nil
-	}
-}
-
-func (g *Gate) release(c *conn) {
-	g.held -= c.held
-	c.held = 0
-}
-
-func (g *Gate) updateGauges() {
-	g.metrics.connections.Update(float64(g.open))
-	g.metrics.bodyBytes.Update(float64(g.held))
-}
-
-// closeSlow closes a connection that was dropped to make room.
-func (g *Gate) closeSlow(c *conn) {
-	if c == nil {
-		return
-	}
-	c.Conn.Close()
+	g.closing += c.held + ConnBytes
+	g.stopWaiting(c)
+	_ = c.Conn.Close() // the connection is given up
 	g.metrics.closed.Inc(1)
 	if ok, omitted := g.lines.Allow(time.Now()); ok {
 		klog.InfoS("intake: Connection of a slow client closed to make room", "peer", c.RemoteAddr(),
-			"connections", g.limits.Connections, "bytes", g.limits.Bytes, "omitted", omitted)
+			"connections", g.open, "bytes", g.account.bytes(), "omitted", omitted)
 	}
 }
 
-// reserve counts n more bytes for the request of a connection. Connections that have
-// waited longest for the rest of a body make room. It returns false if there is no room,
-// or if the connection itself has been closed to make room.
-func (g *Gate) reserve(c *conn, n int64) bool {
-	var victims []*conn
-	defer func() {
-		for _, v := range victims {
-			g.closeSlow(v)
-		}
-	}()
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for !c.dropped && g.held+n > g.limits.Bytes {
-		v := g.longestWaiting(c, 1)
-		if v == nil {
-			return false
-		}
-		g.drop(v)
-		victims = append(victims, v)
-	}
+// hold changes what a connection holds by n bytes.
+func (g *Gate) hold(c *conn, n int64) {
+	c.held += n
 	if c.dropped {
-		return false
+		g.closing += n
 	}
-	g.held += n
-	c.held += n
-	g.updateGauges()
-	return true
+}
+
+// release gives n bytes of a connection back.
+func (g *Gate) release(c *conn, n int64) {
+	g.hold(c, -n)
+	g.account.give(n)
+}
+
+func (g *Gate) updateGauges() {
+	g.metrics.connections.Update(float64(g.open))
+	g.metrics.bytes.Update(float64(g.account.bytes()))
 }
 
 // beginRequest records that the first byte of a request has arrived: the connection has
@@ -204,28 +204,45 @@
 func (g *Gate) beginAnswer(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.stopWaiting(c)
+}
+
+func (g *Gate) stopWaiting(c *conn) {
 	if c.place != nil {
 		g.waiting.Remove(c.place)
 		c.place = nil
 	}
 }
 
-// endRequest releases the bytes of a request. Its connection waits for the next one.
+// endRequest releases the bytes of a request whose answer has been sent. Its connection
+// waits for the next one.
 func (g *Gate) endRequest(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.release(c)
+	g.release(c, c.held)
 	c.inRequest.Store(false)
-	if !c.dropped && !c.outside && c.place == nil {
-		c.place = g.waiting.PushBack(c)
-	}
+	c.wait()
 	g.updateGauges()
 }
 
-// remove unregisters a connection that is closed.
+// remove unregisters a connection that is closed. It is safe to call more than once.
 func (g *Gate) remove(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.drop(c)
+	if c.removed {
+		return
+	}
+	c.removed = true
+	g.release(c, c.held)
+	c.kept = 0
+	if c.outside {
+		return
+	}
+	if c.dropped {
+		g.closing -= ConnBytes
+	}
+	g.stopWaiting(c)
+	g.open--
+	g.account.give(ConnBytes)
 	g.updateGauges()
 }
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -2,11 +2,9 @@
 
 import (
 	"io"
-	"runtime/debug"
 
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
-	"k8s.io/klog/v2"
 )
 
 // Errors with which a request is refused before any handler sees it.
@@ -16,7 +14,7 @@
 	ErrBroken   = errors.New("the body did not arrive")
 )
 
-// chunkBytes is the growth of the buffer for a body whose length isn't announced.
+// chunkBytes is the first size of the buffer for a body whose length isn't announced.
 const chunkBytes = 64 << 10
 
 // Serve returns the handler of an HTTP server with StreamRequestBody. It reads the body
@@ -25,11 +23,14 @@
 // answered with status 500 and ends the connection.
 func (g *Gate) Serve(next fasthttp.RequestHandler, refuse func(*fasthttp.RequestCtx, error)) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		c, ok := ctx.Conn().(*conn)
+		c, ok := connOf(ctx.Conn())
 		if !ok {
 			c = &conn{Conn: ctx.Conn(), gate: g, outside: true}
 		}
-		defer g.endRequest(c)
+		if c.answered.Swap(false) {
+			g.endRequest(c) // this request arrived together with the one before
+		}
+		defer g.endHandler(c)
 		body, err := g.readBody(ctx, c)
 		if err != nil {
 			g.countRefusal(err)
@@ -47,10 +48,46 @@
 	}
 }
 
+// endHandler leaves the bytes of a request taken until its answer has been written: the
+// connection is then read again or closed.
+func (g *Gate) endHandler(c *conn) {
+	if c.outside {
+		g.endRequest(c)
+		return
+	}
+	c.answered.Store(true)
+}
+
+// Reserve takes n more bytes for a request that is being handled, until its answer has been
+// written. It fails with ErrNoRoom.
+func Reserve(ctx *fasthttp.RequestCtx, n int64) error {
+	c, ok := connOf(ctx.Conn())
+	if ok && !c.gate.reserve(c, n) {
+		c.gate.metrics.noRoom.Inc(1)
+		return ErrNoRoom
+	}
+	return nil
+}
+
+// TakeAnswer takes n bytes for an answer that is in memory already, until it has been
+// written.
+func TakeAnswer(ctx *fasthttp.RequestCtx, n int) {
+	if c, ok := connOf(ctx.Conn()); ok {
+		c.gate.takeAnswer(c, int64(n))
+	}
+}
+
+func (g *Gate) takeAnswer(c *conn, n int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.account.force(n)
+	g.hold(c, n)
+}
+
 // LingerOnClose makes the close of a request's connection wait for its peer, which may
 // still be sending when it is refused.
 func LingerOnClose(ctx *fasthttp.RequestCtx) {
-	if c, ok := ctx.Conn().(*conn); ok {
+	if c, ok := connOf(ctx.Conn()); ok {
 		c.linger.Store(true)
 	}
 }
@@ -70,8 +107,7 @@
 	if p == nil {
 		return
 	}
-	g.metrics.panics.Inc(1)
-	klog.Errorf("intake: Request handler panicked: %v\n%s", p, debug.Stack())
+	g.RecordPanic(p)
 	ctx.Error("the handler of this request failed", fasthttp.StatusInternalServerError)
 	ctx.SetConnectionClose()
 }
@@ -106,13 +142,15 @@
 	var body []byte
 	for {
 		if len(body) == cap(body) {
-			if len(body) >= g.limits.BodyBytes {
+			if len(body) > g.limits.BodyBytes {
 				return nil, ErrTooLarge
 			}
-			if !g.reserve(c, chunkBytes) {
+			// The former buffer counts as well until the collector has freed it.
+			size := min(max(chunkBytes, 2*cap(body)), g.limits.BodyBytes+1)
+			if !g.reserve(c, int64(size)) {
 				return nil, ErrNoRoom
 			}
-			body = append(make([]byte, 0, cap(body)+chunkBytes), body...)
+			body = append(make([]byte, 0, size), body...)
 		}
 		n, err := stream.Read(body[len(body):cap(body)])
 		body = body[:len(body)+n]
--- a/intake/linger.go
+++ b/intake/linger.go
@@ -24,3 +24,15 @@
 	}
 	_, _ = io.CopyN(io.Discard, c, maxDiscardedBytes)
 }
+
+// beginLinger makes a connection that is being closed the first one that is closed at once
+// to make room: its answer has been sent.
+func (g *Gate) beginLinger(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.release(c, c.held)
+	g.stopWaiting(c)
+	if !c.isClosed() {
+		c.place = g.waiting.PushFront(c)
+	}
+}
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -20,6 +20,8 @@
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 	"k8s.io/klog/v2"
+
+	"github.com/baobabshore/baobabshore/intake"
 )
 
 const (
@@ -46,6 +48,24 @@
 	Token string
 	// TLS configures HTTPS. It is nil for plain HTTP.
 	TLS *tls.Config
+	// Process holds the limits that the pages share with the daemon's other listeners.
+	// Without a budget only their connections and bodies are bounded.
+	Process intake.Process
+}
+
+// share is what the pages can take of the process's limits.
+var share = intake.Share{
+	Sockets: 0.0625, Kept: 0.03125, Limit: 0.25, Connections: maxConnections,
+	BodyBytes: maxRequestBytes, ReadTimeout: requestTimeout,
+}
+
+// gate returns the gate of the pages.
+func (o Options) gate(scope tally.Scope) *intake.Gate {
+	p := o.Process
+	if p.Budget == nil {
+		p = intake.UnlimitedProcess()
+	}
+	return p.Gate(share, scope.SubScope("ops"))
 }
 
 // Server serves the pages on one listener.
@@ -60,28 +80,30 @@
 
 // New listens on opts.Addr and serves until Close.
 func New(opts Options) (*Server, error) {
-	l, err := net.Listen("tcp", opts.Addr)
+	l, err := intake.Listen(opts.Addr)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for requests of operators")
 	}
-	if opts.TLS != nil {
-		l = tls.NewListener(l, opts.TLS)
-	}
-	s := &Server{opts: opts, listener: l}
+	s := &Server{opts: opts}
 	s.openMetrics()
-	s.http = &fasthttp.Server{
-		Handler:            s.route,
-		Name:               "baobabshore",
-		ReadTimeout:        requestTimeout,
-		WriteTimeout:       requestTimeout,
-		MaxRequestBodySize: maxRequestBytes,
-		Concurrency:        maxConnections,
-		Logger:             discardLogger{},
+	gate := opts.gate(s.scope)
+	s.listener = gate.Listener(l)
+	if opts.TLS != nil {
+		s.listener = tls.NewListener(s.listener, opts.TLS)
 	}
+	s.http = gate.Server(s.route, refuse)
+	s.http.Name = "baobabshore"
+	s.http.WriteTimeout = requestTimeout
+	s.http.Logger = discardLogger{}
 	go s.serve()
 	return s, nil
 }
 
+// refuse answers a request whose body the gate has not taken in.
+func refuse(ctx *fasthttp.RequestCtx, err error) {
+	ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
+}
+
 func (s *Server) openMetrics() {
 	registry := prom.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
@@ -180,6 +202,10 @@
 		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
 		return
 	}
+	if intake.Reserve(ctx, 2*int64(buf.Len())) != nil {
+		ctx.Error("no room for the dump now", fasthttp.StatusServiceUnavailable)
+		return
+	}
 	ctx.SetContentType(contentTypeJSON)
 	ctx.SetBody(buf.Bytes())
 }
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+
+	"github.com/baobabshore/baobabshore/intake"
 )
 
 // Counters counts the bytes and messages that a process sends and receives.
@@ -20,12 +22,23 @@
 }
 
 // codec frames messages like jsonrpc2.VarintObjectCodec. In addition it limits the size
-// of incoming messages and counts messages and bytes.
+// of incoming messages, counts messages and bytes, and takes memory for a message before
+// the message is read and before it is decoded.
 type codec struct {
-	maxMessageBytes *atomic.Int64
-	counters        *Counters
+	conn     *Conn
+	counters *Counters
 }
 
+const (
+	// messageBytes is the memory of a message that is being handled, without its text: a
+	// goroutine with its stack.
+	messageBytes = 8 << 10
+	// objectBytes is the memory of the largest object of a message, a task's start.
+	objectBytes = 512
+	// firstReadBytes is the room for a message until its peer has sent more than that.
+	firstReadBytes = 64 << 10
+)
+
 func (c codec) WriteObject(w io.Writer, obj any) error {
 	data, err := json.Marshal(obj)
 	if err != nil {
@@ -36,26 +49,58 @@
 	c.counters.BytesOut.Add(int64(len(buf)))
 	c.counters.MessagesOut.Add(1)
 	_, err = w.Write(buf)
+	if err != nil {
+		// A part of the message may have been written, and nothing can follow it.
+		_ = c.conn.raw.Close()
+	}
 	return err
 }
 
 func (c codec) ReadObject(r *bufio.Reader, v any) error {
+	c.conn.takeGrant().Release() // of a response, which no handler has taken
 	n, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err
 	}
-	if n > uint64(c.maxMessageBytes.Load()) {
-		return errors.Errorf("message of %d bytes is above the limit of %d bytes", n, c.maxMessageBytes.Load())
+	if n > uint64(c.conn.maxMessageBytes.Load()) {
+		return errors.Errorf("message of %d bytes is above the limit of %d bytes", n, c.conn.maxMessageBytes.Load())
 	}
-	body := io.LimitReader(r, int64(n))
-	data, err := io.ReadAll(body)
+	data, err := c.readBody(r, int(n))
 	if err != nil {
 		return err
 	}
-	if uint64(len(data)) < n {
-		return io.ErrUnexpectedEOF
+	// The library copies the parameters and the handler decodes them.
+	if err := c.conn.stream.Reserve(messageBytes + int64(n) + intake.DecodedBytes(data, objectBytes)); err != nil {
+		return err
 	}
 	c.counters.BytesIn.Add(int64(n))
 	c.counters.MessagesIn.Add(1)
-	return json.Unmarshal(data, v)
+	if err := json.Unmarshal(data, v); err != nil {
+		return err
+	}
+	c.conn.grant = c.conn.stream.Complete()
+	return nil
+}
+
+// readBody reads a message of n bytes. It takes memory as the message arrives, since its
+// length is only announced.
+func (c codec) readBody(r io.Reader, n int) ([]byte, error) {
+	var data []byte
+	var reserved int64
+	for len(data) < n {
+		size := min(max(firstReadBytes, 2*len(data)), n)
+		// The former buffer counts as well until the collector has freed it.
+		if err := c.conn.stream.Reserve(int64(size)); err != nil {
+			return nil, err
+		}
+		reserved += int64(size)
+		data = append(make([]byte, 0, size), data...)
+		from := len(data)
+		data = data[:size]
+		if _, err := io.ReadFull(r, data[from:]); err != nil {
+			return nil, err
+		}
+	}
+	c.conn.stream.Release(reserved - int64(n))
+	return data, nil
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -13,6 +13,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -73,6 +74,10 @@
 type Conn struct {
 	rpc             *jsonrpc2.Conn
 	remote          string
+	raw             net.Conn
+	stream          *intake.Stream // nil for a connection that this process has opened
+	grant           *intake.Grant  // of the message that was read last; used by the reader only
+	inOrder         *intake.Grant  // of the message that an ordered handler handles; used by the reader only
 	maxMessageBytes atomic.Int64
 	authenticated   atomic.Bool
 	// Peer is free for the handlers, which may store the state of the peer in it.
@@ -82,6 +87,33 @@
 // Remote returns the address of the peer.
 func (c *Conn) Remote() string { return c.remote }
 
+// takeGrant returns the grant of the message that was read last. It is called by the reader.
+func (c *Conn) takeGrant() *intake.Grant {
+	g := c.grant
+	c.grant = nil
+	return g
+}
+
+// Retain keeps the memory of the message that an ordered handler handles taken until the
+// returned function is called. A handler calls it if it passes the message on, for example to
+// an event loop.
+func (c *Conn) Retain() (release func()) {
+	g := c.inOrder
+	c.inOrder = nil
+	return g.Release
+}
+
+// Keep keeps the memory of the message that an ordered handler handles taken until
+// ReleaseKept. Unlike Retain it lets the connection be closed to make room, which gives the
+// memory back.
+func (c *Conn) Keep() {
+	c.inOrder.Keep()
+	c.inOrder = nil
+}
+
+// ReleaseKept gives back what Keep has kept. An ordered handler calls it.
+func (c *Conn) ReleaseKept() { c.stream.ReleaseKept() }
+
 // Close closes the connection.
 func (c *Conn) Close() error { return c.rpc.Close() }
 
@@ -145,7 +177,7 @@
 		}
 		raw = tc
 	}
-	c := newConn(raw, mux, Security{}, counters)
+	c := newConn(raw, nil, mux, Security{}, counters)
 	if sec.Token == "" {
 		return c, nil
 	}
@@ -174,18 +206,30 @@
 	sec      Security
 	counters *Counters
 	listener net.Listener
+	gate     *intake.Gate
 
 	mu     sync.Mutex
 	conns  map[*Conn]struct{}
 	closed bool
 }
 
-// NewServer returns a server that serves mux on l until Close.
+// NewServer returns a server that serves mux on l until Close. It bounds the number of
+// connections.
 func NewServer(l net.Listener, sec Security, mux *Mux, counters *Counters) *Server {
+	return NewBoundedServer(l, nil, sec, mux, counters)
+}
+
+// NewBoundedServer returns a server like NewServer. The gate bounds what its peers can make
+// the process hold; nil bounds the number of connections only.
+func NewBoundedServer(l net.Listener, gate *intake.Gate, sec Security, mux *Mux, counters *Counters) *Server {
+	if gate == nil {
+		gate = intake.NewGate(intake.Limits{Connections: maxConns}, intake.Unlimited().Share(0, 1), nil)
+	}
+	l = gate.Listener(l)
 	if sec.TLS != nil {
 		l = tls.NewListener(l, sec.TLS)
 	}
-	s := &Server{mux: mux, sec: sec, counters: counters, listener: l, conns: map[*Conn]struct{}{}}
+	s := &Server{mux: mux, sec: sec, counters: counters, listener: l, gate: gate, conns: map[*Conn]struct{}{}}
 	go s.acceptLoop()
 	return s
 }
@@ -211,11 +255,7 @@
 	for {
 		raw, err := s.listener.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			time.Sleep(10 * time.Millisecond) // probably out of file descriptors; wait until some are closed
-			continue
+			return // the listener is closed
 		}
 		s.addConn(raw)
 	}
@@ -224,11 +264,11 @@
 func (s *Server) addConn(raw net.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= maxConns {
+	if s.closed {
 		raw.Close()
 		return
 	}
-	c := newConn(raw, s.mux, s.sec, s.counters)
+	c := newConn(raw, s.gate, s.mux, s.sec, s.counters)
 	s.conns[c] = struct{}{}
 	go s.awaitClose(c)
 }
@@ -248,22 +288,26 @@
 	s.mu.Unlock()
 }
 
-func newConn(raw net.Conn, mux *Mux, sec Security, counters *Counters) *Conn {
+// newConn serves a connection. gate is nil for one that this process has opened.
+func newConn(raw net.Conn, gate *intake.Gate, mux *Mux, sec Security, counters *Counters) *Conn {
 	if counters == nil {
 		counters = &Counters{}
 	}
 	if mux == nil {
 		mux = NewMux()
 	}
-	c := &Conn{remote: raw.RemoteAddr().String()}
+	c := &Conn{remote: raw.RemoteAddr().String(), raw: raw}
+	if gate != nil {
+		c.stream = gate.Stream(raw)
+	}
 	c.maxMessageBytes.Store(wire.MaxMessageBytes)
 	c.authenticated.Store(sec.Token == "")
 	if sec.Token != "" {
 		c.maxMessageBytes.Store(maxUnauthenticatedBytes)
 	}
-	stream := jsonrpc2.NewBufferedStream(writeDeadlineConn{raw}, codec{maxMessageBytes: &c.maxMessageBytes, counters: counters})
+	stream := jsonrpc2.NewBufferedStream(writeDeadlineConn{raw}, codec{conn: c, counters: counters})
 	connReady := make(chan struct{})
-	h := &handler{mux: mux, sec: sec, conn: c, connReady: connReady}
+	h := &handler{mux: mux, sec: sec, conn: c, gate: gate, connReady: connReady}
 	c.rpc = jsonrpc2.NewConn(context.Background(), stream, h, jsonrpc2.SetLogger(discardLogger{}))
 	close(connReady)
 	return c
@@ -274,11 +318,28 @@
 	mux       *Mux
 	sec       Security
 	conn      *Conn
+	gate      *intake.Gate
 	connReady chan struct{} // closed once conn.rpc is set
 }
 
 func (h *handler) Handle(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	<-h.connReady
+	grant := h.conn.takeGrant()
+	if f, ok := h.mux.concurrent[req.Method]; ok && h.conn.authenticated.Load() {
+		go func() {
+			defer grant.Release()
+			h.run(ctx, rc, req, f, grant)
+		}()
+		return
+	}
+	h.conn.inOrder = grant
+	h.handleInOrder(ctx, rc, req, grant)
+	h.conn.inOrder.Release() // nil if the handler has retained it
+	h.conn.inOrder = nil
+}
+
+// handleInOrder handles a message before the next one is read.
+func (h *handler) handleInOrder(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request, grant *intake.Grant) {
 	if req.Method == methodAuth {
 		h.authenticate(ctx, rc, req)
 		return
@@ -288,16 +349,12 @@
 		h.conn.Close()
 		return
 	}
-	if f, ok := h.mux.ordered[req.Method]; ok {
-		h.run(ctx, rc, req, f)
-		return
-	}
-	f, ok := h.mux.concurrent[req.Method]
+	f, ok := h.mux.ordered[req.Method]
 	if !ok {
 		h.reply(ctx, rc, req, nil, verdict.Refuse(verdict.BadRequest, "unknown method %q", req.Method))
 		return
 	}
-	go h.run(ctx, rc, req, f)
+	h.run(ctx, rc, req, f, grant)
 }
 
 func (h *handler) authenticate(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request) {
@@ -315,15 +372,49 @@
 	h.reply(ctx, rc, req, wire.Empty{}, nil)
 }
 
-func (h *handler) run(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request, f HandlerFunc) {
+// run calls the handler of a message and sends its result. A panic of the handler ends the
+// connection: its peer takes the outcome as unknown.
+func (h *handler) run(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request, f HandlerFunc, grant *intake.Grant) {
+	defer h.recoverPanic()
 	var params json.RawMessage
 	if req.Params != nil {
 		params = *req.Params
 	}
 	result, err := f(ctx, h.conn, params)
+	if err == nil && !req.Notif && grant != nil {
+		result, err = h.reserveReply(result, grant)
+	}
 	h.reply(ctx, rc, req, result, err)
 }
 
+func (h *handler) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if h.gate == nil {
+		panic(p) // on a connection that this process has opened
+	}
+	h.gate.RecordPanic(p)
+	h.conn.Close()
+}
+
+// reserveReply encodes a result and takes memory for it, since replies to a peer that
+// doesn't read wait in memory. Without room the connection is closed: the call has been
+// carried out, and the peer takes the outcome as unknown.
+func (h *handler) reserveReply(result any, grant *intake.Grant) (any, error) {
+	data, err := json.Marshal(result)
+	if err != nil {
+		return nil, verdict.Unknown(verdict.Internal, "encode the result: %v", err)
+	}
+	// The library copies the result into a message, and the codec copies the message.
+	if err := grant.Reserve(3 * int64(len(data))); err != nil {
+		h.conn.Close()
+		return nil, verdict.Unknown(verdict.Overloaded, "no room for the reply")
+	}
+	return json.RawMessage(data), nil
+}
+
 func (h *handler) reply(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
 	if req.Notif {
 		return
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -1,11 +1,15 @@
 package rpc
 
 import (
+	"bufio"
+	"bytes"
 	"context"
 	"encoding/binary"
 	"net"
 	"testing"
 
+	"github.com/sourcegraph/jsonrpc2"
+
 	"github.com/baobabshore/baobabshore/verdict"
 )
 
@@ -24,6 +28,7 @@
 		c.Close()
 		return echo{}, nil
 	}))
+	mux.Concurrent("panic", Handle(func(context.Context, *Conn, echo) (echo, error) { panic("test") }))
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -81,3 +86,48 @@
 		t.Fatalf("read %d bytes after an oversized message", n)
 	}
 }
+
+// Guards against a handler whose panic ends the process or another connection, and against
+// a caller that is told that nothing ran.
+func TestPanicEndsItsConnectionOnly(t *testing.T) {
+	s := startServer(t, Security{})
+	var conns []*Conn
+	for range 2 {
+		c, err := Dial(t.Context(), s.Addr(), Security{}, nil, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	if e := verdict.FromError(conns[0].Call(t.Context(), "panic", echo{}, nil)); e.Verdict != verdict.MayHaveRun {
+		t.Errorf("a panic arrived as %v", e)
+	}
+	if err := conns[1].Call(t.Context(), "echo", echo{}, nil); err != nil {
+		t.Errorf("the other connection: %v", err)
+	}
+}
+
+// Guards against a frame that ends the process or is read beyond its limit.
+func FuzzReadObject(f *testing.F) {
+	f.Add(frame(`{"jsonrpc":"2.0","id":1,"method":"echo","params":{"text":"a"}}`))
+	f.Add(frame(`{"jsonrpc":"2.0","id":[[[]]],"error":{},"result":null}`))
+	f.Add(frame("[1,2"))
+	f.Add(binary.AppendUvarint(nil, 1<<40))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		c := codec{conn: &Conn{}, counters: &Counters{}}
+		c.conn.maxMessageBytes.Store(1 << 10)
+		r := bufio.NewReader(bytes.NewReader(data))
+		for {
+			var v jsonrpc2.Request
+			if c.ReadObject(r, &v) != nil {
+				return
+			}
+		}
+	})
+}
+
+func frame(text string) []byte {
+	return append(binary.AppendUvarint(nil, uint64(len(text))), text...)
+}
