platform, entry: take memory for the decoded form of a request

Callers saw an entry of 64 MB take 110 MB for whole, legal jobs of 5,000 steps, and 77 MB for jobs with a list of 100,000 numbers: the gate counted the bytes of a body, not what it becomes. The bound of 10,000 objects held for each job, not for all.

Without room the answer is 503 with Retry-After, and nothing has run.

--- a/entry/http.go
+++ b/entry/http.go
@@ -132,6 +132,10 @@
 		writeError(ctx, err)
 		return
 	}
+	if err := reserveDecoded(ctx); err != nil {
+		writeError(ctx, err)
+		return
+	}
 	s, err := parseJob(ctx.PostBody())
 	if err == nil {
 		err = s.applyHeaderKey(ctx)
@@ -148,6 +152,17 @@
 	writeJob(ctx, st)
 }
 
+// taskObjectBytes is the memory of a decoded task of a job, with its headers.
+const taskObjectBytes = 1 << 10
+
+// reserveDecoded takes memory for the decoded form of a job before it is decoded.
+func reserveDecoded(ctx *fasthttp.RequestCtx) *verdict.Error {
+	if err := intake.Reserve(ctx, intake.DecodedBytes(ctx.PostBody(), taskObjectBytes)); err != nil {
+		return verdict.Refuse(verdict.Overloaded, "%v", err).After(defaultRetryAfter)
+	}
+	return nil
+}
+
 // serveJob reads or cancels a job.
 func (e *Entry) serveJob(ctx *fasthttp.RequestCtx, name string) {
 	id, perr := ids.ParseJob(name)
