entry, agent, control: bound an own daemon by its memory

Seen: an entry on its default limits took 403 MB for 1,500 bodies one byte short. Its limits were constants (4,096 connections, 256 MiB of requests) that knew nothing of the memory of the process.

The setting memory_bytes of each daemon is its memory; on its default GOMEMLIMIT applies, or half of the machine's memory and at most 144 MiB, the smallest VM in force. The budget, the limits of connections and the heap limit follow from it; the older settings of an entry bound it further. Kept answers take a quarter at most.

--- a/agent/run.go
+++ b/agent/run.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
@@ -23,10 +24,11 @@
 	if err != nil {
 		return err
 	}
-	pages := ops.Options{Addr: s.Ops, Prefix: "baobab_agent", Token: sec.Token, TLS: sec.TLS}
+	p := intake.ThisProcess(int64(s.MemoryBytes))
+	pages := ops.Options{Addr: s.Ops, Prefix: "baobab_agent", Token: sec.Token, TLS: sec.TLS, Process: p}
 	return runner.Serve(ctx, pages, drainTimeout, func(ctx context.Context, scope tally.Scope) (runner.Service, error) {
 		o := FromSettings(s, sec)
-		o.Scope = scope
+		o.Scope, o.Gate = scope, p.Gate(PeersShare, scope.SubScope("peers"))
 		return Start(ctx, o)
 	})
 }
--- a/control/daemon/daemon.go
+++ b/control/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/baobabshore/baobabshore/control"
 	"github.com/baobabshore/baobabshore/controlstate"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/runner"
@@ -39,10 +40,11 @@
 	if err != nil {
 		return err
 	}
-	pages := ops.Options{Addr: s.Ops, Prefix: MetricsPrefix, Token: sec.Token, TLS: sec.TLS}
+	p := intake.ThisProcess(int64(s.MemoryBytes))
+	pages := ops.Options{Addr: s.Ops, Prefix: MetricsPrefix, Token: sec.Token, TLS: sec.TLS, Process: p}
 	return runner.Serve(ctx, pages, drainTimeout, func(_ context.Context, scope tally.Scope) (runner.Service, error) {
 		o := FromSettings(s, sec)
-		o.Scope = scope
+		o.Scope, o.Gate = scope, p.Gate(control.PeersShare, scope.SubScope("peers"))
 		return Open(o)
 	})
 }
--- a/entry/run.go
+++ b/entry/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/ops"
 	"github.com/baobabshore/baobabshore/rpc"
@@ -23,10 +24,13 @@
 	if err != nil {
 		return err
 	}
-	opsOptions := ops.Options{Addr: s.Ops, Prefix: "baobab_entry", Token: sec.Token, TLS: sec.TLS}
+	p := intake.ThisProcess(int64(s.MemoryBytes))
+	opsOptions := ops.Options{Addr: s.Ops, Prefix: "baobab_entry", Token: sec.Token, TLS: sec.TLS, Process: p}
 	return runner.Serve(ctx, opsOptions, drainTimeout, func(ctx context.Context, scope tally.Scope) (runner.Service, error) {
 		o := FromSettings(s, sec)
 		o.Scope = scope
+		o.CallersGate, o.Gate = o.newCallersGate(p), p.Gate(PeersShare, scope.SubScope("peers"))
+		o.AnswerBytes = min(o.AnswerBytes, p.Budget.Bytes()/2)
 		return Start(ctx, o)
 	})
 }
--- a/settings/daemon.go
+++ b/settings/daemon.go
@@ -22,6 +22,9 @@
 	// TokenFile holds the token that all processes of the deployment share.
 	TokenFile string `yaml:"token_file" form:"path" unit:"file with the shared token, empty = none"`
 	TLS       TLS    `yaml:"tls"`
+	// MemoryBytes is the memory of the process. Half of it is for what callers and other
+	// processes can make it hold.
+	MemoryBytes int `yaml:"memory_bytes" range:"0..1099511627776" unit:"bytes of memory of the process, 0 = GOMEMLIMIT or half of the machine's, at most 144 MiB"`
 }
 
 // TLS holds the paths of the PEM files for mutual TLS between the processes of the
