intake, rpc: read into chunks that are used again, close established connections last

Seen with crowds that come back when they are closed (20 connections for each of 400 peers), on the code with the budget: an agent of 64 MB took 124 MB, an entry 65 MB; a batch that ran beside unread replies was lost.

Cause: a buffer for each message became garbage as fast as peers came back, and the collector gives up its limit when it would take more than half of the processor. The connection that had waited longest was that of an entry with tasks in progress, since new ones came every millisecond. 800,000 calls for the state of an agent kept its event loop from renewing leases.

Change: bodies and messages are read into chunks of 64 KB from a list of the budget, and are copied once they are whole. Connections that have carried two requests are closed last, unless they hold more than 3/4 of the places. Calls that encode a whole state are handled one at a time.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -236,7 +236,7 @@
 	m.Ordered(wire.MethodExchange, rpc.Handle(a.exchange))
 	m.Concurrent(wire.MethodClaim, rpc.Handle(a.claim))
 	m.Ordered(wire.MethodPing, rpc.Handle(a.ping))
-	m.Concurrent(wire.MethodDump, rpc.Handle(a.dump))
+	m.Concurrent(wire.MethodDump, rpc.Serial(rpc.Handle(a.dump)))
 	return m
 }
 
--- a/control/serve.go
+++ b/control/serve.go
@@ -32,7 +32,7 @@
 	m.Concurrent(wire.MethodPatch, rpc.Handle(n.servePatch))
 	m.Concurrent(wire.MethodGet, rpc.Handle(n.serveGet))
 	m.Concurrent(wire.MethodConfirm, rpc.Handle(n.serveConfirm))
-	m.Concurrent(wire.MethodStatus, rpc.Handle(n.serveStatus))
+	m.Concurrent(wire.MethodStatus, rpc.Serial(rpc.Handle(n.serveStatus)))
 	m.Concurrent(wire.MethodReplace, rpc.Handle(n.serveReplace))
 	m.Concurrent(wire.MethodJoin, rpc.Handle(n.serveJoin))
 	m.Concurrent(wire.MethodDrain, rpc.Handle(n.serveDrain))
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -117,9 +117,9 @@
 	m.Concurrent(wire.MethodDelete, rpc.Handle(func(ctx context.Context, _ *rpc.Conn, d wire.DeleteBatches) (wire.BatchesDeleted, error) {
 		return e.serveDelete(ctx, d)
 	}))
-	m.Concurrent(wire.MethodDump, rpc.Handle(func(context.Context, *rpc.Conn, wire.Empty) (any, error) {
+	m.Concurrent(wire.MethodDump, rpc.Serial(rpc.Handle(func(context.Context, *rpc.Conn, wire.Empty) (any, error) {
 		return e.Dump(), nil
-	}))
+	})))
 	return m
 }
 
--- a/intake/budget.go
+++ b/intake/budget.go
@@ -15,6 +15,7 @@
 	// what is kept for it.
 	used     int64
 	released chan struct{} // closed at the next release; nil while nobody waits for one
+	free     [][]byte      // chunks that are not in use
 }
 
 // NewBudget returns a budget of the given number of bytes.
--- a/intake/conn.go
+++ b/intake/conn.go
@@ -20,13 +20,15 @@
 	writeFrom atomic.Int64 // start of the write in progress, Unix nanoseconds, 0 if there is none
 
 	// The gate's mutex guards these fields.
-	outside bool          // it comes from another listener; only its bytes are counted
-	held    int64         // bytes taken for requests, without ConnBytes and what grants hold
-	kept    int64         // the part of held that belongs to earlier messages of a Stream
-	calls   int           // grants: messages of a Stream that are being handled
-	place   *list.Element // in Gate.waiting, nil while a request is being answered
-	dropped bool          // it has been closed to make room
-	removed bool          // its owner has closed it
+	outside  bool          // it comes from another listener; only its bytes are counted
+	held     int64         // bytes taken for requests, without ConnBytes and what grants hold
+	kept     int64         // the part of held that belongs to earlier messages of a Stream
+	calls    int           // grants: messages of a Stream that are being handled
+	requests int           // that were complete
+	place    *list.Element // in list, nil while a request is being answered
+	list     *list.List    // of the gate, in which it waits
+	dropped  bool          // it has been closed to make room
+	removed  bool          // its owner has closed it
 }
 
 // connOf returns the gate's connection below a connection that may be wrapped by TLS.
@@ -80,9 +82,19 @@
 // wait puts a connection among those that wait for a request. The caller holds the gate's
 // mutex.
 func (c *conn) wait() {
-	if !c.isClosed() && !c.outside && c.place == nil {
-		c.place = c.gate.waiting.PushBack(c)
+	if c.isClosed() || c.outside {
+		return
 	}
+	list := &c.gate.probation
+	if c.requests >= establishedAfter {
+		list = &c.gate.established
+	}
+	if c.place != nil && c.list == list {
+		list.MoveToBack(c.place)
+		return
+	}
+	c.gate.stopWaiting(c)
+	c.list, c.place = list, list.PushBack(c)
 }
 
 // isClosed reports whether the connection takes no more room. The caller holds the gate's
--- a/intake/gate.go
+++ b/intake/gate.go
@@ -41,11 +41,21 @@
 	lines   *logsink.Budget
 
 	mu      sync.Mutex
-	open    int       // number of connections
-	closing int64     // bytes of connections that were closed to make room and still hold them
-	waiting list.List // of *conn whose next request isn't complete, longest wait first
+	open    int   // number of connections
+	closing int64 // bytes of connections that were closed to make room and still hold them
+	// Connections whose next request isn't complete, longest wait first, as a segmented LRU
+	// list: one that has carried several requests moves from probation to established.
+	probation, established list.List
 }
 
+const (
+	// establishedAfter is the number of requests after which a connection is established.
+	establishedAfter = 2
+	// establishedShare is the share of the connections that established ones can take
+	// before they make room for new ones.
+	establishedShare = 0.75
+)
+
 // roomTimeout bounds the wait for the bytes of connections that were closed to make room.
 const roomTimeout = time.Second
 
@@ -84,7 +94,7 @@
 			return false
 		}
 		g.open++
-		c.place = g.waiting.PushBack(c)
+		c.wait()
 		return true
 	})
 }
@@ -138,16 +148,24 @@
 // messages are being handled and whose peers don't read the replies. It returns false if
 // nothing is about to be given back.
 func (g *Gate) closeWaiting(c *conn, n int64) bool {
-	g.closeWhile(n, func(v *conn) bool { return v != c && v.calls == 0 })
+	isIdle := func(v *conn) bool { return v != c && v.calls == 0 }
+	if float64(g.established.Len()) > establishedShare*float64(g.limits.Connections) {
+		g.closeWhile(&g.established, min(n, g.closing+1), isIdle)
+	}
+	g.closeWhile(&g.probation, n, isIdle)
+	g.closeWhile(&g.established, n, isIdle)
 	if g.closing < n {
 		now := time.Now()
-		g.closeWhile(n, func(v *conn) bool { return v != c && v.isStalled(now) })
+		isStalled := func(v *conn) bool { return v != c && v.isStalled(now) }
+		g.closeWhile(&g.probation, n, isStalled)
+		g.closeWhile(&g.established, n, isStalled)
 	}
 	return g.closing > 0
 }
 
-func (g *Gate) closeWhile(n int64, closable func(*conn) bool) {
-	for e := g.waiting.Front(); e != nil && g.closing < n; {
+// closeWhile closes connections of a list until closed ones are about to give n bytes back.
+func (g *Gate) closeWhile(waiting *list.List, n int64, closable func(*conn) bool) {
+	for e := waiting.Front(); e != nil && g.closing < n; {
 		v := e.Value.(*conn)
 		e = e.Next()
 		if closable(v) {
@@ -195,7 +213,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if c.place != nil {
-		g.waiting.MoveToBack(c.place)
+		c.list.MoveToBack(c.place)
 	}
 }
 
@@ -209,7 +227,7 @@
 
 func (g *Gate) stopWaiting(c *conn) {
 	if c.place != nil {
-		g.waiting.Remove(c.place)
+		c.list.Remove(c.place)
 		c.place = nil
 	}
 }
@@ -221,6 +239,7 @@
 	defer g.mu.Unlock()
 	g.release(c, c.held)
 	c.inRequest.Store(false)
+	c.requests++
 	c.wait()
 	g.updateGauges()
 }
--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -228,3 +228,20 @@
 		t.Errorf("%d bytes are about to be given back, %d held", g.closing, heldBytes(g))
 	}
 }
+
+// Guards against a peer with work in progress that is closed to make room for connections
+// that come and go, and against established connections that keep all new ones out.
+func TestEstablishedConnectionsAreClosedLast(t *testing.T) {
+	g := newTestGate(4, 0)
+	conns := newConns(t, g, 4)
+	for _, c := range conns {
+		for range establishedAfter {
+			g.beginAnswer(c)
+			g.endRequest(c)
+		}
+	}
+	newConns(t, g, 10)
+	if !isClosed(conns[0]) || isClosed(conns[1]) || isClosed(conns[3]) {
+		t.Error("new connections must take one place of four, that of the connection that has waited longest")
+	}
+}
--- a/intake/handler.go
+++ b/intake/handler.go
@@ -1,8 +1,6 @@
 package intake
 
 import (
-	"io"
-
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 )
@@ -14,9 +12,6 @@
 	ErrBroken   = errors.New("the body did not arrive")
 )
 
-// chunkBytes is the first size of the buffer for a body whose length isn't announced.
-const chunkBytes = 64 << 10
-
 // Serve returns the handler of an HTTP server with StreamRequestBody. It reads the body
 // within the gate's limits and passes the request to next, or calls refuse with one of the
 // errors above and closes the connection once that answer is sent. A panic of next is
@@ -31,7 +26,7 @@
 			g.endRequest(c) // this request arrived together with the one before
 		}
 		defer g.endHandler(c)
-		body, err := g.readBody(ctx, c)
+		body, err := g.readRequest(ctx, c)
 		if err != nil {
 			g.countRefusal(err)
 			refuse(ctx, err)
@@ -112,8 +107,8 @@
 	ctx.SetConnectionClose()
 }
 
-// readBody reads the body of a request. It returns nil if there is none.
-func (g *Gate) readBody(ctx *fasthttp.RequestCtx, c *conn) ([]byte, error) {
+// readRequest reads the body of a request. It returns nil if there is none.
+func (g *Gate) readRequest(ctx *fasthttp.RequestCtx, c *conn) ([]byte, error) {
 	stream := ctx.RequestBodyStream()
 	if stream == nil {
 		return nil, nil
@@ -121,48 +116,7 @@
 	if err := c.SetReadDeadline(ctx.Time().Add(g.limits.ReadTimeout)); err != nil {
 		return nil, ErrBroken
 	}
-	length := ctx.Request.Header.ContentLength()
-	switch {
-	case length > g.limits.BodyBytes:
-		return nil, ErrTooLarge
-	case length < 0:
-		return g.readChunks(stream, c)
-	case !g.reserve(c, int64(length)):
-		return nil, ErrNoRoom
-	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(stream, body); err != nil {
-		return nil, ErrBroken
-	}
-	return body, nil
-}
-
-// readChunks reads a body whose length isn't announced.
-func (g *Gate) readChunks(stream io.Reader, c *conn) ([]byte, error) {
-	var body []byte
-	for {
-		if len(body) == cap(body) {
-			if len(body) > g.limits.BodyBytes {
-				return nil, ErrTooLarge
-			}
-			// The former buffer counts as well until the collector has freed it.
-			size := min(max(chunkBytes, 2*cap(body)), g.limits.BodyBytes+1)
-			if !g.reserve(c, int64(size)) {
-				return nil, ErrNoRoom
-			}
-			body = append(make([]byte, 0, size), body...)
-		}
-		n, err := stream.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		switch {
-		case err == io.EOF && len(body) > g.limits.BodyBytes:
-			return nil, ErrTooLarge
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, ErrBroken
-		}
-	}
+	return g.readBody(c, stream, max(ctx.Request.Header.ContentLength(), -1), g.limits.BodyBytes)
 }
 
 // Server returns an HTTP server for the handler of a gate. The caller sets the time-outs
--- a/intake/linger.go
+++ b/intake/linger.go
@@ -33,6 +33,7 @@
 	g.release(c, c.held)
 	g.stopWaiting(c)
 	if !c.isClosed() {
-		c.place = g.waiting.PushFront(c)
+		c.list = &g.probation
+		c.place = c.list.PushFront(c)
 	}
 }
--- a/intake/stream.go
+++ b/intake/stream.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"io"
 	"net"
 	"runtime/debug"
 	"time"
@@ -33,17 +34,24 @@
 	return nil
 }
 
-// Release gives back n bytes of the message that is being read.
-func (s *Stream) Release(n int64) {
-	if s == nil || n == 0 {
-		return
+// Read reads a message of n bytes, at most limit. It takes memory as the bytes arrive.
+func (s *Stream) Read(r io.Reader, n, limit int) ([]byte, error) {
+	if s == nil {
+		return readUncounted(r, n, limit)
 	}
-	g := s.conn.gate
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if !s.conn.removed { // else the close has given back everything
-		g.release(s.conn, n)
+	return s.conn.gate.readBody(s.conn, r, n, limit)
+}
+
+// readUncounted reads a message of a connection that has no gate.
+func readUncounted(r io.Reader, n, limit int) ([]byte, error) {
+	if n > limit {
+		return nil, ErrTooLarge
 	}
+	data, err := io.ReadAll(io.LimitReader(r, int64(n)))
+	if err != nil || len(data) < n {
+		return nil, ErrBroken
+	}
+	return data, nil
 }
 
 // Complete ends a message. The grant holds its bytes until it is released, and the
@@ -59,9 +67,8 @@
 	c.gate.hold(c, -grant.bytes)
 	c.calls++
 	c.inRequest.Store(false)
-	if c.place != nil {
-		c.gate.waiting.MoveToBack(c.place)
-	}
+	c.requests++
+	c.wait()
 	return grant
 }
 
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"io"
+	"math"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
@@ -35,8 +36,6 @@
 	messageBytes = 8 << 10
 	// objectBytes is the memory of the largest object of a message, a task's start.
 	objectBytes = 512
-	// firstReadBytes is the room for a message until its peer has sent more than that.
-	firstReadBytes = 64 << 10
 )
 
 func (c codec) WriteObject(w io.Writer, obj any) error {
@@ -62,12 +61,10 @@
 	if err != nil {
 		return err
 	}
-	if n > uint64(c.conn.maxMessageBytes.Load()) {
-		return errors.Errorf("message of %d bytes is above the limit of %d bytes", n, c.conn.maxMessageBytes.Load())
-	}
-	data, err := c.readBody(r, int(n))
+	limit := c.conn.maxMessageBytes.Load()
+	data, err := c.conn.stream.Read(r, int(min(n, math.MaxInt)), int(limit))
 	if err != nil {
-		return err
+		return errors.Wrapf(err, "message of %d bytes, limit %d", n, limit)
 	}
 	// The library copies the parameters and the handler decodes them.
 	if err := c.conn.stream.Reserve(messageBytes + int64(n) + intake.DecodedBytes(data, objectBytes)); err != nil {
@@ -81,26 +78,3 @@
 	c.conn.grant = c.conn.stream.Complete()
 	return nil
 }
-
-// readBody reads a message of n bytes. It takes memory as the message arrives, since its
-// length is only announced.
-func (c codec) readBody(r io.Reader, n int) ([]byte, error) {
-	var data []byte
-	var reserved int64
-	for len(data) < n {
-		size := min(max(firstReadBytes, 2*len(data)), n)
-		// The former buffer counts as well until the collector has freed it.
-		if err := c.conn.stream.Reserve(int64(size)); err != nil {
-			return nil, err
-		}
-		reserved += int64(size)
-		data = append(make([]byte, 0, size), data...)
-		from := len(data)
-		data = data[:size]
-		if _, err := io.ReadFull(r, data[from:]); err != nil {
-			return nil, err
-		}
-	}
-	c.conn.stream.Release(reserved - int64(n))
-	return data, nil
-}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -70,6 +70,17 @@
 	}
 }
 
+// Serial returns a handler that runs h for one message at a time, so that calls that are
+// costly for the state of the process leave time to all others.
+func Serial(h HandlerFunc) HandlerFunc {
+	var mu sync.Mutex
+	return func(ctx context.Context, conn *Conn, params json.RawMessage) (any, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return h(ctx, conn, params)
+	}
+}
+
 // Conn is a connection between two processes.
 type Conn struct {
 	rpc             *jsonrpc2.Conn
