intake: test that a body in pieces arrives whole

Bodies are put together from chunks of 64 KB. The test reads sizes around the limits of the direct read, of a chunk and of a body, with and without an announced length.

--- a/intake/gate_test.go
+++ b/intake/gate_test.go
@@ -1,11 +1,14 @@
 package intake
 
 import (
+	"bytes"
 	"errors"
 	"net"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"testing/iotest"
 	"testing/synctest"
 	"time"
 
@@ -245,3 +248,37 @@
 		t.Error("new connections must take one place of four, that of the connection that has waited longest")
 	}
 }
+
+// Guards against a large legal body in pieces, of announced length or not, that is not passed
+// on whole, and against bytes of it that stay counted.
+func TestBodyInPiecesArrivesWhole(t *testing.T) {
+	const limit = 1 << 20
+	g := newTestGate(1, 3*limit)
+	c := newConns(t, g, 1)[0]
+	for _, size := range []int{0, 1, directBytes, directBytes + 1, chunkBytes, chunkBytes + 1, 3*chunkBytes - 1, limit} {
+		want := make([]byte, size)
+		for i := range want {
+			want[i] = byte(i / 7)
+		}
+		for _, announced := range []int{size, -1} {
+			got, err := g.readBody(c, iotest.HalfReader(bytes.NewReader(want)), announced, limit)
+			if err != nil || !bytes.Equal(got, want) || c.held < int64(size) || c.held > int64(size)+chunkBytes {
+				t.Errorf("%d bytes, announced as %d: %d arrive, %d counted, %v", size, announced, len(got), c.held, err)
+			}
+			g.endRequest(c)
+		}
+	}
+	for _, announced := range []int{limit + 1, -1} {
+		if _, err := g.readBody(c, bytes.NewReader(make([]byte, limit+1)), announced, limit); !errors.Is(err, ErrTooLarge) {
+			t.Errorf("a body over the limit, announced as %d: %v", announced, err)
+		}
+		g.endRequest(c)
+	}
+	if _, err := g.readBody(c, strings.NewReader("short"), 9, limit); !errors.Is(err, ErrBroken) {
+		t.Errorf("a body that ends early: %v", err)
+	}
+	g.endRequest(c)
+	if heldBytes(g) != 0 {
+		t.Errorf("%d bytes counted after all requests", heldBytes(g))
+	}
+}
