rpc: take no room for the reply to a message that was passed on

Found in review: a peer that calls, in place of notifying, a method whose handler passes its message to an event loop made the server add the reply's bytes to a grant that was released already. They were never given back, so 24 bytes a call used up the budget, and the two goroutines wrote the grant at once.

The reply is counted only while the handler's own grant is held. TestRetainedMessagesGiveTheirRoomBack failed before at call 141 and passes.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -339,18 +339,18 @@
 	if f, ok := h.mux.concurrent[req.Method]; ok && h.conn.authenticated.Load() {
 		go func() {
 			defer grant.Release()
-			h.run(ctx, rc, req, f, grant)
+			h.run(ctx, rc, req, f, func() *intake.Grant { return grant })
 		}()
 		return
 	}
 	h.conn.inOrder = grant
-	h.handleInOrder(ctx, rc, req, grant)
+	h.handleInOrder(ctx, rc, req)
 	h.conn.inOrder.Release() // nil if the handler has retained it
 	h.conn.inOrder = nil
 }
 
 // handleInOrder handles a message before the next one is read.
-func (h *handler) handleInOrder(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request, grant *intake.Grant) {
+func (h *handler) handleInOrder(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	if req.Method == methodAuth {
 		h.authenticate(ctx, rc, req)
 		return
@@ -365,7 +365,7 @@
 		h.reply(ctx, rc, req, nil, verdict.Refuse(verdict.BadRequest, "unknown method %q", req.Method))
 		return
 	}
-	h.run(ctx, rc, req, f, grant)
+	h.run(ctx, rc, req, f, func() *intake.Grant { return h.conn.inOrder })
 }
 
 func (h *handler) authenticate(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request) {
@@ -383,16 +383,18 @@
 	h.reply(ctx, rc, req, wire.Empty{}, nil)
 }
 
-// run calls the handler of a message and sends its result. A panic of the handler ends the
-// connection: its peer takes the outcome as unknown.
-func (h *handler) run(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request, f HandlerFunc, grant *intake.Grant) {
+// run calls the handler of a message and sends its result. grantOf returns the grant of the
+// message after the call, nil if the handler has retained it: the grant is then released by
+// whoever the message was passed to. A panic of the handler ends the connection: its peer
+// takes the outcome as unknown.
+func (h *handler) run(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request, f HandlerFunc, grantOf func() *intake.Grant) {
 	defer h.recoverPanic()
 	var params json.RawMessage
 	if req.Params != nil {
 		params = *req.Params
 	}
 	result, err := f(ctx, h.conn, params)
-	if err == nil && !req.Notif && grant != nil {
+	if grant := grantOf(); err == nil && !req.Notif && grant != nil {
 		result, err = h.reserveReply(result, grant)
 	}
 	h.reply(ctx, rc, req, result, err)
--- a/rpc/rpc_test.go
+++ b/rpc/rpc_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/baobabshore/baobabshore/intake"
 	"github.com/baobabshore/baobabshore/verdict"
 )
 
@@ -108,6 +109,33 @@
 	}
 }
 
+// Guards against room for replies that is never given back: a peer that calls a method whose
+// handler passes the message on would use up the budget.
+func TestRetainedMessagesGiveTheirRoomBack(t *testing.T) {
+	mux := NewMux()
+	mux.Ordered("pass on", Handle(func(_ context.Context, c *Conn, p echo) (echo, error) {
+		c.Retain()()
+		return p, nil
+	}))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate := intake.NewGate(intake.Limits{Connections: 1}, intake.NewBudget(intake.ConnBytes+2*messageBytes).Share(0, 1), nil)
+	s := NewBoundedServer(l, gate, Security{}, mux, nil)
+	defer s.Close()
+	c, err := Dial(t.Context(), s.Addr(), Security{}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range 1000 {
+		if err := c.Call(t.Context(), "pass on", echo{"hello"}, nil); err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+	}
+}
+
 // Guards against a frame that ends the process or is read beyond its limit.
 func FuzzReadObject(f *testing.F) {
 	f.Add(frame(`{"jsonrpc":"2.0","id":1,"method":"echo","params":{"text":"a"}}`))
