control, consensus: log what each voter without a leader has heard and answered

Cause: from the line "No leader" of one node nobody could tell whether the other voters are gone, don't receive its requests, or ignore them; the number of votes stood behind the list of voters, where a cut log loses it.

Change: the number of votes comes first; a line for each other voter has the time since it was heard and since it last answered, the reason for which it is ignored, the reconnects and the last failure to connect. Consensus keeps the reason for which it ignores a vote request or a vote until it knows a leader. No decision changes: the check for an active leader now comes before that of the candidate, both only return.

Result: TestIgnoredVotesAreTold.

--- a/consensus/api.go
+++ b/consensus/api.go
@@ -172,6 +172,11 @@
 	GroupIndex uint64 `json:"gi,omitempty"`
 }
 
+// IsReply reports whether m answers a message of its receiver, which has then arrived.
+func (m Message) IsReply() bool {
+	return m.Kind == MsgAppendReply || m.Kind == MsgPreVoteReply || m.Kind == MsgVoteReply
+}
+
 // Timestamp is a reading of a node's tick counter, which restarts with each boot.
 type Timestamp struct {
 	Boot uint64 `json:"b"`
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -65,7 +65,11 @@
 }
 
 func (n *Node) answerVoteRequest(m Message) {
-	if !n.isCurrentCandidate(m) || n.hasActiveLeader() {
+	if n.hasActiveLeader() {
+		return
+	}
+	if !n.isCurrentCandidate(m) {
+		n.ignoredVotes[m.From] = n.ignoreReason(m)
 		return
 	}
 	isPreVote := m.Kind == MsgPreVote
@@ -118,6 +122,15 @@
 	return m.Group.isCurrentMember(m.From, m.Boot)
 }
 
+// ignoreReason returns the reason why a vote request, or the reply to one, of a node that
+// is no current member is ignored.
+func (n *Node) ignoreReason(m Message) IgnoreReason {
+	if _, known := n.group().Peer(m.From); known {
+		return OutdatedDisk
+	}
+	return UnknownNode
+}
+
 // hasActiveLeader reports whether this node leads or has received a message from
 // the leader within the shortest election timeout. The node then ignores vote
 // requests, so that a node with a bad connection doesn't depose a leader that the
@@ -130,8 +143,8 @@
 }
 
 func (n *Node) recordVoteReply(m Message) {
-	g := n.group()
-	if !g.isCurrentMember(m.From, m.Boot) {
+	if !n.group().isCurrentMember(m.From, m.Boot) {
+		n.ignoredVotes[m.From] = n.ignoreReason(m)
 		return
 	}
 	if m.Reject {
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -38,6 +38,7 @@
 	confirmedTick    uint64 // see ConfirmedTick
 	grantedVotes     map[ID]bool
 	campaignTick     uint64 // tick at which the campaign began
+	ignoredVotes     map[ID]IgnoreReason
 
 	leaderState      leadership
 	outbox           []Message
@@ -169,6 +170,9 @@
 	n.role = follower
 	n.leader = leaderID
 	n.leaderState = leadership{}
+	if leaderID != "" {
+		clear(n.ignoredVotes)
+	}
 }
 
 func (n *Node) resetElectionDeadline() {
--- a/consensus/scripted_test.go
+++ b/consensus/scripted_test.go
@@ -170,3 +170,24 @@
 		t.Fatalf("the vote of an outdated disk counts: %v", b.node.grantedVotes)
 	}
 }
+
+// TestIgnoredVotesAreTold guards against a voter that ignores a candidate, or the vote of a
+// peer, without a way to learn why.
+func TestIgnoredVotesAreTold(t *testing.T) {
+	s := newScriptedSim(3)
+	a, b, c := s.machines[0], s.machines[1], s.machines[2]
+	s.elect(t, 2, noLimit, a, b, c)
+	a.node.leader, a.node.role = "", follower
+	boot := a.node.Group().Peers[1].Boot
+	a.node.groups.latest().group.Peers[1].Boot = boot + 1
+	for from, want := range map[ID]IgnoreReason{b.disk.id: OutdatedDisk, "other": UnknownNode} {
+		a.node.Step(Message{Kind: MsgPreVote, From: from, To: a.disk.id, Term: 3, Boot: boot})
+		if got := a.node.IgnoredVotes()[from]; got != want {
+			t.Errorf("the request of %q is ignored as %q, want %q", from, got, want)
+		}
+	}
+	a.node.becomeFollower(3, c.disk.id)
+	if got := a.node.IgnoredVotes(); len(got) > 0 {
+		t.Errorf("with a leader: %v", got)
+	}
+}
--- a/consensus/status.go
+++ b/consensus/status.go
@@ -72,3 +72,16 @@
 	}
 	return slices.Sorted(maps.Keys(n.grantedVotes))
 }
+
+// IgnoreReason is the reason why a node ignores the vote requests of another one and its
+// replies to them.
+type IgnoreReason string
+
+const (
+	OutdatedDisk IgnoreReason = "outdated-disk" // the group has recorded a higher boot count
+	UnknownNode  IgnoreReason = "unknown-node"  // the membership doesn't list the instance
+)
+
+// IgnoredVotes returns the nodes whose vote requests or replies this node has ignored since
+// it last knew a leader, with the latest reason. The caller must not change it.
+func (n *Node) IgnoredVotes() map[ID]IgnoreReason { return n.ignoredVotes }
--- a/control/core.go
+++ b/control/core.go
@@ -47,6 +47,7 @@
 	retentionPending bool                    // an ApplyRetention record is proposed and not applied yet
 	lastRetentionAt  time.Time               // last check whether retention is due
 	senderAddrs      map[consensus.ID]string // reply addresses of senders outside the group
+	contacts         map[consensus.ID]peerContact
 
 	// fatalErr is a failure to encode or write state outside persistSendApply. It
 	// stops the node at the next runOnce.
--- a/control/node.go
+++ b/control/node.go
@@ -132,7 +132,7 @@
 		opt: o, log: l, state: controlstate.New(),
 		firstTickAt: now, lastRunAt: now, lastLeaderAt: now, leases: newLeases(), metrics: newMetrics(o.Scope),
 		pendingMembers: map[ids.Incarnation]bool{}, waiters: map[uint64]waiter{},
-		senderAddrs: map[consensus.ID]string{}, reads: newConfirmedReads(),
+		senderAddrs: map[consensus.ID]string{}, contacts: map[consensus.ID]peerContact{}, reads: newConfirmedReads(),
 	}
 	if err := c.restore(disk); err != nil {
 		l.Close()
--- a/control/peers.go
+++ b/control/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"k8s.io/klog/v2"
@@ -57,6 +58,13 @@
 	// unansweredSince is the time of the first message that was sent since the link last
 	// heard from the peer, zero if there is none.
 	unansweredSince time.Time
+	status          atomic.Pointer[linkStatus] // nil until the first attempt to connect
+}
+
+// linkStatus is what a link has met so far. It is immutable.
+type linkStatus struct {
+	reconnects int    // connections that were replaced because the peer was silent
+	connectErr string // of the last attempt to connect, empty after a success
 }
 
 // linkKey identifies a link. Large messages have a link of their own, so that the
@@ -118,6 +126,29 @@
 	}
 }
 
+// statusOf returns the status of the link for small messages to a peer.
+func (ls *links) statusOf(addr string) linkStatus {
+	l := ls.byKey[linkKey{addr, false}]
+	if l == nil {
+		return linkStatus{}
+	}
+	return l.currentStatus()
+}
+
+func (l *link) currentStatus() linkStatus {
+	if s := l.status.Load(); s != nil {
+		return *s
+	}
+	return linkStatus{}
+}
+
+// updateStatus changes the status. Only the goroutine of the link calls it.
+func (l *link) updateStatus(change func(*linkStatus)) {
+	s := l.currentStatus()
+	change(&s)
+	l.status.Store(&s)
+}
+
 // queueMessage queues a consensus message. It drops the message if the queue of the
 // peer is full.
 func (ls *links) queueMessage(addr string, m consensus.Message) {
@@ -217,6 +248,7 @@
 	case l.conn != nil && now.Sub(l.unansweredSince) >= unansweredTimeout:
 		klog.InfoS("control: Reconnecting to a silent peer", "addr", l.addr, "ms", now.Sub(l.unansweredSince).Milliseconds())
 		l.closeConn()
+		l.updateStatus(func(s *linkStatus) { s.reconnects++ })
 		l.unansweredSince = now
 	}
 }
@@ -235,8 +267,10 @@
 	conn, err := l.dial(ctx, l.addr)
 	if err == nil {
 		l.conn = conn
+		l.updateStatus(func(s *linkStatus) { s.connectErr = "" })
 		return true
 	}
+	l.updateStatus(func(s *linkStatus) { s.connectErr = err.Error() })
 	select {
 	case <-ctx.Done():
 	case <-time.After(redialInterval):
--- a/control/serve.go
+++ b/control/serve.go
@@ -332,6 +332,7 @@
 	err := n.post(ctx, func(c *core) {
 		defer release()
 		c.rememberSender(p)
+		c.recordContact(p, time.Now())
 		c.links.recordMessageFrom(p.Addr)
 		for _, m := range p.Messages {
 			if m.From == p.From {
--- a/control/status.go
+++ b/control/status.go
@@ -63,14 +63,9 @@
 	return out
 }
 
-const (
-	// silentAfter is the time without a reply after which a peer counts as
-	// unresponsive: several heartbeats, also of a learner.
-	silentAfter = time.Second
-	// noLeaderLogInterval is how often a node without a leader logs what it knows of
-	// the group. An election takes less.
-	noLeaderLogInterval = 3 * time.Second
-)
+// silentAfter is the time without a reply after which a peer counts as unresponsive:
+// several heartbeats, also of a learner.
+const silentAfter = time.Second
 
 // silence returns the time since the last reply of a peer to this leader. It is 0 for
 // the leader itself, and at every other node.
@@ -91,22 +86,6 @@
 	klog.InfoS("control: Membership committed", "index", index, "voters", peerNames(g, true), "learners", peerNames(g, false), "joint", g.IsJoint())
 }
 
-// reportMissingLeader logs, while the node knows no leader, what keeps it from electing
-// one.
-func (c *core) reportMissingLeader(now time.Time) {
-	if c.raft.TicksSinceLeader() < c.ticks(silentAfter) || !c.membership.Joined {
-		c.lastLeaderAt = now
-		return
-	}
-	if now.Sub(c.lastLeaderAt) < noLeaderLogInterval || now.Sub(c.lastNoLeaderLogAt) < noLeaderLogInterval {
-		return
-	}
-	c.lastNoLeaderLogAt = now
-	g := c.raft.Group()
-	klog.InfoS("control: No leader", "ms", now.Sub(c.lastLeaderAt).Milliseconds(), "term", c.raft.Term(), "lastIndex", c.raft.LastIndex(),
-		"membershipIndex", c.raft.GroupIndex(), "voters", peerNames(g, true), "votesGranted", c.raft.GrantedVotes(), "outdatedDisk", c.raft.HasOutdatedDisk())
-}
-
 // peerNames returns the names and instance ids of the voters or of the learners.
 func peerNames(g consensus.Group, voters bool) []string {
 	var out []string
