rpc, control: believe a connection only by what arrived over it

What callers saw: a configuration that can't be read or changed for half a minute, and refusals as `stale`, while all control nodes run.

Cause: a link to a peer took any message from the peer as a sign that its own connection to the peer works. These are two connections. When both go silent without a reset, the node that reconnects first is heard by the other, which so keeps its dead one until the kernel gives up. Once all pairs of voters have fallen that way, each vote request or its reply is lost.

Change: each connection keeps count of what has been sent over it and what is proven to have arrived: by the reply to a later call, or by a count that the peer sends along. Links between control nodes no longer judge by what they hear. One goroutine checks all connections of a process. A probe is a call that older processes refuse as unknown, which is an answer too.

Why this works: whichever directions of which connections are dead, each side that sends finds it by itself and connects anew, independent of what it hears.

--- a/control/peers.go
+++ b/control/peers.go
@@ -23,10 +23,6 @@
 	// redialInterval is the time between two attempts to connect to a peer.
 	redialInterval = 100 * time.Millisecond
 	sendTimeout    = 2 * time.Second
-	// unansweredTimeout is how long a link sends without hearing from its peer before it
-	// connects anew. A connection to a VM that has lost power reports an error only
-	// seconds after the VM is back.
-	unansweredTimeout = time.Second
 	// maxBatchBytes is the size of a batch, in bytes of log records and snapshots before
 	// encoding, from which it takes no further message. The last message can take the
 	// batch above it: sendSteps sends a batch below maxBatchBytes + minBulkBytes whole.
@@ -53,17 +49,13 @@
 	dial     member.Dialer
 	messages chan consensus.Message
 	renewals chan wire.Renewals
-	heard    chan struct{} // signals a message from the peer
 	conn     *rpc.Conn
-	// unansweredSince is the time of the first message that was sent since the link last
-	// heard from the peer, zero if there is none.
-	unansweredSince time.Time
-	status          atomic.Pointer[linkStatus] // nil until the first attempt to connect
+	status   atomic.Pointer[linkStatus] // nil until the first attempt to connect
 }
 
 // linkStatus is what a link has met so far. It is immutable.
 type linkStatus struct {
-	reconnects int    // connections that were replaced because the peer was silent
+	reconnects int    // connections that were replaced because they didn't deliver
 	connectErr string // of the last attempt to connect, empty after a success
 }
 
@@ -104,7 +96,6 @@
 		l = &link{
 			addr: addr, sender: ls.sender, dial: ls.dial,
 			messages: make(chan consensus.Message, limit), renewals: make(chan wire.Renewals, 1),
-			heard: make(chan struct{}, 1),
 		}
 		ls.byKey[linkKey{addr, bulk}] = l
 		ls.wg.Go(func() { l.run(ls.ctx) })
@@ -112,20 +103,6 @@
 	return l
 }
 
-// recordMessageFrom tells the links to a peer that it has sent a message.
-func (ls *links) recordMessageFrom(addr string) {
-	for _, bulk := range []bool{false, true} {
-		l := ls.byKey[linkKey{addr, bulk}]
-		if l == nil {
-			continue
-		}
-		select {
-		case l.heard <- struct{}{}:
-		default:
-		}
-	}
-}
-
 // statusOf returns the status of the link for small messages to a peer.
 func (ls *links) statusOf(addr string) linkStatus {
 	l := ls.byKey[linkKey{addr, false}]
@@ -176,10 +153,8 @@
 		case m := <-l.messages:
 			batch := l.sender
 			batch.Messages = l.collectBatch(m)
-			l.dropUnansweredConn(time.Now())
 			l.sendSteps(ctx, batch)
 		case r := <-l.renewals:
-			l.dropUnansweredConn(time.Now())
 			l.send(ctx, wire.MethodRenewals, r)
 		}
 	}
@@ -217,7 +192,6 @@
 			return
 		}
 	}
-	l.unansweredSince = time.Now() // the peer answers once it has all parts
 }
 
 func (l *link) send(ctx context.Context, method string, params any) bool {
@@ -234,31 +208,15 @@
 	return true
 }
 
-// dropUnansweredConn closes the connection if the peer has been silent for
-// unansweredTimeout while the link was sending.
-func (l *link) dropUnansweredConn(now time.Time) {
-	select {
-	case <-l.heard:
-		l.unansweredSince = time.Time{}
-	default:
-	}
-	switch {
-	case l.unansweredSince.IsZero():
-		l.unansweredSince = now
-	case l.conn != nil && now.Sub(l.unansweredSince) >= unansweredTimeout:
-		klog.InfoS("control: Reconnecting to a silent peer", "addr", l.addr, "ms", now.Sub(l.unansweredSince).Milliseconds())
-		l.closeConn()
-		l.updateStatus(func(s *linkStatus) { s.reconnects++ })
-		l.unansweredSince = now
-	}
-}
-
 // connect dials the peer if there is no connection. If the peer is unreachable, it
 // drops the queued messages, since they would be outdated once the peer is back.
 func (l *link) connect(ctx context.Context) bool {
 	if l.conn != nil {
 		select {
 		case <-l.conn.Done():
+			if l.conn.Failed() {
+				l.updateStatus(func(s *linkStatus) { s.reconnects++ })
+			}
 			l.closeConn()
 		default:
 			return true
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -20,6 +20,7 @@
 type Counters struct {
 	BytesIn, BytesOut       atomic.Int64
 	MessagesIn, MessagesOut atomic.Int64
+	Failed                  atomic.Int64 // connections that were closed because a probe wasn't answered
 }
 
 // codec frames messages like jsonrpc2.VarintObjectCodec. In addition it limits the size
@@ -46,6 +47,7 @@
 	buf := binary.AppendUvarint(make([]byte, 0, binary.MaxVarintLen64+len(data)), uint64(len(data)))
 	buf = append(buf, data...)
 	c.counters.BytesOut.Add(int64(len(buf)))
+	c.conn.delivery.bytesOut.Add(int64(len(buf)))
 	c.counters.MessagesOut.Add(1)
 	_, err = w.Write(buf)
 	if err != nil {
@@ -71,6 +73,7 @@
 		return err
 	}
 	c.counters.BytesIn.Add(int64(n))
+	c.conn.delivery.bytesIn.Add(int64(n))
 	c.counters.MessagesIn.Add(1)
 	if err := json.Unmarshal(data, v); err != nil {
 		return err
--- /dev/null
+++ b/rpc/delivery_test.go
@@ -0,0 +1,157 @@
+package rpc
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/baobabshore/baobabshore/faultnet"
+	"github.com/baobabshore/baobabshore/wire"
+)
+
+// testTimeout stops a test that hangs. No test depends on its length.
+const testTimeout = time.Minute
+
+// relayedPair is a connection through a relay. The accepting side answers test.echo and
+// notifies the other one of test.beat all the time.
+type relayedPair struct {
+	relay  *faultnet.Relay
+	dialed *Conn
+	served *Conn
+}
+
+func newRelayedPair(t *testing.T) relayedPair {
+	served := make(chan *Conn, 1)
+	m := NewMux()
+	m.Concurrent("test.echo", func(_ context.Context, _ *Conn, raw json.RawMessage) (any, error) { return raw, nil })
+	m.Concurrent("test.start", func(_ context.Context, c *Conn, _ json.RawMessage) (any, error) {
+		served <- c
+		go func() {
+			for c.Notify(context.Background(), "test.beat", nil) == nil {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+		return wire.Empty{}, nil
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(l, Security{}, m, nil)
+	t.Cleanup(func() { s.Close() })
+	relay, err := faultnet.Listen("127.0.0.1:0", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { relay.Close() })
+	back := NewMux()
+	back.Ordered("test.beat", func(context.Context, *Conn, json.RawMessage) (any, error) { return nil, nil })
+	c, err := Dial(t.Context(), relay.Addr(), Security{}, back, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.Call(t.Context(), "test.start", nil, nil); err != nil {
+		t.Fatal(err)
+	}
+	return relayedPair{relay, c, <-served}
+}
+
+func (p relayedPair) silence(d faultnet.Direction) {
+	p.relay.Silence(d, func() bool { return true })
+}
+
+func awaitFailure(t *testing.T, c *Conn) {
+	t.Helper()
+	select {
+	case <-c.Done():
+		if !c.Failed() {
+			t.Error("the connection has ended without a probe")
+		}
+	case <-time.After(testTimeout):
+		t.Error("the connection stays open")
+	}
+}
+
+// Guards against a connection that is believed because its peer is heard on it, while
+// nothing arrives at the peer.
+func TestConnectionSilentTowardItsPeerIsClosed(t *testing.T) {
+	p := newRelayedPair(t)
+	p.silence(faultnet.ToServer)
+	if err := p.dialed.Notify(t.Context(), "test.lost", nil); err != nil {
+		t.Fatal(err)
+	}
+	awaitFailure(t, p.dialed)
+}
+
+// Guards against notifications that go one way without any sign that they arrive.
+func TestAcceptedConnectionThatIsNotHeardIsClosed(t *testing.T) {
+	p := newRelayedPair(t)
+	p.silence(faultnet.ToClient)
+	awaitFailure(t, p.served)
+}
+
+// Guards against a call that waits for its own deadline on a connection that is dead.
+func TestCallOverASilentConnectionFails(t *testing.T) {
+	p := newRelayedPair(t)
+	p.silence(faultnet.Both)
+	if err := p.dialed.Call(t.Context(), "test.echo", 1, nil); err == nil {
+		t.Error("the call has succeeded")
+	}
+	awaitFailure(t, p.dialed)
+}
+
+// Guards against a peer whose end goes unnoticed while a message of it is awaited.
+func TestAwaitedPeerThatFallsSilentIsNoticed(t *testing.T) {
+	p := newRelayedPair(t)
+	p.dialed.Await(true)
+	p.silence(faultnet.Both)
+	awaitFailure(t, p.dialed)
+}
+
+// Guards against a listener that keeps connections which their peers have given up.
+func TestIdleConnectionIsProbed(t *testing.T) {
+	p := newRelayedPair(t)
+	p.silence(faultnet.Both)
+	p.dialed.checkIdle()
+	p.dialed.checkIdle()
+	awaitFailure(t, p.dialed)
+}
+
+// Guards against probes on a connection whose peer tells what has arrived, and against the
+// proof of messages that were never sent.
+func TestReceivedCountProvesArrival(t *testing.T) {
+	p := newRelayedPair(t)
+	for range 10 {
+		if err := p.dialed.Notify(t.Context(), "test.unknown", nil); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := p.dialed.Call(t.Context(), "test.echo", 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	d := &p.dialed.delivery
+	if got, want := p.served.Received(), d.sent.Load(); got != want {
+		t.Fatalf("%d of %d messages are counted as received", got, want)
+	}
+	p.dialed.Prove(d.sent.Load() + 1)
+	if proven := d.proven.Load(); proven > d.sent.Load() {
+		t.Errorf("%d messages are proven, %d were sent", proven, d.sent.Load())
+	}
+	p.dialed.Prove(p.served.Received())
+	if d.needsChecks() && !d.probing.Load() {
+		t.Error("the connection is probed although all has arrived")
+	}
+}
+
+// Guards against probes that close a connection which is busy with a large message.
+func TestProbeAllowsForLargeMessages(t *testing.T) {
+	if got := transferTime(8 << 20); got != 8*time.Second {
+		t.Errorf("8 MB are allowed %v", got)
+	}
+	if got := transferTime(1 << 40); got != maxTransferTime {
+		t.Errorf("1 TB is allowed %v", got)
+	}
+}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -89,6 +89,10 @@
 	stream          *intake.Stream // nil for a connection that this process has opened
 	grant           *intake.Grant  // of the message that was read last; used by the reader only
 	inOrder         *intake.Grant  // of the message that an ordered handler handles; used by the reader only
+	accepted        bool           // false for a connection that this process has opened
+	counters        *Counters
+	ready           chan struct{} // closed once rpc is set
+	delivery        delivery
 	maxMessageBytes atomic.Int64
 	authenticated   atomic.Bool
 	// Peer is free for the handlers, which may store the state of the peer in it.
@@ -134,7 +138,7 @@
 // Call sends a request and waits for its result. Every error is a *verdict.Error: the
 // error that the peer returned, or one with verdict MayHaveRun if no reply arrived.
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
-	return decodeError(c.rpc.Call(ctx, method, params, result))
+	return decodeError(c.call(ctx, method, params, result))
 }
 
 // Notify sends a message that has no reply. After an error it is unknown whether the
@@ -307,7 +311,7 @@
 	if mux == nil {
 		mux = NewMux()
 	}
-	c := &Conn{remote: raw.RemoteAddr().String(), raw: raw}
+	c := &Conn{remote: raw.RemoteAddr().String(), raw: raw, accepted: gate != nil, counters: counters, ready: make(chan struct{})}
 	if gate != nil {
 		c.stream = gate.Stream(raw)
 	}
@@ -316,26 +320,33 @@
 	if sec.Token != "" {
 		c.maxMessageBytes.Store(maxUnauthenticatedBytes)
 	}
-	stream := jsonrpc2.NewBufferedStream(writeDeadlineConn{raw}, codec{conn: c, counters: counters})
-	connReady := make(chan struct{})
-	h := &handler{mux: mux, sec: sec, conn: c, gate: gate, connReady: connReady}
-	c.rpc = jsonrpc2.NewConn(context.Background(), stream, h, jsonrpc2.SetLogger(discardLogger{}))
-	close(connReady)
+	connProber.add(c)
+	stream := jsonrpc2.NewBufferedStream(streamConn{raw, c}, codec{conn: c, counters: counters})
+	h := &handler{mux: mux, sec: sec, conn: c, gate: gate}
+	c.rpc = jsonrpc2.NewConn(context.Background(), stream, h, jsonrpc2.SetLogger(discardLogger{}),
+		jsonrpc2.OnSend(c.recordSent), jsonrpc2.OnRecv(c.recordReceived))
+	close(c.ready)
 	return c
 }
 
 // handler authenticates a connection and calls the handlers of its messages.
 type handler struct {
-	mux       *Mux
-	sec       Security
-	conn      *Conn
-	gate      *intake.Gate
-	connReady chan struct{} // closed once conn.rpc is set
+	mux  *Mux
+	sec  Security
+	conn *Conn
+	gate *intake.Gate
 }
 
 func (h *handler) Handle(ctx context.Context, rc *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	<-h.connReady
+	<-h.conn.ready
 	grant := h.conn.takeGrant()
+	if req.Method == methodProbe && h.conn.authenticated.Load() {
+		go func() { // the reader must not wait for a peer that doesn't read
+			defer grant.Release()
+			h.reply(ctx, rc, req, wire.Empty{}, nil)
+		}()
+		return
+	}
 	if f, ok := h.mux.concurrent[req.Method]; ok && h.conn.authenticated.Load() {
 		go func() {
 			defer grant.Release()
@@ -439,15 +450,24 @@
 	_ = rc.Reply(ctx, req.ID, result)
 }
 
-// writeDeadlineConn limits the time of each write, so that a connection whose peer
-// doesn't read fails.
-type writeDeadlineConn struct{ net.Conn }
+// streamConn is the network connection of a Conn. It limits the time of each write, so that
+// a connection whose peer doesn't read fails.
+type streamConn struct {
+	net.Conn
+	conn *Conn
+}
 
-func (c writeDeadlineConn) Write(b []byte) (int, error) {
-	if err := c.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+func (s streamConn) Write(b []byte) (int, error) {
+	if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(b)
+	return s.Conn.Write(b)
+}
+
+// Close is called once when the Conn ends.
+func (s streamConn) Close() error {
+	connProber.remove(s.conn)
+	return s.Conn.Close()
 }
 
 type discardLogger struct{}
