entry, agent: leave it to the connection whether it delivers

What callers saw: tasks that miss their deadline, and calls of an entry to another one that fail one after the other, for as long as a connection that went silent is kept.

An entry pinged an agent only if it heard nothing from it, so reports over a connection on which nothing reaches the agent kept it; and it gave a silent one up after 10 s. It kept a connection to another entry for good when a call on it was not answered. An agent had no sign at all that its reports arrive.

Change: the pings of entries are gone; a connection with pending tasks is probed as any other that awaits a message. Exchanges and reports carry how many messages have been received over their connection, which proves the arrival without probes while work goes on. Pools of connections to entries and control nodes no longer return one that has ended. A probe whose timer fires late, since the process was paused, waits once more.

Why this works: each side finds by itself that what it sent has not arrived, and the entry sends starts without an answer again to the same incarnation of the agent, which runs a task once.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -261,6 +261,7 @@
 		c.Close() // the sender sent no hello, or the message names another entry
 		return wire.Empty{}, nil
 	}
+	c.Prove(m.Received)
 	release := c.Retain()
 	posted := p.incarnation.loop.Post(func(now time.Duration) {
 		defer release()
@@ -285,6 +286,7 @@
 	return reply, nil
 }
 
+// ping answers entries that don't probe their connections (see rpc.Conn).
 func (a *Agent) ping(_ context.Context, c *rpc.Conn, _ wire.Empty) (wire.Empty, error) {
 	if p, ok := c.Peer.Load().(*peer); ok && p.incarnation.loop.Stopped() {
 		return wire.Empty{}, verdict.Refuse(verdict.Draining, "the incarnation has ended")
--- a/agent/peer.go
+++ b/agent/peer.go
@@ -56,6 +56,7 @@
 		case <-p.conn.Done():
 			return
 		case r := <-p.reports:
+			r.Received = p.conn.Received()
 			if p.conn.Notify(context.Background(), wire.MethodReport, r) != nil {
 				p.conn.Close()
 				return
--- a/control/peers.go
+++ b/control/peers.go
@@ -212,15 +212,13 @@
 // drops the queued messages, since they would be outdated once the peer is back.
 func (l *link) connect(ctx context.Context) bool {
 	if l.conn != nil {
-		select {
-		case <-l.conn.Done():
-			if l.conn.Failed() {
-				l.updateStatus(func(s *linkStatus) { s.reconnects++ })
-			}
-			l.closeConn()
-		default:
+		if !l.conn.IsClosed() {
 			return true
 		}
+		if l.conn.Failed() {
+			l.updateStatus(func(s *linkStatus) { s.reconnects++ })
+		}
+		l.closeConn()
 	}
 	conn, err := l.dial(ctx, l.addr)
 	if err == nil {
--- a/entry/agentconn.go
+++ b/entry/agentconn.go
@@ -29,10 +29,6 @@
 	// body, headers and path.
 	startOverheadBytes = 1 << 10
 
-	// pingTimeout is the time without an answer to a ping after which the connection
-	// is replaced.
-	pingTimeout = 10 * time.Second
-
 	minReconnectBackoff = 50 * time.Millisecond
 	maxReconnectBackoff = time.Second
 )
@@ -45,11 +41,9 @@
 	ctx         context.Context
 	cancel      context.CancelFunc
 
-	link           atomic.Pointer[link]
-	lastHeardNanos atomic.Int64             // Unix time in nanoseconds of the last message from the agent
-	pendingCount   atomic.Int64             // length of pending, readable outside the loop
-	pingRequests   chan struct{}            // makes monitor check whether a ping is due
-	pending        map[ids.TaskKey]struct{} // tasks sent to the agent and not answered yet
+	link         atomic.Pointer[link]
+	pendingCount atomic.Int64             // length of pending, readable outside the loop
+	pending      map[ids.TaskKey]struct{} // tasks sent to the agent and not answered yet
 }
 
 // link is one connection to an agent with its send queue. Each connection has a queue
@@ -88,7 +82,7 @@
 }
 
 func (inc *incarnation) newAgentConn(m wire.Member) *agentConn {
-	a := &agentConn{incarnation: inc, member: m, pending: map[ids.TaskKey]struct{}{}, pingRequests: make(chan struct{}, 1)}
+	a := &agentConn{incarnation: inc, member: m, pending: map[ids.TaskKey]struct{}{}}
 	a.ctx, a.cancel = context.WithCancel(inc.ctx)
 	go a.run()
 	return a
@@ -133,7 +127,8 @@
 func (a *agentConn) dial() (*link, error) {
 	ln := &link{sendQueue: make(chan *wire.Exchange, maxQueuedExchanges)}
 	m := rpc.NewMux()
-	m.Ordered(wire.MethodReport, rpc.Handle(func(_ context.Context, _ *rpc.Conn, r wire.Report) (wire.Empty, error) {
+	m.Ordered(wire.MethodReport, rpc.Handle(func(_ context.Context, c *rpc.Conn, r wire.Report) (wire.Empty, error) {
+		c.Prove(r.Received)
 		a.receiveReport(ln, r)
 		return wire.Empty{}, nil
 	}))
@@ -159,7 +154,6 @@
 // serve exchanges messages over ln until the connection ends.
 func (a *agentConn) serve(ln *link) {
 	defer ln.conn.Close()
-	a.markHeard()
 	a.link.Store(ln)
 	id := a.member.Incarnation
 	if !a.incarnation.loop.Post(func(now time.Duration) { a.incarnation.core.Connected(now, id) }) {
@@ -167,96 +161,25 @@
 	}
 	a.setReady(ln)
 	go ln.writeLoop()
-	a.monitor(ln.conn)
+	select {
+	case <-ln.conn.Done():
+	case <-a.ctx.Done():
+	}
 	a.link.Store(nil)
 	a.incarnation.loop.Post(func(now time.Duration) {
 		clear(a.pending)
-		a.pendingCount.Store(0)
+		a.updatePending()
 		a.incarnation.core.Disconnected(now, id)
 	})
 }
 
-func (a *agentConn) markHeard() { a.lastHeardNanos.Store(time.Now().UnixNano()) }
-
-// monitor returns when the connection has ended or when an agent with pending tasks
-// does not answer a ping.
-func (a *agentConn) monitor(c *rpc.Conn) {
-	for {
-		select {
-		case <-c.Done():
-			return
-		case <-a.ctx.Done():
-			return
-		case <-a.pingRequests:
-			if a.needsPing(time.Now()) && !a.ping(c) {
-				return
-			}
-		}
-	}
-}
-
-// pingSilentAgents triggers a ping of each silent agent that has pending tasks. All
-// connections share one timer, since a timer for each of thousands of idle agents
-// would wake the process several thousand times a second.
-func (inc *incarnation) pingSilentAgents() {
-	t := time.NewTicker(inc.entry.opts.PingAfter)
-	defer t.Stop()
-	for {
-		select {
-		case <-inc.ctx.Done():
-			return
-		case now := <-t.C:
-			inc.loop.Post(func(time.Duration) {
-				for _, a := range inc.agents {
-					a.requestPing(now)
-				}
-			})
-		}
-	}
-}
-
-func (a *agentConn) requestPing(now time.Time) {
-	if !a.needsPing(now) {
-		return
-	}
-	select {
-	case a.pingRequests <- struct{}{}:
-	default: // a check is already requested
-	}
-}
-
-// needsPing reports whether the agent has pending tasks and has sent nothing for
-// PingAfter.
-func (a *agentConn) needsPing(now time.Time) bool {
-	return a.pendingCount.Load() > 0 && now.UnixNano()-a.lastHeardNanos.Load() > int64(a.incarnation.entry.opts.PingAfter)
-}
-
-// ping checks whether the agent is alive and returns false if it is not. An agent
-// that does not answer within SuspectAfter is suspect and receives no new tasks. Its
-// connection stays open until pingTimeout, since the answer may be queued behind
-// large messages.
-func (a *agentConn) ping(c *rpc.Conn) bool {
-	ctx, cancel := context.WithTimeout(a.ctx, pingTimeout)
-	defer cancel()
-	answered := make(chan error, 1)
-	go func() { answered <- c.Call(ctx, wire.MethodPing, wire.Empty{}, nil) }()
-	suspect := time.NewTimer(a.incarnation.entry.opts.SuspectAfter)
-	defer suspect.Stop()
-	select {
-	case err := <-answered:
-		a.markHeard()
-		return err == nil
-	case <-suspect.C:
-	}
-	id := a.member.Incarnation
-	klog.Warningf("entry: Agent %d does not answer.", id)
-	a.incarnation.loop.Post(func(now time.Duration) { a.incarnation.core.Disconnected(now, id) })
-	if <-answered != nil {
-		return false
+// updatePending is called by the event loop after a change of pending. While a task is
+// pending, the connection is probed when the agent sends nothing.
+func (a *agentConn) updatePending() {
+	a.pendingCount.Store(int64(len(a.pending)))
+	if ln := a.link.Load(); ln != nil {
+		ln.conn.Await(len(a.pending) > 0)
 	}
-	a.markHeard()
-	a.incarnation.loop.Post(func(now time.Duration) { a.incarnation.core.Connected(now, id) })
-	return true
 }
 
 // receiveReport passes a report to the core once the core knows of the connection and
@@ -264,7 +187,6 @@
 // reply to a claim; passed on earlier, it would be dropped as an answer to an unknown
 // task.
 func (a *agentConn) receiveReport(ln *link, r wire.Report) {
-	a.markHeard()
 	ln.mu.Lock()
 	defer ln.mu.Unlock()
 	ln.heldReports = append(ln.heldReports, r)
@@ -307,7 +229,7 @@
 		for _, ans := range r.Answers {
 			delete(a.pending, ans.Key)
 		}
-		a.pendingCount.Store(int64(len(a.pending)))
+		a.updatePending()
 		a.incarnation.core.Report(now, r)
 	})
 }
@@ -321,7 +243,7 @@
 	for _, s := range x.Starts {
 		a.pending[s.Key] = struct{}{}
 	}
-	a.pendingCount.Store(int64(len(a.pending)))
+	a.updatePending()
 	for _, part := range splitExchange(x) {
 		select {
 		case ln.sendQueue <- &part:
@@ -339,6 +261,7 @@
 		case <-ln.conn.Done():
 			return
 		case x := <-ln.sendQueue:
+			x.Received = ln.conn.Received()
 			if ln.conn.Notify(context.Background(), wire.MethodExchange, x) != nil {
 				ln.conn.Close()
 				return
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -253,10 +253,15 @@
 
 func (c *fakeControl) startAgent(t *testing.T, node ids.Node, upstream string) *agent.Agent {
 	t.Helper()
-	a, err := agent.Start(t.Context(), agent.Options{
-		Node: node, Service: "s", Upstream: upstream, Slots: 4, Connections: 4,
-		Session: func(_ context.Context, self wire.Registration) (agent.Session, error) { return c.open(self), nil },
-	})
+	return c.startAgentWith(t, node, upstream, agent.Options{})
+}
+
+// startAgentWith sets the other options of o.
+func (c *fakeControl) startAgentWith(t *testing.T, node ids.Node, upstream string, o agent.Options) *agent.Agent {
+	t.Helper()
+	o.Node, o.Service, o.Upstream, o.Slots, o.Connections = node, "s", upstream, 4, 4
+	o.Session = func(_ context.Context, self wire.Registration) (agent.Session, error) { return c.open(self), nil }
+	a, err := agent.Start(t.Context(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/entry/life.go
+++ b/entry/life.go
@@ -82,7 +82,6 @@
 	inc.loop.Call(func(now time.Duration) { inc.applyView(now, v, c) })
 	inc.loop.Call(inc.core.BeginStartup)
 	go inc.followView()
-	go inc.pingSilentAgents()
 }
 
 func (inc *incarnation) hasEnded() bool { return inc.ctx.Err() != nil }
--- a/entry/options.go
+++ b/entry/options.go
@@ -87,11 +87,8 @@
 	MoveAfter time.Duration
 	// TickMin is the shortest time between two ticks of the core.
 	TickMin time.Duration
-	// PingAfter is the silence of an agent with pending tasks after which it is
-	// pinged, and SuspectAfter is the time without an answer to the ping after which
-	// it is suspect. SuspectAfter also bounds connecting to an agent and the reply to
-	// a claim.
-	PingAfter, SuspectAfter time.Duration
+	// SuspectAfter bounds connecting to an agent and the reply to a claim.
+	SuspectAfter time.Duration
 }
 
 func (o Options) withDefaults() (Options, error) {
@@ -121,7 +118,6 @@
 	defaultDuration(&o.IdleTimeout, time.Minute)
 	defaultDuration(&o.AdmitTimeout, 5*time.Second)
 	defaultDuration(&o.TickMin, 500*time.Microsecond)
-	defaultDuration(&o.PingAfter, 500*time.Millisecond)
 	defaultDuration(&o.SuspectAfter, time.Second)
 	return o, nil
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -47,7 +47,7 @@
 	p.mu.Lock()
 	c := p.conns[addr]
 	p.mu.Unlock()
-	if c != nil {
+	if c != nil && !c.IsClosed() {
 		return c, nil
 	}
 	c, err := rpc.Dial(ctx, addr, p.security, nil, p.counters)
@@ -56,7 +56,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if old := p.conns[addr]; old != nil {
+	if old := p.conns[addr]; old != nil && !old.IsClosed() {
 		c.Close()
 		return old, nil
 	}
--- a/member/servers.go
+++ b/member/servers.go
@@ -80,7 +80,7 @@
 	if closed {
 		return nil, verdict.Refuse(verdict.Draining, "the session is closed")
 	}
-	if c != nil {
+	if c != nil && !c.IsClosed() {
 		return c, nil
 	}
 	c, err := s.connect(ctx, addr)
@@ -93,7 +93,7 @@
 		c.Close()
 		return nil, verdict.Refuse(verdict.Draining, "the session is closed")
 	}
-	if other := s.conns[addr]; other != nil {
+	if other := s.conns[addr]; other != nil && !other.IsClosed() {
 		c.Close()
 		return other, nil
 	}
--- a/rpc/delivery.go
+++ b/rpc/delivery.go
@@ -29,6 +29,8 @@
 	minThroughput = 1 << 20
 	// maxTransferTime limits the time that probes allow for other messages.
 	maxTransferTime = 10 * time.Second
+	// maxTimerDelay is how late a timer may fire in a process that runs.
+	maxTimerDelay = 250 * time.Millisecond
 )
 
 // delivery holds what is known of the arrival of messages on one connection. Messages from
@@ -172,6 +174,7 @@
 	sent, out, in := d.sent.Load(), d.bytesOut.Load(), d.bytesIn.Load()
 	answered := make(chan error, 1)
 	go func() { answered <- c.rpc.Call(context.Background(), methodProbe, wire.Empty{}, nil) }()
+	due := begin.Add(probeTimeout)
 	timeout := time.NewTimer(probeTimeout)
 	defer timeout.Stop()
 	for {
@@ -183,13 +186,18 @@
 			}
 			return
 		case <-timeout.C:
+			now := time.Now()
+			if now.Sub(due) > maxTimerDelay {
+				begin = now // this process was paused, and the reply may wait unread
+			}
 			// The probe may wait behind large messages, and its reply behind those of the peer.
 			queued := d.bytesOut.Load() - d.provenBytes.Load() + d.bytesIn.Load() - in
-			left := probeTimeout + transferTime(queued) - time.Since(begin)
+			left := probeTimeout + transferTime(queued) - now.Sub(begin)
 			if left <= 0 {
-				c.fail(time.Since(begin))
+				c.fail(now.Sub(begin))
 				return
 			}
+			due = now.Add(left)
 			timeout.Reset(left)
 		}
 	}
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -135,6 +135,16 @@
 // Done returns a channel that is closed when the connection ends.
 func (c *Conn) Done() <-chan struct{} { return c.rpc.DisconnectNotify() }
 
+// IsClosed reports whether the connection has ended.
+func (c *Conn) IsClosed() bool {
+	select {
+	case <-c.Done():
+		return true
+	default:
+		return false
+	}
+}
+
 // Call sends a request and waits for its result. Every error is a *verdict.Error: the
 // error that the peer returned, or one with verdict MayHaveRun if no reply arrived.
 func (c *Conn) Call(ctx context.Context, method string, params, result any) error {
--- a/wire/task.go
+++ b/wire/task.go
@@ -126,6 +126,9 @@
 	// prolongs sized tasks by an entry's lease from its arrival. Without it, a message
 	// that is delayed by a network partition could start or prolong work.
 	ValidUntilMS int64 `json:"v,omitempty"`
+	// Received is the number of messages that the entry has received over the connection,
+	// as counted by rpc.Conn.
+	Received uint64 `json:"rx,omitempty"`
 }
 
 // Answer is the result or refusal of a task at an agent.
@@ -164,6 +167,9 @@
 	Draining bool        `json:"d,omitempty"`
 	// UpstreamDown is set while the agent can't connect to its upstream.
 	UpstreamDown bool `json:"x,omitempty"`
+	// Received is the number of messages that the agent has received over the connection,
+	// as counted by rpc.Conn.
+	Received uint64 `json:"rx,omitempty"`
 	// ClockMS is the time on the agent's clock when the report was made. Only agents of
 	// workers set it.
 	ClockMS int64 `json:"t,omitempty"`
