control: let consensus messages prove that links deliver

Cause: links between control nodes only send notifications, so each would be probed twice a second, for which the leader's budget of 29 KB/s has no room (docs/CAPACITY.md).

Change: a link remembers the rounds of heartbeats, and the ticks of the replies, that it has sent over its connection. The answer to a round, and the tick that a leader returns, prove the arrival of what was sent before over the same connection. Only elections and other messages need probes.

TestAnswersProveOnlyWhatWasSentBefore; the tests of silent connections pass as before.

--- a/control/peers.go
+++ b/control/peers.go
@@ -50,6 +50,7 @@
 	messages chan consensus.Message
 	renewals chan wire.Renewals
 	conn     *rpc.Conn
+	sent     sentMarks
 	status   atomic.Pointer[linkStatus] // nil until the first attempt to connect
 }
 
@@ -178,7 +179,9 @@
 // RPC messages.
 func (l *link) sendSteps(ctx context.Context, batch stepBatch) {
 	if totalSize(batch.Messages) < maxBatchBytes+minBulkBytes {
-		l.send(ctx, wire.MethodStep, batch)
+		if l.send(ctx, wire.MethodStep, batch) {
+			l.sent.record(l.conn, batch.Messages)
+		}
 		return
 	}
 	data, err := json.Marshal(batch)
--- a/control/serve.go
+++ b/control/serve.go
@@ -333,6 +333,7 @@
 		defer release()
 		c.rememberSender(p)
 		c.recordContact(p, time.Now())
+		c.recordProofs(p)
 		for _, m := range p.Messages {
 			if m.From == p.From {
 				c.raft.Step(m)
--- a/control/silent_test.go
+++ b/control/silent_test.go
@@ -160,3 +160,37 @@
 		})
 	}
 }
+
+// Guards against messages that count as arrived although the answer is to earlier ones, or
+// to those of another connection, and against marks that pile up.
+func TestAnswersProveOnlyWhatWasSentBefore(t *testing.T) {
+	server := silentServer(t)
+	var conns [2]*rpc.Conn
+	for i := range conns {
+		c, err := rpc.Dial(t.Context(), server, rpc.Security{}, nil, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns[i] = c
+	}
+	var s sentMarks
+	for round := range uint64(2 * maxSentMarks) {
+		s.record(conns[0], []consensus.Message{{Kind: consensus.MsgAppend, Term: 2, HeartbeatRound: round + 1}})
+	}
+	if len(s.marks) != maxSentMarks {
+		t.Fatalf("%d marks are kept", len(s.marks))
+	}
+	upTo := func(round uint64) func(sentMark) bool {
+		return func(m sentMark) bool { return m.round > 0 && m.round <= round }
+	}
+	s.prove(upTo(2*maxSentMarks - 3))
+	if len(s.marks) != 3 || s.marks[0].round != 2*maxSentMarks-2 {
+		t.Errorf("marks after an answer to all but three: %+v", s.marks)
+	}
+	s.record(conns[1], []consensus.Message{{Kind: consensus.MsgVote, Term: 3}})
+	s.prove(upTo(2 * maxSentMarks))
+	if len(s.marks) != 1 {
+		t.Errorf("an answer to messages of the former connection leaves %d marks, want 1", len(s.marks))
+	}
+}
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -20,6 +20,7 @@
 type Counters struct {
 	BytesIn, BytesOut       atomic.Int64
 	MessagesIn, MessagesOut atomic.Int64
+	Probes                  atomic.Int64 // sent to learn whether a connection delivers
 	Failed                  atomic.Int64 // connections that were closed because a probe wasn't answered
 }
 
--- a/rpc/delivery.go
+++ b/rpc/delivery.go
@@ -7,8 +7,6 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 	"k8s.io/klog/v2"
-
-	"github.com/baobabshore/baobabshore/wire"
 )
 
 const (
@@ -71,6 +69,10 @@
 	}
 }
 
+// Sent returns the number of requests and notifications that have been sent on the
+// connection.
+func (c *Conn) Sent() uint64 { return c.delivery.sent.Load() }
+
 // Received returns the number of requests and notifications that have arrived on the
 // connection. A message that carries it saves the peer a probe (see Prove).
 func (c *Conn) Received() uint64 { return c.delivery.received.Load() }
@@ -170,10 +172,11 @@
 	d := &c.delivery
 	defer d.probing.Store(false)
 	<-c.ready
+	c.counters.Probes.Add(1)
 	begin := time.Now()
 	sent, out, in := d.sent.Load(), d.bytesOut.Load(), d.bytesIn.Load()
 	answered := make(chan error, 1)
-	go func() { answered <- c.rpc.Call(context.Background(), methodProbe, wire.Empty{}, nil) }()
+	go func() { answered <- c.rpc.Call(context.Background(), methodProbe, nil, nil) }()
 	due := begin.Add(probeTimeout)
 	timeout := time.NewTimer(probeTimeout)
 	defer timeout.Stop()
--- a/rpc/prober.go
+++ b/rpc/prober.go
@@ -24,7 +24,7 @@
 	mu      sync.Mutex
 	conns   map[*Conn]struct{} // all open ones
 	watched map[*Conn]struct{} // those with an unproven or awaited message
-	wake    chan struct{}      // signals a change of conns or watched; closed by nobody
+	wake    chan struct{}      // signals that watched is no longer empty, or that conns is
 	running bool
 }
 
