--- a/entry/queues.go
+++ b/entry/queues.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
 	"github.com/baobabshore/baobabshore/settings"
@@ -99,3 +100,19 @@
 	q, rest, ok = t.Find(host, path)
 	return q, rest, t.version, ok
 }
+
+// CheckQueues returns a refusal unless the configuration with the given version, which
+// FindQueue has used, is the one in force. A newer one is unknown while the view is not
+// confirmed, and known but not in use until the event loop has applied the view.
+func (e *Entry) CheckQueues(version uint64) *verdict.Error {
+	inc := e.incarnation.Load()
+	switch {
+	case inc.hasEnded():
+		return verdict.Refuse(verdict.Stale, "the entry is registering again").After(defaultRetryAfter)
+	case !inc.session.Current(time.Now()):
+		return verdict.Refuse(verdict.Stale, "the view is not confirmed").After(defaultRetryAfter)
+	case inc.session.View().ConfigVer != version:
+		return verdict.Refuse(verdict.Stale, "a newer configuration is being applied").After(defaultRetryAfter)
+	}
+	return nil
+}
--- a/entry/start_test.go
+++ b/entry/start_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/baobabshore/baobabshore/settings"
+	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
 
@@ -160,3 +161,37 @@
 	s.control.startAgent(t, "a2", s.upstream.Addr())
 	eventually(t, "the entry to be back", func() bool { return e.CheckServing() == nil })
 }
+
+// Guards against a queue that is said to be unknown because the entry has not heard of it:
+// its view is not confirmed, or its event loop has not applied the view's configuration.
+func TestQueuesAreCheckedAgainstTheView(t *testing.T) {
+	c := newFakeControl(testCluster())
+	e := c.startEntry(t, "e1", Options{})
+	inc := e.incarnation.Load()
+	s := inc.session.(*fakeSession)
+	_, _, version, _ := e.FindQueue("h.example", "/")
+	check := func(situation string, refused bool) {
+		t.Helper()
+		err := e.CheckQueues(version)
+		if (err != nil) != refused || refused && (err.Verdict != verdict.NotRun || err.Reason != verdict.Stale || err.RetryAfter == 0) {
+			t.Errorf("%s: %v", situation, err)
+		}
+	}
+	check("confirmed view", false)
+	s.setStale(true)
+	check("view that is not confirmed", true)
+	s.setStale(false)
+	newer := *s.View()
+	newer.ConfigVer++
+	inc.loop.Call(func(time.Duration) {
+		s.set(&newer)
+		check("configuration that is not applied yet", true)
+	})
+	eventually(t, "the configuration", func() bool {
+		_, _, version, _ = e.FindQueue("h.example", "/")
+		return version == newer.ConfigVer
+	})
+	check("configuration that is applied", false)
+	inc.end()
+	check("incarnation that has ended", true)
+}
