--- a/intake/handler.go
+++ b/intake/handler.go
@@ -10,6 +10,7 @@
 	ErrTooLarge = errors.New("the body is too large")
 	ErrNoRoom   = errors.New("there is no room for the body now")
 	ErrBroken   = errors.New("the body did not arrive")
+	ErrTimeout  = errors.New("the body did not arrive in time")
 )
 
 // Serve returns the handler of an HTTP server with StreamRequestBody. It reads the body
--- a/intake/read.go
+++ b/intake/read.go
@@ -1,6 +1,11 @@
 package intake
 
-import "io"
+import (
+	"io"
+	"net"
+
+	"github.com/go-faster/errors"
+)
 
 const (
 	// chunkBytes is the size of the buffers into which bodies and messages are read. They
@@ -40,7 +45,7 @@
 
 // readBody reads a body or message of n bytes, or until the end of r if n is negative, but
 // at most limit bytes. It takes memory as the bytes arrive, since a length is only
-// announced. Errors are ErrNoRoom, ErrTooLarge and ErrBroken.
+// announced. Errors are ErrNoRoom, ErrTooLarge, ErrTimeout and ErrBroken.
 func (g *Gate) readBody(c *conn, r io.Reader, n, limit int) ([]byte, error) {
 	switch {
 	case n > limit:
@@ -68,7 +73,7 @@
 		case n < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF):
 			n = size
 		case err != nil:
-			return nil, ErrBroken
+			return nil, readError(err)
 		}
 	}
 	return g.assemble(c, chunks, size)
@@ -80,11 +85,20 @@
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
-		return nil, ErrBroken
+		return nil, readError(err)
 	}
 	return body, nil
 }
 
+// readError returns the error for a body whose read failed with err.
+func readError(err error) error {
+	var network net.Error
+	if errors.As(err, &network) && network.Timeout() {
+		return ErrTimeout
+	}
+	return ErrBroken
+}
+
 // assemble returns the bytes of chunks as one slice, and gives the room of the chunks back.
 func (g *Gate) assemble(c *conn, chunks [][]byte, size int) ([]byte, error) {
 	if !g.reserve(c, int64(size)) {
