--- a/consensus/sim_test.go
+++ b/consensus/sim_test.go
@@ -79,7 +79,7 @@
 // message.
 type faults struct {
 	loss, duplicate                float64
-	maxDelayUnits                  int
+	minDelayUnits, maxDelayUnits   int // minDelayUnits is 0 or at most maxDelayUnits
 	crash, partition, operatorStep float64
 	pause                          float64
 	crashAfterVote                 float64 // probability of a restart after a granted vote
@@ -275,7 +275,7 @@
 }
 
 func (s *sim) enqueue(m Message) {
-	delay := s.rng.IntN(s.faults.maxDelayUnits + 1)
+	delay := s.faults.minDelayUnits + s.rng.IntN(s.faults.maxDelayUnits-s.faults.minDelayUnits+1)
 	s.packets = append(s.packets, packet{s.now + 1 + uint64(delay), m})
 }
 
