consensus: abandon a campaign once for each candidate

A pre-candidate that grants a pre-vote to a node with a lower id abandons its own campaign, so that the two don't split the votes. A node that is heard and doesn't hear repeats its requests every 100 ms and never wins. If a round trip takes as long, or a busy process answers that late, each campaign of the others ends before its replies are there: no leader, with a term that stands still.

A campaign is now abandoned once for each other node until a leader is known.

--- a/consensus/config.go
+++ b/consensus/config.go
@@ -109,7 +109,7 @@
 
 // New returns a node that starts as a follower with the state in cfg.
 func New(cfg Config) *Node {
-	n := &Node{cfg: cfg.withDefaults(), now: 1, ignoredVotes: map[ID]IgnoreReason{}}
+	n := &Node{cfg: cfg.withDefaults(), now: 1, ignoredVotes: map[ID]IgnoreReason{}, yieldedTo: map[ID]bool{}}
 	n.rng = rand.New(rand.NewPCG(cfg.Seed, pcgStream))
 	n.term = cfg.HardState.Term
 	n.vote = cfg.HardState.Vote
--- a/consensus/election.go
+++ b/consensus/election.go
@@ -92,7 +92,8 @@
 		n.vote = m.From
 		n.resetElectionDeadline()
 	}
-	if grant && isPreVote && n.role == preCandidate && m.From < n.cfg.ID {
+	if grant && isPreVote && n.role == preCandidate && m.From < n.cfg.ID && !n.yieldedTo[m.From] {
+		n.yieldedTo[m.From] = true
 		n.abandonCampaign()
 	}
 	n.send(reply)
@@ -100,7 +101,8 @@
 
 // abandonCampaign makes this node a follower again in favor of another node that
 // campaigns at the same time. Both would otherwise win the pre-vote and split the
-// votes.
+// votes. It does so once for each other node until a leader is known: a node that is heard
+// and doesn't hear would otherwise end the campaigns of all others, and never win.
 func (n *Node) abandonCampaign() {
 	n.role = follower
 	n.electionDeadline = n.now + minCampaignTicks + uint64(n.rng.Int64N(campaignJitterTicks))
--- a/consensus/leader.go
+++ b/consensus/leader.go
@@ -28,6 +28,7 @@
 	n.role = leader
 	n.leader = n.cfg.ID
 	clear(n.ignoredVotes)
+	clear(n.yieldedTo)
 	n.leaderState = leadership{nextHeartbeatTick: n.now + n.cfg.HeartbeatTicks}
 	// The votes count as the first confirmed round, since they were granted after
 	// the campaign began.
--- a/consensus/node.go
+++ b/consensus/node.go
@@ -39,6 +39,7 @@
 	grantedVotes     map[ID]bool
 	campaignTick     uint64 // tick at which the campaign began
 	ignoredVotes     map[ID]IgnoreReason
+	yieldedTo        map[ID]bool // nodes for which a campaign was abandoned since a leader was known
 
 	leaderState      leadership
 	outbox           []Message
@@ -172,6 +173,7 @@
 	n.leaderState = leadership{}
 	if leaderID != "" {
 		clear(n.ignoredVotes)
+		clear(n.yieldedTo)
 	}
 }
 
