wal: test that the boot count never goes back after a power failure

RecordBoot syncs the file, renames it and syncs the directory before the node sends anything, but no test showed it.

--- a/wal/wal_test.go
+++ b/wal/wal_test.go
@@ -166,6 +166,43 @@
 	return acked
 }
 
+// TestBootCountSurvivesCrash guards against a boot count that goes back after a power
+// failure: the group then ignores the votes of the node for good.
+func TestBootCountSurvivesCrash(t *testing.T) {
+	starts := 0
+	for seed := range uint64(2000) {
+		fsys := newMemFS(seed)
+		rng := rand.New(rand.NewPCG(seed, 5))
+		used := Identity{}
+		for run := range 8 {
+			fsys.failAtCall = fsys.calls + 1 + rng.IntN(20)
+			l, _, err := Open(fsys, testDir)
+			var damage *CorruptError
+			if errors.As(err, &damage) {
+				t.Fatalf("seed %d, run %d: %v", seed, run, err)
+			}
+			if err == nil {
+				id, err := l.RecordBoot(consensus.ID(fmt.Sprint("n", run)))
+				if errors.As(err, &damage) {
+					t.Fatalf("seed %d, run %d: %v", seed, run, err)
+				}
+				if err == nil {
+					if used.Boot > 0 && id.ID != used.ID || id.Boot <= used.Boot {
+						t.Fatalf("seed %d, run %d: started as %+v after %+v", seed, run, id, used)
+					}
+					used = id
+					starts++
+					for term := range uint64(rng.IntN(4)) { // until a call fails
+						_ = l.Append(&consensus.HardState{Term: term}, nil, &consensus.Snapshot{Index: 10*id.Boot + term, Term: term})
+					}
+				}
+			}
+			fsys = fsys.crash()
+		}
+	}
+	t.Logf("%d starts", starts)
+}
+
 // newSampleLog returns a file system with a snapshot, an identity and three
 // batches, the path of the log file, and the offsets in it before, between and
 // after the batches.
