rpc: let only what was sent before a probe delay its answer

Cause: the time allowed for an answer grew with all bytes sent so far, also those sent after the probe. A leader that repeats a large change over a silent connection so put off the end of that connection, up to 10 s each time.

Change: only unproven bytes from before the probe count, and those that arrive meanwhile.

--- a/rpc/delivery.go
+++ b/rpc/delivery.go
@@ -193,8 +193,9 @@
 			if now.Sub(due) > maxTimerDelay {
 				begin = now // this process was paused, and the reply may wait unread
 			}
-			// The probe may wait behind large messages, and its reply behind those of the peer.
-			queued := d.bytesOut.Load() - d.provenBytes.Load() + d.bytesIn.Load() - in
+			// The probe may wait behind large messages, and its reply behind those of the
+			// peer. What is sent after the probe doesn't delay it.
+			queued := max(out-d.provenBytes.Load(), 0) + d.bytesIn.Load() - in
 			left := probeTimeout + transferTime(queued) - now.Sub(begin)
 			if left <= 0 {
 				c.fail(now.Sub(begin))
