consensus: limit the ignored votes that are kept

Cause: a node without a leader kept a reason for each instance that asked it for a vote, without a limit.

Change: at most 64 are kept, then they start anew.

Result: TestIgnoredVotesAreTold passes.

--- a/consensus/election.go
+++ b/consensus/election.go
@@ -69,7 +69,7 @@
 		return
 	}
 	if !n.isCurrentCandidate(m) {
-		n.ignoredVotes[m.From] = n.ignoreReason(m)
+		n.recordIgnoredVote(m)
 		return
 	}
 	isPreVote := m.Kind == MsgPreVote
@@ -124,13 +124,19 @@
 	return m.Group.isCurrentMember(m.From, m.Boot)
 }
 
-// ignoreReason returns the reason why a vote request, or the reply to one, of a node that
-// is no current member is ignored.
-func (n *Node) ignoreReason(m Message) IgnoreReason {
+// maxIgnoredVotes limits the nodes for which the reason is kept.
+const maxIgnoredVotes = 64
+
+// recordIgnoredVote records why a vote request, or the reply to one, of a node that is no
+// current member is ignored.
+func (n *Node) recordIgnoredVote(m Message) {
+	if len(n.ignoredVotes) >= maxIgnoredVotes {
+		clear(n.ignoredVotes)
+	}
+	n.ignoredVotes[m.From] = UnknownNode
 	if _, known := n.group().Peer(m.From); known {
-		return OutdatedDisk
+		n.ignoredVotes[m.From] = OutdatedDisk
 	}
-	return UnknownNode
 }
 
 // hasActiveLeader reports whether this node leads or has received a message from
@@ -146,7 +152,7 @@
 
 func (n *Node) recordVoteReply(m Message) {
 	if !n.group().isCurrentMember(m.From, m.Boot) {
-		n.ignoredVotes[m.From] = n.ignoreReason(m)
+		n.recordIgnoredVote(m)
 		return
 	}
 	if m.Reject {
