rpc: tell a lost connection from a wrong token

What callers saw: 401 for valid jobs, and a process that exits at its start with "unauthorized", when the connection to another process went silent or ended before the token was answered.

Cause: the class of the incident, a conclusion about a peer without its word: Dial took every failure of the authentication for a refusal, and callers gave up instead of trying the next server.

Change: only the peer's own refusal is reported as unauthorized; anything else as a failed connection.

Why this works: the retry of a failed connection goes to another node, and a wrong token is still final.

--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -208,7 +208,13 @@
 	}
 	if err := c.Call(ctx, methodAuth, sec.Token, nil); err != nil {
 		c.Close()
-		return nil, verdict.Refuse(verdict.Unauthorized, "authenticate at %s: %v", addr, err)
+		// Only the peer can say that the token is wrong. A connection that fails before its
+		// answer is no refusal, and callers go on to another server.
+		reason := verdict.ConnectionFailed
+		if verdict.FromError(err).Reason == verdict.Unauthorized {
+			reason = verdict.Unauthorized
+		}
+		return nil, verdict.Refuse(reason, "authenticate at %s: %v", addr, err)
 	}
 	return c, nil
 }
