devcluster: play connections that go silent between the processes

No test with real processes played that.

Change: a system of processes can run with a relay before each listener that its processes dial (control nodes, entries, agents), whose address they advertise.

--- a/devcluster/process_test.go
+++ b/devcluster/process_test.go
@@ -84,9 +84,17 @@
 	upstreams   []*process
 	runLogFiles []string
 	addrs       addresses
+	relays      map[ids.Node]relay // empty unless the processes are connected through relays
 	client      *member.Client
 }
 
+// systemOptions holds what differs between the systems of the tests.
+type systemOptions struct {
+	dir      string            // for all files, empty = a temporary one
+	binaries map[string]string // paths of the daemons, empty = build them
+	relayed  bool              // put a relay before each listener that processes of the system dial
+}
+
 const (
 	testControls = 3
 	testEntries  = 2
@@ -95,13 +103,26 @@
 
 func startSystem(t *testing.T) *system {
 	t.Helper()
-	s := &system{t: t, dir: t.TempDir(), binaries: map[string]string{}}
+	return startSystemWith(t, systemOptions{})
+}
+
+func startSystemWith(t *testing.T, o systemOptions) *system {
+	t.Helper()
+	s := &system{t: t, dir: o.dir, binaries: o.binaries}
+	if s.dir == "" {
+		s.dir = t.TempDir()
+	}
 	s.tokenFile = filepath.Join(s.dir, "token")
 	if err := os.WriteFile(s.tokenFile, []byte(member.NewNonce()+"\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	s.build("baobab-control", "baobab-entry", "baobab-agent", "baobabctl")
+	if s.binaries == nil {
+		s.binaries = buildBinaries(t, s.dir)
+	}
 	s.pickAddrs()
+	if o.relayed {
+		s.startRelays()
+	}
 	for i := range testControls {
 		s.controls = append(s.controls, s.startDaemon("baobab-control", controlNode(i), settings.Print(s.control(i))))
 	}
@@ -128,16 +149,18 @@
 	return s
 }
 
-func (s *system) build(names ...string) {
-	s.t.Helper()
-	for _, name := range names {
-		path := filepath.Join(s.dir, name)
-		out, err := exec.Command("go", "build", "-o", path, "github.com/baobabshore/baobabshore/cmd/"+name).CombinedOutput()
+// buildBinaries builds the programs that a system needs and returns their paths by name.
+func buildBinaries(t *testing.T, dir string) map[string]string {
+	t.Helper()
+	binaries := map[string]string{}
+	for _, name := range []string{"baobab-control", "baobab-entry", "baobab-agent", "baobabctl"} {
+		binaries[name] = filepath.Join(dir, name)
+		out, err := exec.Command("go", "build", "-o", binaries[name], "github.com/baobabshore/baobabshore/cmd/"+name).CombinedOutput()
 		if err != nil {
-			s.t.Fatalf("build %s: %v\n%s", name, err, out)
+			t.Fatalf("build %s: %v\n%s", name, err, out)
 		}
-		s.binaries[name] = path
 	}
+	return binaries
 }
 
 // pickAddrs picks ports for the listeners that must keep their address when a
@@ -157,7 +180,10 @@
 		}
 		return out
 	}
-	s.addrs = addresses{control: pick(testControls), callers: pick(testEntries), upstream: pick(testAgents)}
+	s.addrs = addresses{
+		control: pick(testControls), callers: pick(testEntries), upstream: pick(testAgents),
+		entry: pick(testEntries), agent: pick(testAgents), // used behind relays only
+	}
 	for _, l := range listeners {
 		l.Close()
 	}
@@ -198,6 +224,7 @@
 	c := settings.DefaultControl()
 	c.Node, c.FailureDomain, c.Data = controlNode(i), failureDomain(i), filepath.Join(s.dir, string(controlNode(i)))
 	c.Listen, c.Ops, c.TokenFile = s.addrs.control[i], anyPort, s.tokenFile
+	s.placeBehindRelay(&c.Process)
 	for j, addr := range s.addrs.control {
 		c.Peers = append(c.Peers, settings.Peer{Node: controlNode(j), Address: addr})
 	}
@@ -210,6 +237,7 @@
 	e.Node, e.FailureDomain, e.Control = entryNode(i), failureDomain(i), s.addrs.control
 	e.Listen, e.Ops, e.Callers, e.Weight = anyPort, anyPort, s.addrs.callers[i], 2-i
 	e.TokenFile = s.tokenFile
+	s.placeBehindRelay(&e.Process)
 	return e
 }
 
@@ -219,6 +247,7 @@
 	a.Node, a.FailureDomain, a.Control = AgentNode(i), failureDomain(i), s.addrs.control
 	a.Listen, a.Ops, a.Service, a.Upstream, a.Slots = anyPort, anyPort, Service, s.addrs.upstream[i], 4
 	a.TokenFile = s.tokenFile
+	s.placeBehindRelay(&a.Process)
 	return a
 }
 
