agent: close idle connections to the upstream once a task has timed out

What callers saw: after the open connections to an upstream have gone silent without a reset, tasks time out one after the other while new connections work.

Cause: a silent connection is found by the task that is sent over it, and only that one was closed. Each idle one costs a task of its own until it is 5 s old (IdleTimeout).

Once a task has timed out, the idle connections are closed and the next task connects anew. The call that has timed out goes on for LingerTimeout as before, and nothing is sent again. A slow upstream costs a connect for some tasks.

--- a/agent/incarnation.go
+++ b/agent/incarnation.go
@@ -220,8 +220,11 @@
 	}()
 }
 
+// reportTimeout answers a task whose call has timed out. Its connection may have gone silent,
+// and the idle ones with it: each of them would cost a task.
 func (inc *incarnation) reportTimeout(key ids.TaskKey, runTime time.Duration) {
 	inc.metrics.timeouts.Inc(1)
+	inc.upstreamClient.http.CloseIdleConnections()
 	inc.loop.Post(func(now time.Duration) { inc.core.TimedOut(now, timeoutAnswer(key, runTime)) })
 }
 
