--- a/rpc/delivery_test.go
+++ b/rpc/delivery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"encoding/json"
 	"net"
 	"testing"
@@ -78,12 +79,38 @@
 // Guards against a connection that is believed because its peer is heard on it, while
 // nothing arrives at the peer.
 func TestConnectionSilentTowardItsPeerIsClosed(t *testing.T) {
-	p := newRelayedPair(t)
-	p.silence(faultnet.ToServer)
-	if err := p.dialed.Notify(t.Context(), "test.lost", nil); err != nil {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
 		t.Fatal(err)
 	}
-	awaitFailure(t, p.dialed)
+	defer l.Close()
+	go func() {
+		if c, err := l.Accept(); err == nil {
+			notifyWithoutReading(c)
+		}
+	}()
+	c, err := Dial(t.Context(), l.Addr().String(), Security{}, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := c.Notify(t.Context(), "test.lost", nil); err != nil {
+		t.Fatal(err)
+	}
+	awaitFailure(t, c)
+}
+
+// notifyWithoutReading sends notifications until the connection ends.
+func notifyWithoutReading(c net.Conn) {
+	defer c.Close()
+	message := []byte(`{"jsonrpc":"2.0","method":"test.beat"}`)
+	frame := append(binary.AppendUvarint(nil, uint64(len(message))), message...)
+	for {
+		if _, err := c.Write(frame); err != nil {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // Guards against notifications that go one way without any sign that they arrive.
