rpc: keep a connection whose probe waits behind a message that is arriving

Bytes counted as progress only once a message was complete, so a reply of 4 MB at 2 MB/s had its connection closed after 1.025 s. A probe's time of 750 ms was also shorter than the second that a reader may wait for memory, and a process that had been paused judged a reply that lay unread.

Count bytes as they are read from the network. The idle check spreads over 15 groups instead of probing all connections at once, and a connection that is watched anew is compared with what has arrived until then. Conn.Prove, Await and Failed are now Acknowledge, SetAwaiting and ProbeFailed.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -261,7 +261,7 @@
 		c.Close() // the sender sent no hello, or the message names another entry
 		return wire.Empty{}, nil
 	}
-	c.Prove(m.Received)
+	c.Acknowledge(m.Received)
 	release := c.Retain()
 	posted := p.incarnation.loop.Post(func(now time.Duration) {
 		defer release()
--- a/control/peers.go
+++ b/control/peers.go
@@ -218,7 +218,7 @@
 		if !l.conn.IsClosed() {
 			return true
 		}
-		if l.conn.Failed() {
+		if l.conn.ProbeFailed() {
 			l.updateStatus(func(s *linkStatus) { s.reconnects++ })
 		}
 		l.closeConn()
--- a/control/proofs.go
+++ b/control/proofs.go
@@ -57,7 +57,7 @@
 	defer s.mu.Unlock()
 	for i := len(s.marks) - 1; i >= 0; i-- {
 		if arrived(s.marks[i]) {
-			s.conn.Prove(s.marks[i].position)
+			s.conn.Acknowledge(s.marks[i].position)
 			s.marks = s.marks[i+1:]
 			return
 		}
--- a/entry/agentconn.go
+++ b/entry/agentconn.go
@@ -128,7 +128,7 @@
 	ln := &link{sendQueue: make(chan *wire.Exchange, maxQueuedExchanges)}
 	m := rpc.NewMux()
 	m.Ordered(wire.MethodReport, rpc.Handle(func(_ context.Context, c *rpc.Conn, r wire.Report) (wire.Empty, error) {
-		c.Prove(r.Received)
+		c.Acknowledge(r.Received)
 		a.receiveReport(ln, r)
 		return wire.Empty{}, nil
 	}))
@@ -178,7 +178,7 @@
 func (a *agentConn) updatePending() {
 	a.pendingCount.Store(int64(len(a.pending)))
 	if ln := a.link.Load(); ln != nil {
-		ln.conn.Await(len(a.pending) > 0)
+		ln.conn.SetAwaiting(len(a.pending) > 0)
 	}
 }
 
--- a/rpc/codec.go
+++ b/rpc/codec.go
@@ -74,7 +74,6 @@
 		return err
 	}
 	c.counters.BytesIn.Add(int64(n))
-	c.conn.delivery.bytesIn.Add(int64(n))
 	c.counters.MessagesIn.Add(1)
 	if err := json.Unmarshal(data, v); err != nil {
 		return err
--- a/rpc/prober.go
+++ b/rpc/prober.go
@@ -9,8 +9,10 @@
 
 const (
 	// idleInterval is how often a connection is probed on which nothing arrives. The
-	// accepting side thus closes one that its peer has given up.
+	// accepting side thus closes one that its peer has given up. The connections are
+	// checked in idleGroups groups, one after the other.
 	idleInterval = 15 * time.Second
+	idleGroups   = 15
 	// maxFailedLinesPerSecond limits the log lines about connections that don't deliver.
 	maxFailedLinesPerSecond = 10
 )
@@ -22,7 +24,9 @@
 	lines *logsink.Budget
 
 	mu      sync.Mutex
-	conns   map[*Conn]struct{} // all open ones
+	conns   map[*Conn]int      // all open ones, with their group
+	next    int                // group of the next connection
+	idle    int                // group that is checked next
 	watched map[*Conn]struct{} // those with an unproven or awaited message
 	wake    chan struct{}      // signals that watched is no longer empty, or that conns is
 	running bool
@@ -30,13 +34,14 @@
 
 var connProber = &prober{
 	lines: logsink.NewBudget(maxFailedLinesPerSecond),
-	conns: map[*Conn]struct{}{}, watched: map[*Conn]struct{}{}, wake: make(chan struct{}, 1),
+	conns: map[*Conn]int{}, watched: map[*Conn]struct{}{}, wake: make(chan struct{}, 1),
 }
 
 func (p *prober) add(c *Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.conns[c] = struct{}{}
+	p.conns[c] = p.next
+	p.next = (p.next + 1) % idleGroups
 	if !p.running {
 		p.running = true
 		go p.run()
@@ -60,6 +65,7 @@
 		return
 	}
 	p.watched[c] = struct{}{}
+	c.delivery.checkedIn = c.delivery.bytesIn.Load()
 	if len(p.watched) == 1 {
 		p.signal()
 	}
@@ -73,7 +79,7 @@
 }
 
 func (p *prober) run() {
-	idle := time.NewTicker(idleInterval)
+	idle := time.NewTicker(idleInterval / idleGroups)
 	defer idle.Stop()
 	check := time.NewTimer(probeInterval)
 	defer check.Stop()
@@ -124,7 +130,10 @@
 func (p *prober) checkIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for c := range p.conns {
-		c.checkIdle()
+	for c, group := range p.conns {
+		if group == p.idle {
+			c.checkIdle()
+		}
 	}
+	p.idle = (p.idle + 1) % idleGroups
 }
--- a/rpc/rpc.go
+++ b/rpc/rpc.go
@@ -480,6 +480,12 @@
 	return s.Conn.Write(b)
 }
 
+func (s streamConn) Read(b []byte) (int, error) {
+	n, err := s.Conn.Read(b)
+	s.conn.delivery.bytesIn.Add(int64(n))
+	return n, err
+}
+
 // Close is called once when the Conn ends.
 func (s streamConn) Close() error {
 	connProber.remove(s.conn)
