control: send one large message at a time, until the peer has received it

Consensus repeats a large message at each heartbeat.

A link for large messages now sends by call, within 15 s, so that one copy is under way. Its messages no longer count as marks for the proofs of the other link.

--- a/control/peers.go
+++ b/control/peers.go
@@ -23,6 +23,8 @@
 	// redialInterval is the time between two attempts to connect to a peer.
 	redialInterval = 100 * time.Millisecond
 	sendTimeout    = 2 * time.Second
+	// bulkTimeout bounds the transfer of a large message, or of a part of it.
+	bulkTimeout = 15 * time.Second
 	// maxBatchBytes is the size of a batch, in bytes of log records and snapshots before
 	// encoding, from which it takes no further message. The last message can take the
 	// batch above it: sendSteps sends a batch below maxBatchBytes + minBulkBytes whole.
@@ -45,6 +47,7 @@
 // link sends messages to one peer in order over one connection.
 type link struct {
 	addr     string
+	bulk     bool
 	sender   stepBatch // sender's fields of each batch, without messages
 	dial     member.Dialer
 	messages chan consensus.Message
@@ -95,7 +98,7 @@
 			limit = 1 // consensus repeats a snapshot before a slow transfer of it has ended
 		}
 		l = &link{
-			addr: addr, sender: ls.sender, dial: ls.dial,
+			addr: addr, bulk: bulk, sender: ls.sender, dial: ls.dial,
 			messages: make(chan consensus.Message, limit), renewals: make(chan wire.Renewals, 1),
 		}
 		ls.byKey[linkKey{addr, bulk}] = l
@@ -179,7 +182,7 @@
 // RPC messages.
 func (l *link) sendSteps(ctx context.Context, batch stepBatch) {
 	if totalSize(batch.Messages) < maxBatchBytes+minBulkBytes {
-		if l.send(ctx, wire.MethodStep, batch) {
+		if l.send(ctx, wire.MethodStep, batch) && !l.bulk {
 			l.sent.record(l.conn, batch.Messages)
 		}
 		return
@@ -198,12 +201,16 @@
 }
 
 func (l *link) send(ctx context.Context, method string, params any) bool {
-	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	timeout := sendTimeout
+	if l.bulk {
+		timeout = bulkTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	if !l.connect(ctx) {
 		return false
 	}
-	if err := l.conn.Notify(ctx, method, params); err != nil {
+	if err := l.transmit(ctx, method, params); err != nil {
 		klog.Warningf("control: Sending to %s failed: %v.", l.addr, err)
 		l.closeConn()
 		return false
@@ -211,6 +218,16 @@
 	return true
 }
 
+// transmit sends one message. A large one is under way alone, until the peer has received it:
+// consensus repeats it at each heartbeat, and the copies would hold up each other and the
+// probe of the connection.
+func (l *link) transmit(ctx context.Context, method string, params any) error {
+	if l.bulk {
+		return l.conn.Call(ctx, method, params, nil)
+	}
+	return l.conn.Notify(ctx, method, params)
+}
+
 // connect dials the peer if there is no connection. If the peer is unreachable, it
 // drops the queued messages, since they would be outdated once the peer is back.
 func (l *link) connect(ctx context.Context) bool {
