control: let an answer prove only the first message of a heartbeat's round

Messages after a heartbeat carry its round too. An answer to the heartbeat was taken as proof for the latest batch of that round, also if that batch was lost, which delayed its probe by a round. Found by review; no test shows a failure by it.

--- a/control/proofs.go
+++ b/control/proofs.go
@@ -17,6 +17,9 @@
 	mu    sync.Mutex
 	conn  *rpc.Conn
 	marks []sentMark // oldest first
+	// Term and round of the latest heartbeat. Later messages carry the same round, and an
+	// answer to the heartbeat says nothing of them.
+	term, round uint64
 }
 
 // sentMark describes one batch of messages.
@@ -28,19 +31,22 @@
 
 // record adds a batch that has been sent over conn. Marks of another connection are dropped.
 func (s *sentMarks) record(conn *rpc.Conn, messages []consensus.Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	mark := sentMark{position: conn.Sent()}
 	for _, m := range messages {
 		switch m.Kind {
 		case consensus.MsgAppend:
-			mark.term, mark.round = m.Term, m.HeartbeatRound
+			if m.Term != s.term || m.HeartbeatRound != s.round {
+				s.term, s.round = m.Term, m.HeartbeatRound
+				mark.term, mark.round = m.Term, m.HeartbeatRound
+			}
 		case consensus.MsgAppendReply:
 			if m.Timestamp != nil {
 				mark.tick = m.Timestamp.Tick
 			}
 		}
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.conn != conn {
 		s.conn, s.marks = conn, nil
 	}
