--- a/control/core.go
+++ b/control/core.go
@@ -82,6 +82,9 @@
 	metricsInterval = time.Second
 	// retentionInterval is how often the leader looks for rows past their retention.
 	retentionInterval = time.Second
+	// slowSync is the duration from which a write to the log is reported. Heartbeats and votes
+	// wait for it, and a leader steps down that hears no quorum for 400 ms.
+	slowSync = 200 * time.Millisecond
 	// maxLoopGap is the time between two loop iterations above which the node may
 	// have missed renewals, so that it must not expire leases on their absence.
 	maxLoopGap = time.Second
@@ -160,7 +163,11 @@
 	if err := c.log.Append(rd.HardState, rd.Entries, rd.Snapshot); err != nil {
 		return errors.Wrap(err, "control: append to the log")
 	}
-	c.metrics.syncTime.RecordDuration(time.Since(begin))
+	took := time.Since(begin)
+	c.metrics.syncTime.RecordDuration(took)
+	if took >= slowSync {
+		klog.InfoS("control: Slow write to the log", "ms", took.Milliseconds(), "entries", len(rd.Entries), "leading", c.leading)
+	}
 	if rd.HardState != nil {
 		c.hardState = *rd.HardState
 	}
