control, member: name a new leader in the replies to renewals

An entry's admissions waited for a former leader that was frozen although the nodes that answered its renewals followed another one: 3.05, 3.05 and 6.10 s in three runs of TestMemberCallsTheNewLeaderWhileTheFormerOneIsFrozen. The batcher has one request under way, so all admissions of the entry wait.

Replies to renewals name the leader for 5 s after the node has begun to follow it, about 40 bytes each; the session's calls go there. A lower term than the latest is ignored. The client of a control node is told of the leader in each iteration of the event loop, since one failed call made it forget the leader (found by review: the next call then took 3.05 s).

--- a/control/core.go
+++ b/control/core.go
@@ -42,7 +42,8 @@
 	lastNoLeaderLogAt time.Time
 	lastAnnouncedAt   time.Time // last time at which this leader announced itself to the seeds
 	lastForwardAt     time.Time
-	followedAddr      string      // address of the leader as last told to client, empty if none is known
+	followed          wire.LeaderChange // the leader, zero if none is known
+	followedAt        time.Time
 	configIndex       ids.Version // log index of the latest configuration change applied since the start
 	lastMaintenanceAt time.Time
 	pendingMembers    map[ids.Incarnation]bool // members with a proposed expire or drain record that is not applied yet
@@ -85,6 +86,9 @@
 	// slowSync is the duration from which a write to the log is reported. Heartbeats and votes
 	// wait for it, and a leader steps down that hears no quorum for 400 ms.
 	slowSync = 200 * time.Millisecond
+	// leaderChangeDuration is how long replies to renewals name a new leader. Each member
+	// renews several times within it.
+	leaderChangeDuration = 5 * time.Second
 	// maxLoopGap is the time between two loop iterations above which the node may
 	// have missed renewals, so that it must not expire leases on their absence.
 	maxLoopGap = time.Second
@@ -101,7 +105,7 @@
 	}
 	c.startSnapshot()
 	c.updateLeadership(now)
-	c.followLeader()
+	c.followLeader(now)
 	c.reportMissingLeader(now)
 	c.updateConfirmation()
 	c.forwardRenewals(now)
@@ -332,18 +336,27 @@
 	c.failWaiters()
 }
 
-// followLeader tells the client of this node where the leader is. The client would otherwise
-// wait for the former one, which may be frozen.
-func (c *core) followLeader() {
+// followLeader tells the client of this node where the leader is, in each iteration, since the
+// client forgets it upon a failure. It would otherwise wait for the former one, which may be
+// frozen.
+func (c *core) followLeader(now time.Time) {
 	p, ok := c.raft.Group().Peer(c.raft.Leader())
 	if !ok {
-		c.followedAddr = ""
+		c.followed = wire.LeaderChange{}
 		return
 	}
-	if p.Addr != c.followedAddr {
-		c.followedAddr = p.Addr
-		c.client.FollowLeader(p.Addr)
+	if followed := (wire.LeaderChange{Addr: p.Addr, Term: c.raft.Term()}); followed != c.followed {
+		c.followed, c.followedAt = followed, now
 	}
+	c.client.FollowLeader(p.Addr)
+}
+
+// leaderChange returns the leader if this node has begun to follow it a short time ago.
+func (c *core) leaderChange(now time.Time) wire.LeaderChange {
+	if now.Sub(c.followedAt) > leaderChangeDuration {
+		return wire.LeaderChange{}
+	}
+	return c.followed
 }
 
 // updateConfirmation runs after all committed entries have been applied, so that the
--- a/control/serve.go
+++ b/control/serve.go
@@ -197,7 +197,8 @@
 		return wire.RenewReply{Gone: true}, nil
 	}
 	c.leases.renew(p, arrived)
-	confirmationAge, e := c.confirmationAge(time.Now())
+	now := time.Now()
+	confirmationAge, e := c.confirmationAge(now)
 	if e != nil {
 		return wire.RenewReply{}, e
 	}
@@ -205,7 +206,7 @@
 		// A version without the rows up to it would make the member skip these rows.
 		return wire.RenewReply{}, verdict.Refuse(verdict.Stale, "node %s has not reached incarnation %d", c.opt.Node, p.Incarnation)
 	}
-	r := wire.RenewReply{ConfirmedAgeMS: ceilMS(confirmationAge), FromLeader: c.leading}
+	r := wire.RenewReply{ConfirmedAgeMS: ceilMS(confirmationAge), FromLeader: c.leading, Leader: c.leaderChange(now)}
 	if addrs := c.groupAddrs(); wire.GroupHash(addrs) != p.ControlGroupHash {
 		r.Control = addrs
 	}
--- a/member/session.go
+++ b/member/session.go
@@ -63,6 +63,7 @@
 	controlAddrs   []string // of the control nodes, indexed by renewalTracker.serverIndex
 	isAgent        bool
 	lastGoodAddr   string // of the control node that sent the latest reply to a renewal
+	leaderTerm     uint64 // of the latest leader that a reply has named
 
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
@@ -351,7 +352,12 @@
 	s.view.Store(s.renewalTracker.view)
 	switched := s.isAgent && s.lastGoodAddr != addr
 	s.lastGoodAddr = addr
+	leaderNamed := r.Leader.Addr != "" && r.Leader.Term >= s.leaderTerm
+	s.leaderTerm = max(s.leaderTerm, r.Leader.Term)
 	s.mu.Unlock()
+	if leaderNamed {
+		s.serverPool.followLeader(r.Leader.Addr)
+	}
 	if switched {
 		s.serverPool.closeOthers(addr)
 	}
--- a/wire/member.go
+++ b/wire/member.go
@@ -103,6 +103,14 @@
 	// Control lists the addresses of the control nodes if their GroupHash differs
 	// from Renew.Group.
 	Control []string `json:"m,omitempty"`
+	// Leader is set for some seconds after the node has begun to follow another leader.
+	Leader LeaderChange `json:"f,omitzero"`
+}
+
+// LeaderChange names the node that became leader in a term.
+type LeaderChange struct {
+	Addr string `json:"a"` // host:port
+	Term uint64 `json:"t"`
 }
 
 // SetVersion sets Version and VersionDelta in a reply to a member that holds version have.
