--- a/rpc/delivery_test.go
+++ b/rpc/delivery_test.go
@@ -81,24 +81,34 @@
 	}
 }
 
-// Guards against a connection that is believed because its peer is heard on it, while
-// nothing arrives at the peer.
-func TestConnectionSilentTowardItsPeerIsClosed(t *testing.T) {
+// dialStandIn returns a connection whose peer is played by serve.
+func dialStandIn(t *testing.T, serve func(net.Conn)) *Conn {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
+	t.Cleanup(func() { l.Close() })
 	go func() {
-		if c, err := l.Accept(); err == nil {
-			notifyWithoutReading(c)
+		c, err := l.Accept()
+		if err != nil {
+			return
 		}
+		defer c.Close()
+		serve(c)
+		<-t.Context().Done()
 	}()
 	c, err := Dial(t.Context(), l.Addr().String(), Security{}, nil, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer c.Close()
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// Guards against a connection that is believed because its peer is heard on it, while
+// nothing arrives at the peer.
+func TestConnectionSilentTowardItsPeerIsClosed(t *testing.T) {
+	c := dialStandIn(t, notifyWithoutReading)
 	if err := c.Notify(t.Context(), "test.lost", nil); err != nil {
 		t.Fatal(err)
 	}
@@ -107,7 +117,6 @@
 
 // notifyWithoutReading sends notifications until the connection ends.
 func notifyWithoutReading(c net.Conn) {
-	defer c.Close()
 	message := []byte(`{"jsonrpc":"2.0","method":"test.beat"}`)
 	frame := append(binary.AppendUvarint(nil, uint64(len(message))), message...)
 	for {
@@ -181,21 +190,7 @@
 // Guards against a probe that closes a connection on which its reply waits behind a large
 // message that is arriving.
 func TestConnectionIsKeptWhileALargeReplyArrives(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	go func() {
-		if c, err := l.Accept(); err == nil {
-			replySlowly(c, 4<<20, 2<<20)
-		}
-	}()
-	c, err := Dial(t.Context(), l.Addr().String(), Security{}, nil, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer c.Close()
+	c := dialStandIn(t, func(c net.Conn) { replySlowly(c, 4<<20, 2<<20) })
 	if err := c.Call(t.Context(), "test.large", nil, nil); err != nil {
 		t.Error(err)
 	}
@@ -207,7 +202,6 @@
 // replySlowly answers each request in turn, the first one with size bytes that it sends at
 // bytesPerSecond.
 func replySlowly(c net.Conn, size, bytesPerSecond int) {
-	defer c.Close()
 	const parts = 10 // a second
 	part := bytesPerSecond / parts
 	codec, r := jsonrpc2.VarintObjectCodec{}, bufio.NewReader(c)
@@ -233,16 +227,9 @@
 
 // Guards against a caller that can't leave a peer which doesn't read before the write times out.
 func TestAbortEndsABlockedWrite(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	c, err := Dial(t.Context(), l.Addr().String(), Security{}, nil, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := dialStandIn(t, func(net.Conn) {})
 	time.AfterFunc(100*time.Millisecond, c.Abort)
+	var err error
 	for err == nil {
 		err = c.Notify(t.Context(), "test.large", strings.Repeat("x", 8<<20))
 	}
