--- a/review/rig/platform/world.go
+++ b/review/rig/platform/world.go
@@ -40,10 +40,9 @@
 // process is one program of the project.
 type process struct {
 	role, node, ip string
+	index          int // of its machine among those of its class
 	cmd            *exec.Cmd
 	exited         chan struct{}
-	starts         int
-	killed         bool // by this test
 }
 
 // world is the deployment under test.
@@ -154,7 +153,7 @@
 	name := fmt.Sprintf("%s-%d/%s", class, i+1, role)
 	p := w.processes[name]
 	if p == nil {
-		p = &process{role: role, node: fmt.Sprintf("%s-%s-1", class, zone(i)), ip: ip}
+		p = &process{role: role, node: fmt.Sprintf("%s-%s-1", class, zone(i)), ip: ip, index: i}
 		w.processes[name] = p
 	}
 	file, err := w.writeSettings(p, class, i, bootstrap)
@@ -174,8 +173,6 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
-	p.starts++
-	p.killed = false
 	exited := make(chan struct{})
 	p.exited = exited
 	cmd := p.cmd
@@ -225,7 +222,6 @@
 // kill ends a process with SIGKILL and waits for its end.
 func (w *world) kill(name string) {
 	p := w.processes[name]
-	p.killed = true
 	_ = p.cmd.Process.Kill() // it may have ended already
 	<-p.exited
 	w.rec.add("%s is killed", name)
@@ -240,9 +236,8 @@
 // restart starts a process again after it has ended.
 func (w *world) restart(name string) error {
 	p := w.processes[name]
-	i, _ := strconv.Atoi(strings.TrimLeft(strings.Split(name, "/")[0], "frontsid-"))
 	w.rec.add("%s is started again", name)
-	return w.run(p.role, i-1, false)
+	return w.run(p.role, p.index, false)
 }
 
 func (p *process) hasExited() bool {
