--- a/review/rig/platform/count.go
+++ b/review/rig/platform/count.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -25,10 +26,12 @@
 		}
 	}
 	stop := make(chan struct{})
+	var supervisors sync.WaitGroup
+	defer supervisors.Wait() // none may start a process after the end of the test
 	defer close(stop)
 	var ends [fronts]atomic.Int32
 	for i := range fronts {
-		go w.superviseEntry(i, &ends[i], stop)
+		supervisors.Go(func() { w.superviseEntry(i, &ends[i], stop) })
 	}
 	id := newID()
 	for n := range maxSends {
