--- a/review/rig/platform/client.go
+++ b/review/rig/platform/client.go
@@ -16,6 +16,8 @@
 	Cpu         int
 	MemMb       int
 	EstimatedMs int
+	// Requirements is the kind of executor that a task needs, empty for any.
+	Requirements string `json:",omitempty"`
 }
 
 type job struct {
--- a/review/rig/platform/executor.go
+++ b/review/rig/platform/executor.go
@@ -26,6 +26,7 @@
 	addr     string // of its own interface
 	control  string // where it registers
 	zone     string
+	kind     string // a label
 	service  string
 	born     time.Time
 	capacity int // thousandths of a core
@@ -60,9 +61,9 @@
 	run    *taskRun
 }
 
-func newExecutor(rec *record, id, addr, control, zone, service string) *executor {
+func newExecutor(rec *record, id, addr, control, zone, kind, service string) *executor {
 	return &executor{
-		rec: rec, id: id, addr: addr, control: control, zone: zone, service: service, born: time.Now(), capacity: 64000,
+		rec: rec, id: id, addr: addr, control: control, zone: zone, kind: kind, service: service, born: time.Now(), capacity: 64000,
 		runs: map[string]*taskRun{}, highest: map[string]uint32{}, changed: make(chan struct{}),
 	}
 }
@@ -98,7 +99,7 @@
 		down := x.down
 		body, _ := json.Marshal(map[string]any{
 			"Service": x.service, "Address": x.addr, "Zone": x.zone, "Version": "v1", "Slots": 8, "State": "ready", "ColdRemainingMs": 0,
-			"Capacity": map[string]int{"Cpu": x.capacity, "MemMb": 131072, "Gpu": 0}, "Labels": []string{"a", "r1-1"},
+			"Capacity": map[string]int{"Cpu": x.capacity, "MemMb": 131072, "Gpu": 0}, "Labels": []string{x.kind, "r1-1"},
 			"ClockMs": x.clockMs(), "Sequence": x.sequence, "born": x.born.UnixMilli(),
 		})
 		x.mu.Unlock()
--- a/review/rig/platform/main.go
+++ b/review/rig/platform/main.go
@@ -32,6 +32,7 @@
 	"pipelined": playPipelined,
 	"oversized": playOversized,
 	"renamed":   playRenamed,
+	"uncounted": playUncounted,
 }
 
 func main() {
--- a/review/rig/platform/world.go
+++ b/review/rig/platform/world.go
@@ -106,7 +106,7 @@
 			return err
 		}
 		ip := w.sideIP(i)
-		x := newExecutor(w.rec, fmt.Sprintf("i-%d", i+1), w.addr(ip, portExecutor), w.addr(ip, portControl), zone(i), service)
+		x := newExecutor(w.rec, fmt.Sprintf("i-%d", i+1), w.addr(ip, portExecutor), w.addr(ip, portControl), zone(i), kind(i), service)
 		if err := x.start(); err != nil {
 			return err
 		}
@@ -142,6 +142,9 @@
 
 func zone(i int) string { return "zone-" + string(rune('a'+i)) }
 
+// kind is the kind of the executors on a side machine.
+func kind(i int) string { return string(rune('a' + i)) }
+
 // run starts the process of a role on a machine, as the deploy file says.
 func (w *world) run(role string, i int, bootstrap bool) error {
 	ip, class := w.frontIP(i), "front"
