dispatch: give each key to one task

Cause: startBatch advanced the entry's sequence of keys by the number of tasks that the caller had named, before the batch was admitted. Two refused jobs of 2^63-1 tasks set it back by two, so the next batch got two keys of the one that ran. The core compared only the first key of a batch with other first keys, and the agent answered a start with a known key from the row of the older task.

Change: the core gives out the keys, on the event loop, only for work that it takes in, in rising order, and refuses work whose keys overlap earlier ones. An agent refuses a start with a known key as not run (key-reuse) if its batch, name, size or spec is not that of the row.

The fix doesn't depend on the counts: no refusal changes the sequence, and a key that is known for another task is never taken for a repetition.

--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -62,8 +62,8 @@
 	if err := c.admitBatch(now, b); err != nil {
 		return err
 	}
-	if c.requests[b.Key] != nil {
-		return verdict.Refuse(verdict.BadRequest, "batch %s is already in progress", b.Key)
+	if err := c.useKeys(b.Key, b.tasks()); err != nil {
+		return err
 	}
 	j := newBatchJob(c.service(b.Service), b)
 	c.requests[b.Key] = j
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -40,6 +40,7 @@
 	now                  time.Duration // time of the current tick, for the texts of errors
 	nextLateBatchCheckAt time.Duration // of the waiting batches, zero if none is planned
 	startupEndsAt        time.Duration // batches wait for workers to connect until then
+	freeKeyIndex         uint64        // above the indexes of all keys in use
 	nextLeaseCheckAt     time.Duration // of the tasks at workers, zero if none is planned
 	messageCounts        Messages
 	recentDecisions      decisionRing
@@ -357,8 +358,8 @@
 	if err := c.Admit(now, spec); err != nil {
 		return err
 	}
-	if c.requests[r.Key] != nil {
-		return verdict.Refuse(verdict.BadRequest, "request %s is already in progress", r.Key)
+	if err := c.useKeys(r.Key, 1); err != nil {
+		return err
 	}
 	j := &job{
 		key:          r.Key,
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -115,10 +115,7 @@
 
 // startBatch passes a batch to the core. conn is the connection of its caller, or nil.
 func (inc *incarnation) startBatch(b Batch, conn net.Conn) (*request, *verdict.Error) {
-	// One sequence number is reserved for each task, so that the keys of the tasks
-	// follow the key of the batch.
-	keyCount := uint64(max(b.Tasks(), 1))
-	r := &request{key: ids.RequestOf(inc.self, inc.requestSeq.Add(keyCount)-keyCount+1), batch: b.id(), conn: conn, done: make(chan struct{})}
+	r := &request{batch: b.id(), conn: conn, done: make(chan struct{})}
 	var refused *verdict.Error
 	ok := inc.loop.Call(func(now time.Duration) { refused = inc.addBatch(now, b, r) })
 	if !ok {
@@ -127,7 +124,7 @@
 	return r, refused
 }
 
-// addBatch passes a batch to the core on the event loop. r gets its outcome.
+// addBatch passes a batch to the core on the event loop. r gets its key and its outcome.
 func (inc *incarnation) addBatch(now time.Duration, b Batch, r *request) *verdict.Error {
 	if inc.entry.deleted.contains(b.id()) {
 		return verdict.Refuse(verdict.Deleted, "the caller has deleted the batch")
@@ -137,6 +134,7 @@
 	if b.StartBy > 0 {
 		startBy = arrived + b.StartBy
 	}
+	r.key = inc.core.NextKey()
 	refused := inc.core.Batch(now, dispatch.Batch{
 		StartBy: startBy,
 		Key:     r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
--- a/entry/life.go
+++ b/entry/life.go
@@ -36,7 +36,6 @@
 
 	latestEntry ids.Incarnation // the entry that was registered last in the views so far
 
-	requestSeq        atomic.Uint64                    // last sequence number of single requests and tasks of batches
 	agentsUnreachable atomic.Bool                      // the core has no usable agent
 	cluster           atomic.Pointer[settings.Cluster] // configuration in force
 	queues            atomic.Pointer[QueueTable]
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -374,9 +374,10 @@
 
 // request passes a single request to the core.
 func (inc *incarnation) request(s singleRequest) (*request, *verdict.Error) {
-	r := &request{key: ids.RequestOf(inc.self, inc.requestSeq.Add(1)), done: make(chan struct{})}
+	r := &request{done: make(chan struct{})}
 	var refused *verdict.Error
 	ok := inc.loop.Call(func(now time.Duration) {
+		r.key = inc.core.NextKey()
 		refused = inc.core.Request(now, dispatch.Request{
 			Key: r.key, Team: s.Team, Service: s.Service, Spec: s.Tasks[0],
 			Idempotent: s.Idempotent, Deadline: now + s.Deadline,
--- a/executor/core.go
+++ b/executor/core.go
@@ -57,6 +57,7 @@
 // start is answered instead of run.
 type row struct {
 	key             ids.TaskKey
+	task            taskIdentity
 	epoch           ids.Epoch
 	try             uint32
 	owner           *session
@@ -75,7 +76,6 @@
 	callAbandoned   bool // the task was answered after a timeout, its call has not returned yet
 	size            wire.Resources
 	declaredRunTime time.Duration // zero if unknown
-	batchFirstIndex uint64        // index of the first task of its batch
 	abortQueued     bool          // an abort was added to pendingAborts
 	leaseEndAtAbort time.Duration // end of the owner's lease when abortQueued was set
 }
@@ -106,7 +106,7 @@
 	reportedDown     bool
 	lastReportAt     time.Duration
 	pendingAnswers   []*row        // to be sent with the next report
-	fencedAnswers    []wire.Answer // answers to starts of tasks that another entry owns
+	detachedAnswers  []wire.Answer // answers to starts of tasks that another entry owns
 	startedKeys      []ids.TaskKey
 	unackedAnswers   []*row        // sent, in order of transmission
 	reportDue        bool          // forces a report even if there is no answer to send
--- a/executor/credit.go
+++ b/executor/credit.go
@@ -87,7 +87,7 @@
 // is reported once the entry has been wrong for creditReportDelay about whether the
 // upstream accepts its tasks.
 func (c *Core) needsReport(now time.Duration, s *session) bool {
-	if s.reportDue || len(s.pendingAnswers)+len(s.fencedAnswers)+len(s.startedKeys) > 0 {
+	if s.reportDue || len(s.pendingAnswers)+len(s.detachedAnswers)+len(s.startedKeys) > 0 {
 		return true
 	}
 	if s.reportedDraining != c.draining() || s.reportedDown != c.upstreamDown {
--- a/executor/pace.go
+++ b/executor/pace.go
@@ -94,7 +94,7 @@
 		c.setFitness(now, true, "a task completed")
 		return
 	}
-	if id := (batchID{r.owner.entry, r.batchFirstIndex}); id != f.lastFailedBatch {
+	if id := (batchID{r.owner.entry, r.task.batch}); id != f.lastFailedBatch {
 		f.lastFailedBatch = id
 		f.consecutiveFailures++
 	}
--- a/executor/start.go
+++ b/executor/start.go
@@ -49,7 +49,12 @@
 // receiveStart queues the task, answers a duplicate from its row, or refuses the start.
 func (c *Core) receiveStart(now time.Duration, s *session, st wire.Start) {
 	r := c.rows[st.Key]
+	task := identityOf(&st)
 	if r != nil && !r.restartableBy(st) {
+		if r.task != task {
+			c.refuseKeyReuse(s, st)
+			return
+		}
 		c.answerDuplicate(s, r, st)
 		return
 	}
@@ -59,7 +64,7 @@
 	} else {
 		r.removePendingAnswer()
 	}
-	r.epoch, r.try, r.owner, r.team = st.Epoch, st.Try, s, st.Team
+	r.task, r.epoch, r.try, r.owner, r.team = task, st.Epoch, st.Try, s, st.Team
 	r.acked, r.answer, r.resends = false, nil, 0
 	if reason != "" {
 		c.refuse(r, reason)
@@ -70,7 +75,6 @@
 	r.start = st
 	r.size = st.Size
 	r.declaredRunTime = time.Duration(st.DeclaredMS) * time.Millisecond
-	r.batchFirstIndex = st.Batch
 	r.abortQueued = false
 	r.deadline = now + time.Duration(st.BudgetMS)*time.Millisecond
 	s.addHeld(r.team, 1)
@@ -115,7 +119,7 @@
 // answerDuplicate answers a duplicate start with the current state of the task.
 func (c *Core) answerDuplicate(s *session, r *row, st wire.Start) {
 	if r.owner != s {
-		s.fencedAnswers = append(s.fencedAnswers, wire.Answer{
+		s.detachedAnswers = append(s.detachedAnswers, wire.Answer{
 			Key: r.key, Try: st.Try, Verdict: verdict.MayHaveRun, Reason: verdict.Fenced,
 		})
 		return
--- a/executor/tick.go
+++ b/executor/tick.go
@@ -98,7 +98,7 @@
 func (c *Core) buildReport(now time.Duration, s *session) wire.Report {
 	m := wire.Report{
 		Upstream:     c.cfg.Self,
-		Answers:      s.fencedAnswers,
+		Answers:      s.detachedAnswers,
 		Started:      s.startedKeys,
 		Credit:       s.credit,
 		Held:         s.heldCount,
@@ -117,7 +117,7 @@
 		r.answerSentAt = now
 		s.unackedAnswers = append(s.unackedAnswers, r)
 	}
-	s.pendingAnswers, s.fencedAnswers, s.startedKeys = nil, nil, nil
+	s.pendingAnswers, s.detachedAnswers, s.startedKeys = nil, nil, nil
 	s.reportedDraining, s.reportedDown = c.draining(), c.upstreamDown
 	s.reportedCredit, s.reportedOthers = s.credit, c.running+c.queued-s.heldCount
 	s.creditStaleSince = 0
