dispatch: bound each field of a batch where it comes in

Cause: counts of callers were added before they were checked, in Batch.Tasks and Batch.tasks. The negative sum passed the limit of tasks and the reservation of memory. Run times in milliseconds were multiplied without a check, too.

Change: dispatch.NewWork turns the steps into a Work, whose every number is inside a documented bound; a batch can't hold another value. The steps of a batch count what they wait for instead of looking at all steps after each end.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -81,7 +81,7 @@
 	Key     ids.TaskKey
 	Team    ids.Team
 	Service ids.Service
-	Steps   []Step
+	Work    Work
 	// Name returns the name of a task for its worker.
 	Name func(step, index int) string
 	// Attempts is the number of failures of one task after which the batch
--- a/dispatch/batch.go
+++ b/dispatch/batch.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"time"
 
@@ -39,9 +38,10 @@
 	runTime        float64 // declared for one task, in seconds
 	remainingChain float64 // declared run time of the longest chain of steps that wait for this one, in seconds
 	predecessors   []int   // positions of the steps that it waits for
+	successors     []int   // positions of the steps that wait for it
+	waitsFor       int     // number of predecessors that are not done
 	placement      Placement
-	done           int  // number of tasks with a result
-	released       bool // its tasks have been queued
+	done           int // number of tasks with a result
 }
 
 // before orders batches by priority, and those of equal priority by the time by
@@ -58,19 +58,18 @@
 
 // Batch takes in a batch, or refuses it with verdict not-run.
 func (c *Core) Batch(now time.Duration, b Batch) *verdict.Error {
-	b.Steps = withAssumedRunTimes(b.Steps)
 	if err := c.admitBatch(now, b); err != nil {
 		return err
 	}
-	if err := c.useKeys(b.Key, b.tasks()); err != nil {
+	if err := c.useKeys(b.Key, b.Work.tasks); err != nil {
 		return err
 	}
 	j := newBatchJob(c.service(b.Service), b)
 	c.requests[b.Key] = j
 	c.initJob(now, j, j.taskSpecs(b))
-	j.svc.taskSizes.learn(b.Steps)
+	j.svc.taskSizes.learn(b.Work.steps)
 	j.svc.updateNeedsFastAverages(now, b)
-	c.releaseReadySteps(j)
+	c.releaseFirstSteps(j)
 	j.svc.unplacedTasks += j.waitingTasks
 	if len(j.tasks) == 0 {
 		c.completeJob(now, j)
@@ -78,29 +77,14 @@
 	return nil
 }
 
-// assumedRunTime is used where no run time is declared. Without one, a batch
-// would be neither planned nor refused.
-const assumedRunTime = 200 * time.Millisecond
-
-// withAssumedRunTimes returns a copy of the steps in which each has a run time.
-func withAssumedRunTimes(steps []Step) []Step {
-	out := slices.Clone(steps)
-	for i := range out {
-		if out[i].RunTime <= 0 {
-			out[i].RunTime = assumedRunTime
-		}
-	}
-	return out
-}
-
 // newBatchJob returns the job of a batch whose steps have not been released yet.
 func newBatchJob(s *service, b Batch) *job {
 	j := &job{
 		key: b.Key, team: b.Team, svc: s, deadline: b.Deadline, unrecorded: true, idempotent: true,
-		batch: &batch{maxFailures: max(b.Attempts, 1), priority: b.Priority, queueName: b.Queue, objective: b.Objective, arrivedAt: b.Arrived, startBy: b.StartBy, chainRunTime: LongestChain(b.Steps).Seconds()},
+		batch: &batch{maxFailures: max(b.Attempts, 1), priority: b.Priority, queueName: b.Queue, objective: b.Objective, arrivedAt: b.Arrived, startBy: b.StartBy, chainRunTime: b.Work.chain.Seconds()},
 	}
 	work, tasks := 0.0, 0
-	for i, st := range b.Steps {
+	for i, st := range b.Work.steps {
 		j.batch.steps = append(j.batch.steps, step{first: tasks, tasks: st.Tasks, predecessors: st.After, runTime: st.RunTime.Seconds(), placement: st.Placement})
 		for range st.Tasks {
 			j.batch.stepIndexes = append(j.batch.stepIndexes, i)
@@ -109,7 +93,7 @@
 		work += st.RunTime.Seconds() * float64(st.Tasks)
 	}
 	j.batch.prior = s.runTimeRegression(b.Queue).predictFactor(j.batch.chainRunTime)
-	j.batch.setRemainingChains()
+	j.batch.linkSteps()
 	j.tasks = make([]task, tasks)
 	j.nextNewTask = tasks // tasks are queued step by step, through requeuedTasks
 	if tasks > 0 {
@@ -120,13 +104,16 @@
 	return j
 }
 
-// setRemainingChains computes the longest chain of steps that wait for each
-// step. Predecessors have lower positions, so one pass from the end is enough.
-func (b *batch) setRemainingChains() {
+// linkSteps tells each step which steps wait for it, and how long the longest chain of
+// these is. Predecessors have lower positions, so one pass from the end is enough.
+func (b *batch) linkSteps() {
 	for i := len(b.steps) - 1; i >= 0; i-- {
 		st := &b.steps[i]
+		st.waitsFor = len(st.predecessors)
 		for _, k := range st.predecessors {
-			b.steps[k].remainingChain = max(b.steps[k].remainingChain, st.runTime+st.remainingChain)
+			before := &b.steps[k]
+			before.remainingChain = max(before.remainingChain, st.runTime+st.remainingChain)
+			before.successors = append(before.successors, i)
 		}
 	}
 }
@@ -135,7 +122,7 @@
 // times.
 func (j *job) taskSpecs(b Batch) []wire.TaskSpec {
 	specs := make([]wire.TaskSpec, 0, len(j.tasks))
-	for i, st := range b.Steps {
+	for i, st := range b.Work.steps {
 		for k := range st.Tasks {
 			spec := st.Spec
 			spec.Name = b.Name(i, k)
@@ -146,55 +133,38 @@
 	return specs
 }
 
-// LongestChain is the declared run time of the longest chain of steps.
-func LongestChain(steps []Step) time.Duration {
-	ends := make([]time.Duration, len(steps))
-	longest := time.Duration(0)
-	for i, st := range steps {
-		begin := time.Duration(0)
-		for _, k := range st.After {
-			begin = max(begin, ends[k])
+// releaseFirstSteps queues the tasks of the steps that wait for no other.
+func (c *Core) releaseFirstSteps(j *job) {
+	for i := range j.batch.steps {
+		if st := &j.batch.steps[i]; st.waitsFor == 0 {
+			c.releaseStep(j, st)
 		}
-		ends[i] = begin + st.RunTime
-		longest = max(longest, ends[i])
 	}
-	return longest
 }
 
-// releaseReadySteps queues the tasks of each step whose predecessors are done.
-func (c *Core) releaseReadySteps(j *job) {
-	for i := range j.batch.steps {
-		st := &j.batch.steps[i]
-		if st.released || !j.batch.isReady(st) {
-			continue
-		}
-		st.released = true
-		for k := st.tasks - 1; k >= 0; k-- {
-			c.requeue(j, st.first+k)
-		}
+// releaseStep queues the tasks of a step.
+func (c *Core) releaseStep(j *job, st *step) {
+	for k := st.tasks - 1; k >= 0; k-- {
+		c.requeue(j, st.first+k)
 	}
 }
 
 // stepOfTask returns the step of the task with the given index.
 func (j *job) stepOfTask(index int) *step { return &j.batch.steps[j.batch.stepIndexes[index]] }
 
-// isReady reports whether all predecessors of a step are done.
-func (b *batch) isReady(st *step) bool {
-	for _, k := range st.predecessors {
-		if b.steps[k].done < b.steps[k].tasks {
-			return false
-		}
-	}
-	return true
-}
-
-// completeStepTask counts a task as done and releases the steps that waited for
-// its step.
+// completeStepTask counts a task as done and releases the steps that waited only
+// for its step.
 func (c *Core) completeStepTask(j *job, index int) {
 	st := j.stepOfTask(index)
 	st.done++
-	if st.done == st.tasks {
-		c.releaseReadySteps(j)
+	if st.done < st.tasks {
+		return
+	}
+	for i := len(st.successors) - 1; i >= 0; i-- { // in order of position
+		next := &j.batch.steps[st.successors[i]]
+		if next.waitsFor--; next.waitsFor == 0 {
+			c.releaseStep(j, next)
+		}
 	}
 }
 
--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -192,7 +192,7 @@
 func (s *service) updateNeedsFastAverages(now time.Duration, b Batch) {
 	factor := s.runTimeFactorOf(b)
 	tasks := 0
-	for _, st := range b.Steps {
+	for _, st := range b.Work.steps {
 		if factor.needsFastWorker(now, b.Deadline, st.RunTime.Seconds()) {
 			tasks = max(tasks, st.Tasks)
 		}
--- a/dispatch/eligible.go
+++ b/dispatch/eligible.go
@@ -102,7 +102,7 @@
 // steps' limits, zero if u lacks a label.
 func (b Batch) maxTasksAt(u *upstream) int {
 	most := math.MaxInt
-	for _, st := range b.Steps {
+	for _, st := range b.Work.steps {
 		if !u.hasLabel(st.Label) {
 			return 0
 		}
--- a/dispatch/lateness.go
+++ b/dispatch/lateness.go
@@ -132,7 +132,7 @@
 
 // runTimeFactorOf returns the distribution for a batch before it is taken in.
 func (s *service) runTimeFactorOf(b Batch) runTimeFactor {
-	factor := s.runTimeRegression(b.Queue).predictFactor(LongestChain(b.Steps).Seconds())
+	factor := s.runTimeRegression(b.Queue).predictFactor(b.Work.chain.Seconds())
 	return factor.scaled(math.Exp(s.meanLogDeclaredRatio))
 }
 
--- a/dispatch/runtimes.go
+++ b/dispatch/runtimes.go
@@ -104,7 +104,7 @@
 // learnDeclaredSize adds a batch that has arrived to the sizes of its queue, whether it
 // is taken in or not.
 func (s *service) learnDeclaredSize(b Batch) {
-	if chain := LongestChain(b.Steps).Seconds(); chain > 0 {
+	if chain := b.Work.chain.Seconds(); chain > 0 {
 		s.runTimeRegression(b.Queue).sizes.learn(chain)
 	}
 }
--- a/entry/batch.go
+++ b/entry/batch.go
@@ -21,7 +21,7 @@
 type Batch struct {
 	ID       string // given by the caller, who may delete the batch by it
 	Service  ids.Service
-	Steps    []dispatch.Step
+	Work     dispatch.Work
 	Name     func(step, index int) string // returns the name of a task at its worker
 	Attempts int                          // failures of one task after which the batch fails
 	Queue    string
@@ -39,21 +39,12 @@
 // Target returns the time from the arrival by which the answer is due if the tasks
 // run as long as declared.
 func (b Batch) Target() time.Duration {
-	return b.Objective.Fixed + time.Duration(b.Objective.Stretch*float64(dispatch.LongestChain(b.Steps)))
+	return b.Objective.Fixed + time.Duration(b.Objective.Stretch*float64(b.Work.LongestChain()))
 }
 
 // id returns the name of the batch among those of all callers.
 func (b Batch) id() wire.BatchID { return wire.BatchID{Queue: b.Queue, ID: b.ID} }
 
-// Tasks returns the number of tasks of all steps.
-func (b Batch) Tasks() int {
-	n := 0
-	for _, s := range b.Steps {
-		n += s.Tasks
-	}
-	return n
-}
-
 // RunBatch runs a batch and returns when all its tasks are done. It stops when the
 // caller closes conn; a nil conn is not watched. The verdict of an error tells
 // whether a task may have run.
@@ -137,7 +128,7 @@
 	r.key = inc.core.NextKey()
 	refused := inc.core.Batch(now, dispatch.Batch{
 		StartBy: startBy,
-		Key:     r.key, Team: batchTeam, Service: b.Service, Steps: b.Steps, Name: b.Name, Attempts: b.Attempts,
+		Key:     r.key, Team: batchTeam, Service: b.Service, Work: b.Work, Name: b.Name, Attempts: b.Attempts,
 		Queue: b.Queue, Priority: b.Priority, Arrived: arrived, Objective: b.Objective, Deadline: arrived + b.Deadline,
 	})
 	if refused == nil {
--- a/wire/resources.go
+++ b/wire/resources.go
@@ -8,9 +8,19 @@
 	GPU    int `json:"g,omitempty"` // devices
 }
 
+// MaxAmount bounds each resource of a task and of a worker. It is above what any machine
+// has, and sums over the tasks of all workers stay far below an overflow.
+const MaxAmount = 1 << 40
+
 // IsZero reports whether no resources are counted.
 func (r Resources) IsZero() bool { return r == Resources{} }
 
+// HasNegative reports whether an amount is below zero.
+func (r Resources) HasNegative() bool { return min(r.CPU, r.Memory, r.GPU) < 0 }
+
+// ExceedsMax reports whether an amount is above MaxAmount.
+func (r Resources) ExceedsMax() bool { return max(r.CPU, r.Memory, r.GPU) > MaxAmount }
+
 // Add returns the sum of two amounts.
 func (r Resources) Add(o Resources) Resources {
 	return Resources{CPU: r.CPU + o.CPU, Memory: r.Memory + o.Memory, GPU: r.GPU + o.GPU}
