tests: give each listener an address of its own, lose an entry that can't come back

Connections to such an address have 127.0.0.1 at their near end, so their ports don't collide either.

TestDeleteWaitsForEveryLiveEntry let the registration of an entry end whose listener was closed, and the entry registered again: then the DELETE waits for it, as it must. The entry is frozen now before its registration ends, so it stays lost; all checks are as before.

--- a/control/configuration_test.go
+++ b/control/configuration_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"github.com/baobabshore/baobabshore/controlstate"
+	"github.com/baobabshore/baobabshore/loopback"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -142,7 +143,7 @@
 	if r, err := c.Confirm(g.ctx(), wire.Confirm{WithSource: true}); err != nil || string(r.Source) != string(last.Source) {
 		t.Errorf("%d bytes of text, %v", len(r.Source), err)
 	}
-	newNode := g.add(Peer{Node: "c3", Addr: freeAddr(t)}, nil)
+	newNode := g.add(Peer{Node: "c3", Addr: loopback.FreeAddr(t)}, nil)
 	g.opts[newNode].JoinOnly = true
 	g.opts[newNode].Peers = g.opts[0].Peers
 	g.start(newNode)
--- a/control/daemon/daemon_test.go
+++ b/control/daemon/daemon_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"path/filepath"
 	"strings"
@@ -12,27 +11,17 @@
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/loopback"
 	"github.com/baobabshore/baobabshore/settings"
 )
 
-// freeAddr returns a loopback address that no process listens on.
-func freeAddr(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 // Guards against a control node whose metrics page lacks its role, the age of its
 // confirmation or the time of its syncs, and against a node that does not stop when
 // its context is canceled.
 func TestPagesShowTheNode(t *testing.T) {
 	s := settings.DefaultControl()
 	s.Node, s.FailureDomain, s.Data = "c1", "d1", filepath.Join(t.TempDir(), "data")
-	s.Listen, s.Ops = freeAddr(t), freeAddr(t)
+	s.Listen, s.Ops = loopback.FreeAddr(t), loopback.FreeAddr(t)
 	s.Peers = []settings.Peer{{Node: ids.Node("c1"), Address: s.Listen}}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
--- a/control/daemon/diskfull_test.go
+++ b/control/daemon/diskfull_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/baobabshore/baobabshore/control"
+	"github.com/baobabshore/baobabshore/loopback"
 	"github.com/baobabshore/baobabshore/settings"
 	"github.com/baobabshore/baobabshore/verdict"
 	"github.com/baobabshore/baobabshore/wal"
@@ -64,7 +65,7 @@
 // fill.
 func fillableDaemon(t *testing.T, disk *fillableFS) *Daemon {
 	t.Helper()
-	addr := freeAddr(t)
+	addr := loopback.FreeAddr(t)
 	d, err := Open(control.Options{
 		Node: "c1", Listen: addr, Domain: "d1", Data: filepath.Join(t.TempDir(), "data"), FS: disk,
 		Peers: []control.Peer{{Node: "c1", Addr: addr}},
--- a/control/group_test.go
+++ b/control/group_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
 	"testing"
@@ -12,6 +11,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/loopback"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -86,7 +86,7 @@
 	g := &group{t: t, net: newNetwork()}
 	var peers []Peer
 	for i := range size {
-		peers = append(peers, Peer{Node: ids.Node(fmt.Sprintf("c%d", i)), Addr: freeAddr(t)})
+		peers = append(peers, Peer{Node: ids.Node(fmt.Sprintf("c%d", i)), Addr: loopback.FreeAddr(t)})
 	}
 	for i := range size {
 		g.add(peers[i], peers)
@@ -115,15 +115,6 @@
 	return len(g.opts) - 1
 }
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func (g *group) start(i int) {
 	g.t.Helper()
 	n, err := Start(g.opts[i])
--- a/control/losses_test.go
+++ b/control/losses_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/loopback"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -38,7 +39,7 @@
 
 // addJoining adds a node that knows the seeds and joins their group.
 func (g *group) addJoining(name ids.Node, tolerance Tolerance) int {
-	self := Peer{Node: name, Addr: freeAddr(g.t)}
+	self := Peer{Node: name, Addr: loopback.FreeAddr(g.t)}
 	i := g.add(self, append([]Peer{self}, g.opts[0].Peers...))
 	g.opts[i].AutoJoin, g.opts[i].JoinOnly, g.opts[i].Tolerance, g.opts[i].Domain = true, true, tolerance, testDomain(i)
 	return i
--- a/control/restart_test.go
+++ b/control/restart_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/baobabshore/baobabshore/consensus"
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/loopback"
 	"github.com/baobabshore/baobabshore/member"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/verdict"
@@ -235,7 +236,7 @@
 func TestRunStopsCleanly(t *testing.T) {
 	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
 	ctx, cancel := context.WithCancel(t.Context())
-	o := Options{Node: "c0", Listen: freeAddr(t), Data: t.TempDir()}
+	o := Options{Node: "c0", Listen: loopback.FreeAddr(t), Data: t.TempDir()}
 	done := make(chan error)
 	go func() { done <- Run(ctx, o) }()
 	c, err := member.NewClient(member.ClientOptions{Servers: []string{o.Listen}})
@@ -379,7 +380,7 @@
 	lost := g.leader()
 	g.stop(lost)
 	g.apply(c, "cmd-2", "2")
-	self := Peer{Node: "fresh", Addr: freeAddr(t)}
+	self := Peer{Node: "fresh", Addr: loopback.FreeAddr(t)}
 	peers := append([]Peer{self}, g.opts[lost].Peers...)
 	fresh := g.add(self, peers)
 	auto(&g.opts[fresh])
@@ -400,7 +401,7 @@
 	members := []*member.Session{g.session(wire.KindEntry, "e1"), g.session(wire.KindAgent, "a1")}
 	for old := range 3 {
 		g.stop(old)
-		self := Peer{Node: ids.Node(fmt.Sprint("fresh-", old)), Addr: freeAddr(t)}
+		self := Peer{Node: ids.Node(fmt.Sprint("fresh-", old)), Addr: loopback.FreeAddr(t)}
 		fresh := g.add(self, append(g.running(), self))
 		auto(&g.opts[fresh])
 		g.start(fresh)
--- a/entry/deletebatch_test.go
+++ b/entry/deletebatch_test.go
@@ -152,6 +152,9 @@
 	if _, err := s.entries[0].DeleteBatch(id, 300*time.Millisecond); err == nil || err.Verdict != verdict.MayHaveRun {
 		t.Errorf("a DELETE of which an entry has not heard: %v", err)
 	}
+	// A lost entry doesn't learn that its registration has ended. One that does registers
+	// again, and the DELETE rightly waits for the live entry behind the closed listener.
+	s.control.freeze(silent.incarnation.Load().self)
 	s.control.expire(silent.incarnation.Load().self, 0)
 	if _, err := s.entries[0].DeleteBatch(id, deleteLimit); err != nil {
 		t.Errorf("a DELETE after the entry was lost: %v", err)
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -239,10 +239,7 @@
 	s.upstream.SetMode(upstreamsim.Hold)
 	j := decodeJob(t, call(t, s.entries[0], "POST", "/v1/jobs", jobJSON("k", 8)))
 	eventually(t, "full slots", func() bool { return s.upstream.Running() == 4 })
-	frozen := s.control.session(old.self)
-	frozen.mu.Lock()
-	frozen.frozen = true
-	frozen.mu.Unlock()
+	s.control.freeze(old.self)
 	s.control.expire(old.self, newOwner.incarnation.Load().self)
 	eventually(t, "the takeover", func() bool {
 		return decodeJob(t, call(t, newOwner, "GET", j.Location, "")).NeedBodies
@@ -322,10 +319,7 @@
 		}
 		return job != nil
 	})
-	frozen := s.control.session(old.self)
-	frozen.mu.Lock()
-	frozen.frozen = true
-	frozen.mu.Unlock()
+	s.control.freeze(old.self)
 	s.control.expire(old.self, newOwner.incarnation.Load().self)
 	old.loop.Call(func(now time.Duration) { old.core.Cancel(now, job.id) })
 	s.upstream.SetMode(upstreamsim.Serve)
--- a/entry/fake_test.go
+++ b/entry/fake_test.go
@@ -128,6 +128,14 @@
 	c.publish()
 }
 
+// freeze keeps the session of an incarnation from being told of anything.
+func (c *fakeControl) freeze(inc ids.Incarnation) {
+	s := c.session(inc)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.frozen = true
+}
+
 func (c *fakeControl) session(inc ids.Incarnation) *fakeSession {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/silent_test.go
+++ b/entry/silent_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabshore/baobabshore/agent"
 	"github.com/baobabshore/baobabshore/faultnet"
+	"github.com/baobabshore/baobabshore/loopback"
 	"github.com/baobabshore/baobabshore/rpc"
 	"github.com/baobabshore/baobabshore/upstreamsim"
 	"github.com/baobabshore/baobabshore/wire"
@@ -19,15 +20,6 @@
 // with a time bound hold again, ContactMs of the smallest deployment.
 const contactTime = 3 * time.Second
 
-func freeAddr(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
-
 func startRelay(t *testing.T, target string) *faultnet.Relay {
 	r, err := faultnet.Listen("127.0.0.1:0", target)
 	if err != nil {
@@ -49,7 +41,7 @@
 	}
 	t.Cleanup(func() { u.Close() })
 	s := &testSystem{control: newFakeControl(testCluster()), upstream: u}
-	o := agent.Options{Listen: freeAddr(t)}
+	o := agent.Options{Listen: loopback.FreeAddr(t)}
 	relay := startRelay(t, o.Listen)
 	o.Advertise = relay.Addr()
 	s.agent = s.control.startAgentWith(t, "a1", u.Addr(), o)
