dispatch: let small tasks pass large ones without room

What callers saw, or would have: jobs that workers have room for wait and are refused while eight jobs before them wait for a worker with GPU.

Cause: only the first eight batches of a team are considered for a free worker, whether or not one has room for them.

Change: behind them, the batches are considered that need less than each one that was found without room. The dump of a worker shows what is free there, so that refusals of an entry with idle workers can be told from those for want of a fitting worker.

--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -17,8 +17,10 @@
 	occupancyCost     = 0.25
 	occupancyExponent = 6
 	// maxBatchCandidates bounds the batches of a team that are considered for
-	// the open workers.
+	// the open workers, apart from those for which smallerDemand looks further.
 	maxBatchCandidates = 8
+	// maxSmallerDemands bounds the batches that smallerDemand lets pass.
+	maxSmallerDemands = 64
 	// reservedBatches is the room on fast workers that is reserved for the
 	// batches that need them, in batches of mean width.
 	reservedBatches = 2.0
@@ -42,20 +44,31 @@
 // chooseBatchTask returns the batch whose next task is to start, and the worker.
 // Batches that can be on time come first. A task waits for a faster worker only
 // while it may be on time there and would probably be late on the open ones.
-// While all workers are full, the task is placed as look-ahead.
+// While all workers are full, the task is placed as look-ahead. Behind the first
+// batches, only those are considered that may fit where the ones before don't: a
+// queue of large tasks would otherwise leave workers idle that small ones fit.
 func (c *Core) chooseBatchTask(now time.Duration, s *service) (j *job, u *upstream, lookAhead bool) {
 	if s.free.size == 0 && s.lookAhead.size == 0 {
 		return nil, nil, false
 	}
 	for _, onTime := range [...]bool{true, false} {
 		for _, t := range s.teamQueues.heap {
-			for _, j := range t.jobs[:min(len(t.jobs), maxBatchCandidates)] {
-				if j.batch == nil || s.canBeOnTime(now, j) != onTime {
+			var demand smallerDemand
+			for i, j := range t.jobs {
+				isFirst := i < maxBatchCandidates
+				if j.batch == nil || !isFirst && !demand.mayFit(j) || s.canBeOnTime(now, j) != onTime {
 					continue
 				}
-				if u := c.bestFreeWorker(now, s, j); u != nil {
+				u, someRoom := c.bestFreeWorker(now, s, j)
+				if u != nil {
 					return j, u, false
 				}
+				if !someRoom {
+					demand.noteUnplaced(j)
+				}
+				if !isFirst {
+					continue
+				}
 				if u := c.bestLookAheadWorker(now, s, j); u != nil {
 					return j, u, true
 				}
@@ -119,7 +132,7 @@
 		case !j.mayHaveStarted() && s.hasUsableUpstream() && !s.fitsSomeUpstream(j.batch):
 			// It was taken in before the workers had connected.
 			c.failJob(now, j, wire.JobFailed, noFittingWorker(s))
-		case !j.mayHaveStarted() && s.waitsTooLong(now, j) && c.bestFreeWorker(now, s, j) == nil:
+		case !j.mayHaveStarted() && s.waitsTooLong(now, j) && !c.hasFreeWorker(now, s, j):
 			wait := seconds(s.waitingWorkBefore(j.batch) / max(s.capacity(), 1))
 			c.failJob(now, j, wire.JobFailed, verdict.Refuse(verdict.Overloaded, "no worker became free in time").After(clampRetryAfter(wait)))
 		case !j.runTimeFactor().mayMeetDeadline(now, j.deadline, j.stepOfTask(j.nextTask()).runTime, s.minSlowness):
@@ -128,6 +141,12 @@
 	}
 }
 
+// hasFreeWorker reports whether a worker suits the next task of j and has room for it.
+func (c *Core) hasFreeWorker(now time.Duration, s *service, j *job) bool {
+	u, _ := c.bestFreeWorker(now, s, j)
+	return u != nil
+}
+
 // waitsTooLong reports whether a batch that has not started would probably be late even on
 // the fastest worker, or has to have started by now.
 func (s *service) waitsTooLong(now time.Duration, j *job) bool {
@@ -138,15 +157,50 @@
 // mayHaveStarted reports whether a task of j has started or may have.
 func (j *job) mayHaveStarted() bool { return j.outstanding > 0 || j.done > 0 || j.mayHaveRun }
 
-// bestFreeWorker returns the worker with a free slot for the next task of j, or
-// nil: the one with the least sum of the expected loss and the cost of its
-// occupancy.
-func (c *Core) bestFreeWorker(now time.Duration, s *service, j *job) *upstream {
-	var best *upstream
+// smallerDemand finds the batches that may have room although those before have none.
+type smallerDemand struct {
+	unplaced []demand
+	passed   int
+}
+
+// demand is what a task needs of a worker.
+type demand struct {
+	size  wire.Resources
+	label string
+}
+
+// noteUnplaced records that no worker has room for the next task of j. A task that avoids
+// some workers says nothing about the others.
+func (d *smallerDemand) noteUnplaced(j *job) {
+	index := j.nextTask()
+	st := j.stepOfTask(index)
+	if st.placement.MaxPerWorker == 0 && j.tasks[index].lastFailedOn == nil {
+		d.unplaced = append(d.unplaced, demand{st.size, st.placement.Label})
+	}
+}
+
+// mayFit reports whether there may be room for the next task of j: no task that needs as
+// little has been found without room.
+func (d *smallerDemand) mayFit(j *job) bool {
+	st := j.stepOfTask(j.nextTask())
+	for _, o := range d.unplaced {
+		if st.size.Contains(o.size) && (o.label == "" || o.label == st.placement.Label) {
+			return false
+		}
+	}
+	d.passed++
+	return d.passed <= maxSmallerDemands
+}
+
+// bestFreeWorker returns the worker with room for the next task of j, or nil: the
+// one with the least sum of the expected loss and the cost of its occupancy. someRoom
+// tells whether some worker has room for the task that it may use.
+func (c *Core) bestFreeWorker(now time.Duration, s *service, j *job) (best *upstream, someRoom bool) {
 	least := math.Inf(1)
 	onTime, size := s.canBeOnTime(now, j), j.stepOfTask(j.nextTask()).size
 	needsFast := j.runTimeFactor().needsFastWorker(now, j.deadline, j.stepOfTask(j.nextTask()).runTime)
 	j.forEachCandidate(&s.free, j.nextTask(), c.random(), (*upstream).hasRoomFor, func(u *upstream) {
+		someRoom = true
 		slowness := j.slownessAt(j.nextTask(), u)
 		if !s.nextTaskRiskAccepted(now, j, slowness) || !needsFast && s.isReserved(u, size) || u.isKeptForUrgent(j.batch.priority, size) {
 			return
@@ -159,7 +213,7 @@
 			best, least = u, cost
 		}
 	})
-	return best
+	return best, someRoom
 }
 
 // nextTaskRiskAccepted reports whether missRiskAccepted holds for the next task
--- a/dispatch/dump.go
+++ b/dispatch/dump.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/baobabshore/baobabshore/ids"
+	"github.com/baobabshore/baobabshore/wire"
 )
 
 // Messages counts messages to and from agents. The unit is one start, recall,
@@ -93,8 +94,10 @@
 	Credit      int             `json:"credit"`
 	Held        int             `json:"held"`
 	Others      int             `json:"others"`
-	Slowness    float64         `json:"slowness"`
-	FailRate    float64         `json:"fail_rate"`
+	// Free is what the known tasks leave of a worker, negative where tasks wait.
+	Free     wire.Resources `json:"free,omitzero"`
+	Slowness float64        `json:"slowness"`
+	FailRate float64        `json:"fail_rate"`
 }
 
 // ServiceDump is the dumped state of a service.
@@ -148,11 +151,15 @@
 
 // dump copies the state of an upstream.
 func (u *upstream) dump() UpstreamDump {
-	return UpstreamDump{
+	d := UpstreamDump{
 		Incarnation: u.incarnation, Node: u.member.Node, Service: u.svc.name, Health: u.health,
 		Connected: u.connected, Gone: u.lost, Draining: u.draining(), Down: u.reportedDown,
 		Credit: u.credit, Held: u.outstanding, Others: u.otherEntryTasks, Slowness: u.slowness, FailRate: u.failureRate,
 	}
+	if u.isWorker() {
+		d.Free = u.freeRoom()
+	}
+	return d
 }
 
 // dump copies the state of a job.
