dispatch: look at further batches only while a worker may have room

Behind the first eight batches of a team, each waiting batch was compared with those that had no room, also where no worker has an open slot.

--- a/dispatch/batchplace.go
+++ b/dispatch/batchplace.go
@@ -56,6 +56,9 @@
 			var demand smallerDemand
 			for i, j := range t.jobs {
 				isFirst := i < maxBatchCandidates
+				if !isFirst && (s.free.size == 0 || demand.passed == maxSmallerDemands) {
+					break
+				}
 				if j.batch == nil || !isFirst && !demand.mayFit(j) || s.canBeOnTime(now, j) != onTime {
 					continue
 				}
@@ -179,8 +182,8 @@
 	}
 }
 
-// mayFit reports whether there may be room for the next task of j: no task that needs as
-// little has been found without room.
+// mayFit reports whether there may be room for the next task of j, since no task that
+// needs as little has been found without room. It counts the tasks for which there may.
 func (d *smallerDemand) mayFit(j *job) bool {
 	st := j.stepOfTask(j.nextTask())
 	for _, o := range d.unplaced {
@@ -189,7 +192,7 @@
 		}
 	}
 	d.passed++
-	return d.passed <= maxSmallerDemands
+	return true
 }
 
 // bestFreeWorker returns the worker with room for the next task of j, or nil: the
