dispatch: raise the least waiting size every 5 s

The index of workers with an open slot is bounded by the least size of a waiting task. TestTaskWaitsOnlyWhileNoWorkerHasRoom passes 2,000 draws, with pauses that cover the window.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -64,7 +64,8 @@
 	servesBatches        bool                          // a batch has been taken in
 	taskSizes            taskSizeEstimate              // of sized tasks
 	leastWaiting         leastSize                     // of the tasks that wait, or less
-	leastSinceSweep      leastSize                     // of those that have begun to wait since the last sweep
+	leastInWindow        leastSize                     // of those that have begun to wait since leastWaiting was raised
+	nextLeastRaiseAt     time.Duration                 // when leastWaiting is raised again
 	meanLogDeclaredRatio float64                       // mean of the workers' logDeclaredRatio
 	minSlowness          float64                       // of the workers, set by each sweep
 	fastWorkerCount      int                           // number of workers of about that slowness
--- a/dispatch/recall.go
+++ b/dispatch/recall.go
@@ -97,7 +97,7 @@
 		s.updateLongestWork()
 		c.recenterDeclaredRatios(s)
 		s.updateFastestWorkers()
-		s.raiseLeastWaiting()
+		s.raiseLeastWaiting(now)
 		s.teamQueues.divideCapacity(int(s.capacity() * rateUnit))
 	}
 	for _, u := range c.sortedUpstreams {
--- a/dispatch/room.go
+++ b/dispatch/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/baobabshore/baobabshore/wire"
 )
@@ -125,7 +126,7 @@
 // noteWaitingSize includes the size of a task that begins to wait in the bound by which
 // workers with an open slot are found.
 func (c *Core) noteWaitingSize(s *service, size wire.Resources) {
-	s.leastSinceSweep.include(size)
+	s.leastInWindow.include(size)
 	if !s.leastWaiting.include(size) {
 		return
 	}
@@ -134,10 +135,18 @@
 	}
 }
 
-// raiseLeastWaiting forgets the sizes of tasks that no longer wait. The index then has
-// workers without room for any waiting task until their next change, which does no harm.
-func (s *service) raiseLeastWaiting() {
-	least := s.leastSinceSweep
+// leastWaitingWindow is the least time for which a size counts. Each new least size costs a
+// pass over the workers.
+const leastWaitingWindow = 5 * time.Second
+
+// raiseLeastWaiting forgets the sizes of tasks that no longer wait. Until then the index has
+// workers without room for any waiting task, which does no harm.
+func (s *service) raiseLeastWaiting(now time.Duration) {
+	if now < s.nextLeastRaiseAt {
+		return
+	}
+	s.nextLeastRaiseAt = now + leastWaitingWindow
+	least := s.leastInWindow
 	for _, j := range s.teamQueues.waitingJobs() {
 		if j.batch == nil {
 			continue
@@ -146,7 +155,7 @@
 			least.include(j.batch.steps[i].size)
 		}
 	}
-	s.leastSinceSweep = leastSize{}
+	s.leastInWindow = leastSize{}
 	if least.known {
 		s.leastWaiting = least
 	}
--- a/dispatch/room_test.go
+++ b/dispatch/room_test.go
@@ -130,7 +130,7 @@
 				GPU: rapid.SampledFrom([]int{0, 0, 1, 8}).Draw(t, "size"),
 			}
 			f.sizedBatch(size, rapid.IntRange(1, 20).Draw(t, "tasks")) // may be refused
-			f.now += rapid.SampledFrom([]time.Duration{0, sweepInterval}).Draw(t, "pause")
+			f.now += rapid.SampledFrom([]time.Duration{0, sweepInterval, leastWaitingWindow / 4}).Draw(t, "pause")
 			for up := range f.upstreams {
 				f.reportFromWorker(up, 1000)
 			}
